--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,5 @@
+//! Load on mintridge: callers, an open-loop schedule, and reports.
+
+pub mod caller;
+pub mod load;
+pub mod report;
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,151 @@
+//! What a run showed: outcomes, percentiles, spread.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::caller::Told;
+use crate::load::Record;
+
+/// Longest latency recorded, in microseconds.
+const LATENCY_MOST: u64 = 120_000_000;
+/// Digits kept of a latency.
+const DIGITS: u8 = 3;
+/// Percentiles shown.
+const PERCENTILES: [(&str, f64); 5] = [
+    ("p50", 50.0),
+    ("p90", 90.0),
+    ("p99", 99.0),
+    ("p99.9", 99.9),
+    ("most", 100.0),
+];
+
+/// Result of a run.
+#[derive(Clone, Debug)]
+pub struct Report {
+    rate: f64,
+    duration: Duration,
+    latency: Histogram<u64>,
+    outcomes: BTreeMap<String, u64>,
+    servers: BTreeMap<String, u64>,
+    sent: u64,
+}
+
+/// A report as scripts read it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Requests a second asked for.
+    pub rate: f64,
+    /// Requests sent.
+    pub sent: u64,
+    /// Requests by outcome.
+    pub outcomes: BTreeMap<String, u64>,
+    /// Answers by server.
+    pub servers: BTreeMap<String, u64>,
+    /// Latency of successful answers in milliseconds, by percentile.
+    pub latency_millis: BTreeMap<&'static str, f64>,
+}
+
+impl Report {
+    /// Nothing recorded yet.
+    ///
+    /// # Panics
+    /// Never: the histogram's bounds are constants within its limits.
+    #[must_use]
+    pub fn new(rate: f64, duration: Duration) -> Self {
+        let latency = Histogram::new_with_bounds(1, LATENCY_MOST, DIGITS);
+        Self {
+            rate,
+            duration,
+            latency: latency.expect("constant bounds are valid"),
+            outcomes: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            sent: 0,
+        }
+    }
+
+    /// Takes one record in.
+    pub fn add(&mut self, record: &Record) {
+        self.sent += 1;
+        let outcome = match &record.heard.told {
+            Told::Answer { status, server, .. } => {
+                *self.servers.entry(server.clone()).or_default() += 1;
+                if status.is_success() {
+                    let micros = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
+                    self.latency.saturating_record(micros.max(1));
+                }
+                format!("answered {}", status.as_u16())
+            }
+            Told::Refused {
+                outcome, reason, ..
+            } => {
+                format!("{}: {}", outcome.as_str(), reason.as_str())
+            }
+            Told::Broken { begun: true } => String::from("broken off"),
+            Told::Broken { begun: false } => String::from("no answer"),
+            Told::Silence => String::from("silence"),
+        };
+        *self.outcomes.entry(outcome).or_default() += 1;
+    }
+
+    /// Requests sent.
+    #[must_use]
+    pub const fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Requests with this outcome.
+    #[must_use]
+    pub fn outcome(&self, name: &str) -> u64 {
+        self.outcomes.get(name).copied().unwrap_or(0)
+    }
+
+    /// A percentile of the latency of successful answers.
+    #[must_use]
+    pub fn percentile(&self, percent: f64) -> Duration {
+        Duration::from_micros(self.latency.value_at_percentile(percent))
+    }
+
+    /// The report for scripts.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let latency = PERCENTILES
+            .iter()
+            .map(|(name, percent)| (*name, self.percentile(*percent).as_secs_f64() * 1e3));
+        Summary {
+            rate: self.rate,
+            sent: self.sent,
+            outcomes: self.outcomes.clone(),
+            servers: self.servers.clone(),
+            latency_millis: latency.collect(),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} requests, {:.0} a second for {:.0} s",
+            self.sent,
+            self.rate,
+            self.duration.as_secs_f64()
+        )?;
+        for (outcome, count) in &self.outcomes {
+            writeln!(f, "  {outcome:<28} {count:>9}")?;
+        }
+        writeln!(f, "answers by server")?;
+        for (server, count) in &self.servers {
+            writeln!(f, "  {server:<28} {count:>9}")?;
+        }
+        writeln!(f, "latency of successful answers")?;
+        for (name, percent) in PERCENTILES {
+            let millis = self.percentile(percent).as_secs_f64() * 1e3;
+            writeln!(f, "  {name:<28} {millis:>9.2} ms")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/configs/admission.rs
@@ -0,0 +1,44 @@
+//! Settings of admission beside the upstream.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::admission`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Requests that may wait, per slot of the upstream.
+    pub queue_per_slot: f64,
+    /// Requests that may wait whatever the number of slots.
+    pub queue_least: usize,
+    /// Assumed time of a request in the upstream before the first answer.
+    #[serde(with = "humantime_serde")]
+    pub service_time_initial: Duration,
+    /// Weight of one answer in the mean time of a request, 0 to 1.
+    pub service_time_share: f64,
+    /// The limit on concurrency never falls below this.
+    pub limit_least: f64,
+    /// Factor applied to the limit when the upstream sheds load.
+    pub limit_decrease: f64,
+    /// Added to the limit over one limit's worth of good answers.
+    pub limit_increase: f64,
+    /// Least time told to a refused caller; HTTP carries whole seconds.
+    #[serde(with = "humantime_serde")]
+    pub retry_after_least: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            queue_per_slot: 2.0,
+            queue_least: 4,
+            service_time_initial: Duration::from_millis(20),
+            service_time_share: 0.05,
+            limit_least: 1.0,
+            limit_decrease: 0.8,
+            limit_increase: 0.5,
+            retry_after_least: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/configs/placement.rs
@@ -0,0 +1,40 @@
+//! Settings of the choice of an upstream.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::placement`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Round trip between availability zones.
+    #[serde(with = "humantime_serde")]
+    pub zone_cost: Duration,
+    /// Assumed time of a request in an upstream that has not reported.
+    #[serde(with = "humantime_serde")]
+    pub service_time_initial: Duration,
+    /// Weight of an upstream's filling while it has free slots, in service times.
+    pub spread: f64,
+    /// A server that joined takes its full share only after this long.
+    #[serde(with = "humantime_serde")]
+    pub ramp: Duration,
+    /// How long a server that refused or broke is taken only when all others are worse.
+    #[serde(with = "humantime_serde")]
+    pub avoid_for: Duration,
+    /// Candidates compared for one request, drawn at random when there are more.
+    pub choices: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            zone_cost: Duration::from_micros(500),
+            service_time_initial: Duration::from_millis(20),
+            spread: 0.25,
+            ramp: Duration::from_secs(5),
+            avoid_for: Duration::from_millis(500),
+            choices: 8,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/configs/probe.rs
@@ -0,0 +1,22 @@
+//! Settings of the probes of a doubtful upstream.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::probe`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// A probe unanswered for this long has failed; also the size of the budget's bucket.
+    #[serde(with = "humantime_serde")]
+    pub timeout: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            timeout: Duration::from_millis(25),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,34 @@
+//! The decisions of mintridge, without input, output, clock or randomness.
+//!
+//! Time comes in as an [`std::time::Instant`], randomness as a seed. Each module
+//! owns one decision: events go in through its methods, and what to do next comes
+//! out as a return value or from its `poll`. The same code runs under the node's
+//! threads, under scripted tests and under the policy bench.
+//!
+//! A request meets the modules in this order:
+//!
+//! | step | module |
+//! |---|---|
+//! | which server? | [`placement`] |
+//! | may it be tried again elsewhere? | [`retry`] |
+//! | may it run now? | [`admission`], closed by [`gate`] and [`health`] |
+//! | did this key run before? | [`claim`] |
+//! | what is the caller told? | [`outcome`] |
+//!
+//! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
+//! in force) and [`probe`] (what measuring may cost).
+
+pub mod admission;
+pub mod claim;
+pub mod configs;
+pub mod ewma;
+pub mod gate;
+pub mod health;
+pub mod load;
+pub mod membership;
+pub mod outcome;
+pub mod placement;
+pub mod preset;
+pub mod probe;
+pub mod request;
+pub mod retry;
--- /dev/null
+++ b/crates/core/src/membership.rs
@@ -0,0 +1,368 @@
+//! Who is there: records of all servers, spread from node to node.
+//!
+//! Each node owns its record and numbers its versions. Nodes exchange news in rounds:
+//! one peer a round, whatever the size of the fleet. A peer that does not answer is
+//! asked about through others, then suspected, then dead unless it speaks up.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::seq::{IteratorRandom, SliceRandom};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+
+use crate::configs::membership::Settings;
+
+/// How a server stands in the eyes of the others; later variants outweigh earlier ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Standing {
+    /// It answers.
+    Alive,
+    /// It did not answer, neither directly nor through others.
+    Suspect,
+    /// It stayed silent for the time of suspicion.
+    Dead,
+    /// It said goodbye.
+    Left,
+}
+
+/// The upstream beside a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Upstream {
+    /// The service it offers.
+    pub service: Arc<str>,
+    /// Requests it may have at once.
+    pub slots: u32,
+    /// It takes nothing new.
+    pub leaving: bool,
+}
+
+/// Order of two records about the same server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version {
+    /// Start of the process, in milliseconds since the Unix epoch, or later if others
+    /// remembered a later one.
+    pub incarnation: u64,
+    /// Changes since then.
+    pub change: u64,
+}
+
+/// What is known of one server.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// Name of the server.
+    pub server: Arc<str>,
+    /// Its availability zone.
+    pub availability_zone: Arc<str>,
+    /// Where its node takes requests from peers.
+    pub peer_address: SocketAddr,
+    /// Where its node takes exchanges.
+    pub control_address: SocketAddr,
+    /// Where its node answers operators.
+    pub operators_address: SocketAddr,
+    /// Which record is newer.
+    pub version: Version,
+    /// How it stands.
+    pub standing: Standing,
+    /// The upstream beside it, while announced.
+    pub upstream: Option<Upstream>,
+}
+
+impl Record {
+    fn outweighs(&self, other: &Self) -> bool {
+        (self.version, self.standing) > (other.version, other.standing)
+    }
+
+    /// Whether requests and exchanges may be sent to it.
+    #[must_use]
+    pub fn is_present(&self) -> bool {
+        self.standing <= Standing::Suspect
+    }
+}
+
+/// All records that one node knows.
+#[derive(Debug)]
+pub struct Table {
+    settings: Settings,
+    own: Record,
+    others: BTreeMap<Arc<str>, Entry>,
+    news: BTreeMap<Arc<str>, u32>,
+    round: Vec<Arc<str>>,
+    rng: ChaCha8Rng,
+}
+
+#[derive(Debug)]
+struct Entry {
+    record: Record,
+    changes_at: Option<Instant>,
+}
+
+impl Table {
+    /// A node that knows only itself.
+    #[must_use]
+    pub fn new(settings: Settings, own: Record, seed: u64) -> Self {
+        let mut table = Self {
+            settings,
+            news: BTreeMap::new(),
+            own,
+            others: BTreeMap::new(),
+            round: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        table.spread_own();
+        table
+    }
+
+    /// This node's own record.
+    #[must_use]
+    pub const fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// All records but the own one.
+    pub fn others(&self) -> impl Iterator<Item = &Record> {
+        self.others.values().map(|entry| &entry.record)
+    }
+
+    /// Records of servers that are there, the own one included.
+    pub fn present(&self) -> impl Iterator<Item = &Record> {
+        std::iter::once(&self.own).chain(self.others().filter(|record| record.is_present()))
+    }
+
+    /// Takes the state of the upstream beside this node; true if it changed.
+    pub fn set_upstream(&mut self, upstream: Option<Upstream>) -> bool {
+        if self.own.upstream == upstream {
+            return false;
+        }
+        self.own.upstream = upstream;
+        self.own.version.change += 1;
+        self.spread_own();
+        true
+    }
+
+    /// This node says goodbye.
+    pub fn leave(&mut self) {
+        self.own.standing = Standing::Left;
+        self.own.version.change += 1;
+        self.spread_own();
+    }
+
+    /// Takes in a record from a peer; true if it was news.
+    pub fn merge(&mut self, now: Instant, record: Record) -> bool {
+        if record.server == self.own.server {
+            return self.refute(&record);
+        }
+        if let Some(entry) = self.others.get(&record.server)
+            && !record.outweighs(&entry.record)
+        {
+            return false;
+        }
+        let known = self.others.contains_key(&record.server);
+        if !known && !record.is_present() {
+            return false;
+        }
+        let server = Arc::clone(&record.server);
+        let changes_at = self.change_due(now, record.standing);
+        self.others
+            .insert(Arc::clone(&server), Entry { record, changes_at });
+        self.spread(server);
+        true
+    }
+
+    /// A peer answered: whatever was suspected of this version of it is over.
+    pub fn answered(&mut self, server: &str) {
+        let Some(entry) = self.others.get_mut(server) else {
+            return;
+        };
+        if entry.record.standing == Standing::Suspect {
+            entry.record.standing = Standing::Alive;
+            entry.changes_at = None;
+        }
+    }
+
+    /// A peer answered neither directly nor through others.
+    pub fn unanswered(&mut self, now: Instant, server: &str) {
+        let due = self.change_due(now, Standing::Suspect);
+        let Some(entry) = self.others.get_mut(server) else {
+            return;
+        };
+        if entry.record.standing != Standing::Alive {
+            return;
+        }
+        entry.record.standing = Standing::Suspect;
+        entry.changes_at = due;
+        let server = Arc::clone(&entry.record.server);
+        self.spread(server);
+    }
+
+    /// Turns suspects into dead and forgets the long dead; true if anything changed.
+    pub fn tick(&mut self, now: Instant) -> bool {
+        let due: Vec<Arc<str>> = self
+            .others
+            .iter()
+            .filter(|(_, entry)| entry.changes_at.is_some_and(|at| now >= at))
+            .map(|(server, _)| Arc::clone(server))
+            .collect();
+        for server in &due {
+            self.advance(now, server);
+        }
+        !due.is_empty()
+    }
+
+    /// The peer for the next round: each once in a random order before any again.
+    pub fn next_peer(&mut self) -> Option<Record> {
+        if self.round.is_empty() {
+            self.round = self.present_others();
+            self.round.shuffle(&mut self.rng);
+        }
+        while let Some(server) = self.round.pop() {
+            let present = self.others.get(&server).map(|entry| &entry.record);
+            if let Some(record) = present.filter(|record| record.is_present()) {
+                return Some(record.clone());
+            }
+        }
+        None
+    }
+
+    /// Peers to ask about one that did not answer.
+    pub fn relays(&mut self, about: &str) -> Vec<Record> {
+        let relays = self.settings.relays;
+        self.sample(relays, about)
+    }
+
+    /// Peers to tell something at once.
+    pub fn sample(&mut self, most: usize, except: &str) -> Vec<Record> {
+        self.others
+            .values()
+            .map(|entry| &entry.record)
+            .filter(|record| record.standing == Standing::Alive)
+            .filter(|record| record.server.as_ref() != except)
+            .cloned()
+            .sample(&mut self.rng, most)
+    }
+
+    /// News to send with the next exchange.
+    pub fn take_news(&mut self) -> Vec<Record> {
+        let mut hottest: Vec<(u32, Arc<str>)> = self
+            .news
+            .iter()
+            .map(|(server, left)| (*left, Arc::clone(server)))
+            .collect();
+        hottest.sort_by(|a, b| b.cmp(a));
+        hottest.truncate(self.settings.records_most);
+        hottest
+            .into_iter()
+            .filter_map(|(_, server)| self.take_one(&server))
+            .collect()
+    }
+
+    /// Digest of who is there in which version; equal tables have equal digests.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.present()
+            .map(|record| {
+                let mut hasher = SipHasher13::new();
+                (&record.server, record.version).hash(&mut hasher);
+                hasher.finish()
+            })
+            .fold(0, |sum, hash| sum ^ hash)
+    }
+
+    /// Whether this node is among the few of its zone that use the store.
+    ///
+    /// The few are the first by a hash of the name, so all nodes with the same view
+    /// agree, and their number follows the zones and not the fleet.
+    #[must_use]
+    pub fn is_holder(&self) -> bool {
+        let own = rank(&self.own.server);
+        let ahead = self
+            .others()
+            .filter(|record| record.standing == Standing::Alive)
+            .filter(|record| record.availability_zone == self.own.availability_zone)
+            .filter(|record| rank(&record.server) < own)
+            .count();
+        ahead < self.settings.holders_per_zone
+    }
+
+    fn present_others(&self) -> Vec<Arc<str>> {
+        self.others()
+            .filter(|record| record.is_present())
+            .map(|record| Arc::clone(&record.server))
+            .collect()
+    }
+
+    /// Someone spoke about this node: answer with a version that outweighs it.
+    ///
+    /// Failure: a frozen node wakes, or is replaced by one whose clock is behind.
+    /// Symptom: peers hold it dead or in a later version and ignore what it says. The
+    /// higher version makes its own word count again.
+    fn refute(&mut self, record: &Record) -> bool {
+        if !record.outweighs(&self.own) {
+            return false;
+        }
+        if record.version.incarnation > self.own.version.incarnation {
+            self.own.version.incarnation = record.version.incarnation;
+        }
+        self.own.version.change = record.version.change.max(self.own.version.change) + 1;
+        self.spread_own();
+        true
+    }
+
+    fn advance(&mut self, now: Instant, server: &Arc<str>) {
+        let due = self.change_due(now, Standing::Dead);
+        let Some(entry) = self.others.get_mut(server) else {
+            return;
+        };
+        if entry.record.standing == Standing::Suspect {
+            entry.record.standing = Standing::Dead;
+            entry.changes_at = due;
+            self.spread(Arc::clone(server));
+            return;
+        }
+        self.others.remove(server);
+        self.news.remove(server);
+    }
+
+    fn change_due(&self, now: Instant, standing: Standing) -> Option<Instant> {
+        match standing {
+            Standing::Alive => None,
+            Standing::Suspect => Some(now + self.settings.suspicion),
+            Standing::Dead | Standing::Left => Some(now + self.settings.forget_after),
+        }
+    }
+
+    fn spread_own(&mut self) {
+        let server = Arc::clone(&self.own.server);
+        self.spread(server);
+    }
+
+    fn spread(&mut self, server: Arc<str>) {
+        let members = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
+        let rounds = u32::BITS - members.leading_zeros() + 1;
+        self.news.insert(server, self.settings.news_rounds * rounds);
+    }
+
+    fn take_one(&mut self, server: &Arc<str>) -> Option<Record> {
+        let left = self.news.get_mut(server)?;
+        *left -= 1;
+        if *left == 0 {
+            self.news.remove(server);
+        }
+        if *server == self.own.server {
+            return Some(self.own.clone());
+        }
+        self.others.get(server).map(|entry| entry.record.clone())
+    }
+}
+
+fn rank(server: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    server.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,19 @@
+//! What the core knows of one request.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Number of a request within one node, never used twice by one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Id(pub u64);
+
+/// A request as it reaches the node beside the upstream.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Number given by this node.
+    pub id: Id,
+    /// On whose behalf the request runs; fairness is between customers.
+    pub customer: Arc<str>,
+    /// The caller's answer is worth nothing after this instant.
+    pub deadline: Instant,
+}
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,12 @@
+//! Gotham handlers served on hyper-util connections.
+//!
+//! Gotham's own start functions set neither limits nor a graceful stop, so the
+//! connections are driven here and the handlers are gotham's.
+
+pub mod handler;
+pub mod problem;
+pub mod reply;
+pub mod server;
+
+/// Body of requests and responses, as gotham defines it.
+pub type Body = gotham::helpers::http::Body;
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,238 @@
+//! Listeners: accept, serve gotham handlers, stop gracefully.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use gotham::handler::NewHandler;
+use gotham::service::call_handler;
+use gotham::state::State;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::Body;
+
+/// Protocol spoken on a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Protocol {
+    /// HTTP/1.1, for callers, upstreams and operators.
+    Http1,
+    /// HTTP/2 with prior knowledge, between nodes.
+    Http2,
+}
+
+/// What one listener takes at most.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections open at once; further ones are closed at once.
+    pub connections: usize,
+    /// Bytes of a request's header section.
+    pub header_bytes: usize,
+    /// Fields of a request's header section.
+    pub header_fields: usize,
+    /// Time for a request's header section to arrive.
+    pub header_within: Duration,
+    /// Bytes of a request body taken before the handler reads it (HTTP/2 only).
+    pub window: u32,
+    /// Requests open at once on one connection (HTTP/2 only).
+    pub streams: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            header_bytes: 32 * 1024,
+            header_fields: 100,
+            header_within: Duration::from_secs(5),
+            window: 128 * 1024,
+            streams: 1024,
+        }
+    }
+}
+
+/// Phases of a listener's life, set by its owner.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Serve.
+    Open,
+    /// Take no more connections; finish the requests in progress until `give_up_at`.
+    Closing {
+        /// What is not finished by then is cut.
+        give_up_at: Instant,
+    },
+}
+
+/// How a listener ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Connections with a request in progress that were cut.
+    pub cut: usize,
+}
+
+/// Serves until the phase turns to closing and the requests in progress are finished.
+pub async fn serve<H>(
+    listener: TcpListener,
+    handler: H,
+    protocol: Protocol,
+    limits: Limits,
+    mut phase: watch::Receiver<Phase>,
+) -> Ended
+where
+    H: NewHandler + 'static,
+{
+    let handler = Arc::new(handler);
+    let graceful = GracefulShutdown::new();
+    let open = Arc::new(AtomicUsize::new(0));
+    let give_up_at = loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    if open.load(Ordering::Relaxed) >= limits.connections {
+                        log::warn!(peer:% = peer; "connection closed: too many are open");
+                        continue;
+                    }
+                    let counted = Counted::new(Arc::clone(&open));
+                    spawn(stream, peer, Arc::clone(&handler), protocol, &limits, &graceful, counted);
+                }
+                Err(error) => {
+                    log::warn!(error:% = error; "accept failed");
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            },
+            () = closing(&mut phase) => break closes_at(&phase),
+        }
+    };
+    drop(listener);
+    let finished = tokio::time::timeout_at(give_up_at.into(), graceful.shutdown()).await;
+    let cut = if finished.is_ok() {
+        0
+    } else {
+        open.load(Ordering::Relaxed)
+    };
+    Ended { cut }
+}
+
+/// Waits until the phase is closing, or its owner is gone.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    let turned = phase
+        .wait_for(|phase| matches!(phase, Phase::Closing { .. }))
+        .await;
+    drop(turned);
+}
+
+fn closes_at(phase: &watch::Receiver<Phase>) -> Instant {
+    match *phase.borrow() {
+        Phase::Closing { give_up_at } => give_up_at,
+        Phase::Open => Instant::now(),
+    }
+}
+
+/// Counts an open connection for as long as it lives.
+struct Counted(Arc<AtomicUsize>);
+
+impl Counted {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn spawn<H>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<H>,
+    protocol: Protocol,
+    limits: &Limits,
+    graceful: &GracefulShutdown,
+    counted: Counted,
+) where
+    H: NewHandler + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "no-delay not set");
+    }
+    let service = service_fn(move |request| handle(Arc::clone(&handler), request, peer));
+    let io = TokioIo::new(stream);
+    match protocol {
+        Protocol::Http1 => {
+            let connection = http1(limits).serve_connection(io, service);
+            let watched = graceful.watch(connection);
+            tokio::spawn(async move {
+                finish(watched.await, peer);
+                drop(counted);
+            });
+        }
+        Protocol::Http2 => {
+            let connection = http2(limits).serve_connection(io, service);
+            let watched = graceful.watch(connection);
+            tokio::spawn(async move {
+                finish(watched.await, peer);
+                drop(counted);
+            });
+        }
+    }
+}
+
+fn http1(limits: &Limits) -> hyper::server::conn::http1::Builder {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_within)
+        .max_headers(limits.header_fields)
+        .max_buf_size(limits.header_bytes.max(8192));
+    builder
+}
+
+/// The window bounds what arrives of a body before its handler asks for it, and with
+/// it the memory that a waiting request holds.
+fn http2(limits: &Limits) -> hyper::server::conn::http2::Builder<TokioExecutor> {
+    let mut builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+    let header_bytes = u32::try_from(limits.header_bytes).unwrap_or(u32::MAX);
+    let resets = usize::try_from(limits.streams).unwrap_or(usize::MAX);
+    builder
+        .timer(TokioTimer::new())
+        .max_header_list_size(header_bytes)
+        .initial_stream_window_size(limits.window)
+        .initial_connection_window_size(limits.window.saturating_mul(16))
+        .max_concurrent_streams(limits.streams)
+        .max_pending_accept_reset_streams(resets);
+    builder
+}
+
+async fn handle<H>(
+    handler: Arc<H>,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Result<Response<Body>, Infallible>
+where
+    H: NewHandler + 'static,
+{
+    let state = State::from_request(request, peer);
+    let answered = call_handler(handler, AssertUnwindSafe(state)).await;
+    Ok(answered.unwrap_or_else(|error| {
+        log::error!(error:% = error; "handler could not be made");
+        let status = hyper::StatusCode::INTERNAL_SERVER_ERROR;
+        crate::reply::text(status, "handler could not be made\n")
+    }))
+}
+
+fn finish(ended: Result<(), hyper::Error>, peer: SocketAddr) {
+    if let Err(error) = ended {
+        log::debug!(peer:% = peer, error:% = error; "connection ended");
+    }
+}
--- /dev/null
+++ b/crates/node/schema/peer.capnp
@@ -0,0 +1,46 @@
+@0xd4c6a3f1b2e09785;
+# Exchanges between nodes. The Rust in src/control/peer_capnp.rs is generated from this
+# file and committed; docs/DEVELOPERS notes in CONTRIBUTING.md say how.
+
+struct Upstream {
+  service @0 :Text;
+  slots @1 :UInt32;
+  leaving @2 :Bool;
+}
+
+enum Standing {
+  alive @0;
+  suspect @1;
+  dead @2;
+  left @3;
+}
+
+struct Record {
+  server @0 :Text;
+  availabilityZone @1 :Text;
+  peerAddress @2 :Text;
+  controlAddress @3 :Text;
+  operatorsAddress @4 :Text;
+  incarnation @5 :UInt64;
+  change @6 :UInt64;
+  standing @7 :Standing;
+  upstream :union {
+    none @8 :Void;
+    some @9 :Upstream;
+  }
+}
+
+# One side of an exchange: the sender's record and news, a digest of its table, and the
+# revision of its preset with the document, in JSON, if the other's is known to be older.
+struct Exchange {
+  news @0 :List(Record);
+  digest @1 :UInt64;
+  revision @2 :UInt64;
+  inForce @3 :Data;
+}
+
+interface Peer {
+  exchange @0 (ours :Exchange) -> (theirs :Exchange);
+  ask @1 (controlAddress :Text) -> (answered :Bool);
+  table @2 () -> (records :List(Record));
+}
--- /dev/null
+++ b/crates/node/src/configs.rs
@@ -0,0 +1,12 @@
+//! Settings of each module of the node; `Default` documents the defaults.
+
+pub mod callers;
+pub mod claims;
+pub mod control;
+pub mod guard;
+pub mod link;
+pub mod listeners;
+pub mod logs;
+pub mod node;
+pub mod store;
+pub mod traces;
--- /dev/null
+++ b/crates/node/src/configs/callers.rs
@@ -0,0 +1,52 @@
+//! Settings of the callers' side of a node.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::entry`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Header that names the service; without it the host name does.
+    pub service_header: String,
+    /// Header that names the customer on whose behalf the request runs.
+    pub customer_header: String,
+    /// Header with the time allowed, in milliseconds.
+    pub timeout_header: String,
+    /// Header with the idempotency key of an unrepeatable request.
+    pub key_header: String,
+    /// Time allowed to a request that does not say.
+    #[serde(with = "humantime_serde")]
+    pub timeout_default: Duration,
+    /// Longest time allowed to any request.
+    #[serde(with = "humantime_serde")]
+    pub timeout_most: Duration,
+    /// How long after the deadline a refusal on its way is still waited for.
+    #[serde(with = "humantime_serde")]
+    pub grace: Duration,
+    /// Bytes of a request body kept until it is known that no second attempt is made.
+    pub replay_most: usize,
+    /// A body that does not move for this long is broken off.
+    #[serde(with = "humantime_serde")]
+    pub body_idle: Duration,
+    /// Connections of callers open at once.
+    pub connections_most: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            service_header: String::from("mintridge-service"),
+            customer_header: String::from("mintridge-customer"),
+            timeout_header: String::from("mintridge-timeout-ms"),
+            key_header: String::from("idempotency-key"),
+            timeout_default: Duration::from_secs(10),
+            timeout_most: Duration::from_mins(1),
+            grace: Duration::from_millis(25),
+            replay_most: 256 * 1024,
+            body_idle: Duration::from_secs(30),
+            connections_most: 4096,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/configs/claims.rs
@@ -0,0 +1,17 @@
+//! Settings of the calls that claim idempotency keys.
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::claims`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Requests between the guard and the claims thread.
+    pub ring: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { ring: 1024 }
+    }
+}
--- /dev/null
+++ b/crates/node/src/configs/guard.rs
@@ -0,0 +1,35 @@
+//! Settings of the guard's calls to its upstream.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Settings of [`crate::guard`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Settings {
+    /// Time to open a connection to the upstream.
+    #[serde(with = "humantime_serde")]
+    pub connect_within: Duration,
+    /// An idle connection to the upstream is not used again after this; keep it below the upstream's own limit.
+    #[serde(with = "humantime_serde")]
+    pub idle_connections_for: Duration,
+    /// Idle connections to the upstream kept open.
+    pub idle_connections_most: usize,
+    /// A refusal by the upstream counts as a fast failure below this share of its mean service time.
+    pub fast_failure: f64,
+    /// Announcements between their listener and the guard.
+    pub announcements_ring: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_within: Duration::from_millis(500),
+            idle_connections_for: Duration::from_secs(2),
+            idle_connections_most: 64,
+            fast_failure: 0.5,
+            announcements_ring: 16,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,177 @@
+//! Keeps members and the preset in force up to date, by exchanges with peers and, on a
+//! few nodes, by the store.
+
+mod codec;
+mod exchange;
+mod holder;
+mod peer;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::membership::{Record, Standing, Table, Version};
+use mintridge_core::preset::{InForce, Offered, Register};
+use mintridge_store::client::Client;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+use crate::context::{Context, Stage, View};
+
+/// Everything the tasks of this thread share.
+struct Control {
+    context: Arc<Context>,
+    store: Client,
+    state: RefCell<State>,
+    /// Something changed that peers should hear at once.
+    news: Notify,
+}
+
+struct State {
+    table: Table,
+    register: Register,
+    heard_at: Option<Instant>,
+    differing: u32,
+    seed_lease: Option<i64>,
+}
+
+/// Works until the node ends, and says goodbye.
+pub async fn run(context: Arc<Context>, listener: TcpListener) {
+    let control = Rc::new(Control::new(context));
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            control.publish();
+            tokio::task::spawn_local(peer::serve(Rc::clone(&control), listener));
+            tokio::task::spawn_local(exchange::rounds(Rc::clone(&control)));
+            tokio::task::spawn_local(exchange::pushes(Rc::clone(&control)));
+            tokio::task::spawn_local(holder::work(Rc::clone(&control)));
+            tokio::task::spawn_local(holder::watch(Rc::clone(&control)));
+            tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
+            control.until_ending().await;
+            control.state.borrow_mut().table.leave();
+            exchange::push(&control).await;
+            holder::leave(&control).await;
+        })
+        .await;
+}
+
+/// Tells peers what the guard says of its upstream.
+async fn follow_upstream(control: Rc<Control>) {
+    let mut upstream = control.context.latest.upstream.subscribe();
+    loop {
+        let current = upstream.borrow_and_update().clone();
+        let changed = control.state.borrow_mut().table.set_upstream(current);
+        if changed {
+            control.publish();
+            control.news.notify_one();
+        }
+        if upstream.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+impl Control {
+    fn new(context: Arc<Context>) -> Self {
+        let settings = &context.settings;
+        let own = Record {
+            server: Arc::clone(&settings.server),
+            availability_zone: Arc::clone(&settings.availability_zone),
+            peer_address: context.addresses.peers,
+            control_address: context.addresses.control,
+            operators_address: context.addresses.operators,
+            version: Version {
+                incarnation: context.incarnation,
+                change: 0,
+            },
+            standing: Standing::Alive,
+            upstream: None,
+        };
+        let seed = context.incarnation ^ u64::from(context.addresses.control.port());
+        Self {
+            store: Client::new(settings.store.address, settings.store.timeout),
+            state: RefCell::new(State {
+                table: Table::new(settings.membership.clone(), own, seed),
+                register: Register::default(),
+                heard_at: None,
+                differing: 0,
+                seed_lease: None,
+            }),
+            news: Notify::new(),
+            context,
+        }
+    }
+
+    async fn until_ending(&self) {
+        let mut stage = self.context.latest.stage.subscribe();
+        let ended = stage.wait_for(|stage| *stage == Stage::Ending).await;
+        drop(ended);
+    }
+
+    /// Shows members and preset to the other duties.
+    fn publish(&self) {
+        let state = self.state.borrow();
+        let view = View {
+            members: state.table.present().cloned().collect(),
+            in_force: Arc::clone(state.register.current()),
+            holder: state.table.is_holder(),
+        };
+        drop(state);
+        self.context
+            .metrics
+            .view(view.members.len(), view.in_force.revision.0);
+        self.context.latest.view.send_replace(Arc::new(view));
+    }
+
+    /// Takes in a preset document, wherever it came from.
+    fn offer(&self, document: InForce) {
+        let by = Arc::clone(&document.changed_by);
+        let revision = document.revision.0;
+        let offered = self.state.borrow_mut().register.offer(document);
+        match offered {
+            Offered::Taken => {
+                log::info!(revision = revision, by = &*by; "preset in force");
+                self.publish();
+                self.news.notify_one();
+            }
+            Offered::Same | Offered::Older => {}
+            Offered::Conflict => {
+                self.context.metrics.bad_input("preset-conflict");
+                log::warn!(revision = revision, by = &*by; "two presets have one revision");
+            }
+            Offered::Invalid => {
+                self.context.metrics.bad_input("preset");
+                log::warn!(revision = revision, by = &*by; "preset has a value out of range");
+            }
+        }
+    }
+
+    /// Takes in records; true if any was news.
+    fn merge(&self, now: Instant, records: Vec<Record>) -> bool {
+        let mut state = self.state.borrow_mut();
+        let mut news = false;
+        for record in records {
+            news |= state.table.merge(now, record);
+        }
+        drop(state);
+        if news {
+            self.publish();
+        }
+        news
+    }
+
+    /// A peer or the store answered something asked at `asked_at`.
+    fn heard(&self, asked_at: Instant) {
+        self.context.latest.refreshed.send_replace(asked_at);
+    }
+
+    /// Whether no peer has been heard for a while.
+    fn is_isolated(&self, now: Instant) -> bool {
+        let limit: Duration = self.context.settings.control.isolated_after;
+        let heard_at = self.state.borrow().heard_at;
+        heard_at.is_none_or(|at| now.duration_since(at) > limit)
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/codec.rs
@@ -0,0 +1,161 @@
+//! Records and presets in Cap'n Proto messages.
+
+use std::net::{AddrParseError, SocketAddr};
+use std::sync::Arc;
+
+use mintridge_core::membership::{Record, Standing, Upstream, Version};
+use mintridge_core::preset::{InForce, Revision};
+
+use crate::peer_capnp;
+
+/// Why a message of a peer was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// It is not a message of this schema.
+    #[error("not a message of this schema: {0}")]
+    Message(#[from] capnp::Error),
+    /// It uses a value this version does not know.
+    #[error("unknown value: {0}")]
+    Unknown(#[from] capnp::NotInSchema),
+    /// A text is not UTF-8.
+    #[error("not text: {0}")]
+    Text(#[from] std::str::Utf8Error),
+    /// An address does not parse.
+    #[error("not an address: {0}")]
+    Address(#[from] AddrParseError),
+    /// A preset does not parse.
+    #[error("not a preset: {0}")]
+    Preset(#[from] serde_json::Error),
+}
+
+impl From<Malformed> for capnp::Error {
+    fn from(error: Malformed) -> Self {
+        Self::failed(error.to_string())
+    }
+}
+
+/// One side of an exchange.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// The sender's news.
+    pub news: Vec<Record>,
+    /// Digest of its table.
+    pub digest: u64,
+    /// Revision of its preset.
+    pub revision: Revision,
+    /// The document, if the other's is known to be older.
+    pub in_force: Option<InForce>,
+}
+
+/// Writes one side of an exchange.
+pub fn write_exchange(exchange: &Exchange, mut to: peer_capnp::exchange::Builder<'_>) {
+    to.set_digest(exchange.digest);
+    to.set_revision(exchange.revision.0);
+    if let Some(document) = &exchange.in_force
+        && let Ok(written) = serde_json::to_vec(document)
+    {
+        to.set_in_force(&written);
+    }
+    let length = u32::try_from(exchange.news.len()).unwrap_or(u32::MAX);
+    write_records(&exchange.news, to.init_news(length));
+}
+
+/// Reads one side of an exchange.
+pub fn read_exchange(from: peer_capnp::exchange::Reader<'_>) -> Result<Exchange, Malformed> {
+    let document = from.get_in_force()?;
+    let in_force = if document.is_empty() {
+        None
+    } else {
+        Some(serde_json::from_slice(document)?)
+    };
+    Ok(Exchange {
+        news: read_records(from.get_news()?)?,
+        digest: from.get_digest(),
+        revision: Revision(from.get_revision()),
+        in_force,
+    })
+}
+
+/// Writes records.
+pub fn write_records(
+    records: &[Record],
+    mut to: capnp::struct_list::Builder<'_, peer_capnp::record::Owned>,
+) {
+    for (index, record) in (0..to.len()).zip(records) {
+        write_record(record, to.reborrow().get(index));
+    }
+}
+
+/// Reads records.
+pub fn read_records(
+    from: capnp::struct_list::Reader<'_, peer_capnp::record::Owned>,
+) -> Result<Vec<Record>, Malformed> {
+    from.iter().map(read_record).collect()
+}
+
+fn write_record(record: &Record, mut to: peer_capnp::record::Builder<'_>) {
+    to.set_server(&*record.server);
+    to.set_availability_zone(&*record.availability_zone);
+    to.set_peer_address(record.peer_address.to_string());
+    to.set_control_address(record.control_address.to_string());
+    to.set_operators_address(record.operators_address.to_string());
+    to.set_incarnation(record.version.incarnation);
+    to.set_change(record.version.change);
+    to.set_standing(match record.standing {
+        Standing::Alive => peer_capnp::Standing::Alive,
+        Standing::Suspect => peer_capnp::Standing::Suspect,
+        Standing::Dead => peer_capnp::Standing::Dead,
+        Standing::Left => peer_capnp::Standing::Left,
+    });
+    match &record.upstream {
+        None => to.init_upstream().set_none(()),
+        Some(upstream) => {
+            let mut some = to.init_upstream().init_some();
+            some.set_service(&*upstream.service);
+            some.set_slots(upstream.slots);
+            some.set_leaving(upstream.leaving);
+        }
+    }
+}
+
+fn read_record(from: peer_capnp::record::Reader<'_>) -> Result<Record, Malformed> {
+    use peer_capnp::record::upstream;
+    let upstream = match from.get_upstream().which()? {
+        upstream::None(()) => None,
+        upstream::Some(some) => {
+            let some = some?;
+            Some(Upstream {
+                service: read_text(some.get_service()?)?,
+                slots: some.get_slots(),
+                leaving: some.get_leaving(),
+            })
+        }
+    };
+    Ok(Record {
+        server: read_text(from.get_server()?)?,
+        availability_zone: read_text(from.get_availability_zone()?)?,
+        peer_address: read_address(from.get_peer_address()?)?,
+        control_address: read_address(from.get_control_address()?)?,
+        operators_address: read_address(from.get_operators_address()?)?,
+        version: Version {
+            incarnation: from.get_incarnation(),
+            change: from.get_change(),
+        },
+        standing: match from.get_standing()? {
+            peer_capnp::Standing::Alive => Standing::Alive,
+            peer_capnp::Standing::Suspect => Standing::Suspect,
+            peer_capnp::Standing::Dead => Standing::Dead,
+            peer_capnp::Standing::Left => Standing::Left,
+        },
+        upstream,
+    })
+}
+
+fn read_text(from: capnp::text::Reader<'_>) -> Result<Arc<str>, Malformed> {
+    Ok(Arc::from(from.to_str()?))
+}
+
+/// Reads an address.
+pub fn read_address(from: capnp::text::Reader<'_>) -> Result<SocketAddr, Malformed> {
+    Ok(from.to_str()?.parse()?)
+}
--- /dev/null
+++ b/crates/node/src/control/exchange.rs
@@ -0,0 +1,263 @@
+//! The side of exchanges that begins: rounds, pushes of news, and joining.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use mintridge_core::membership::Record;
+use mintridge_core::preset::Revision;
+use tokio::net::TcpStream;
+
+use super::{Control, codec, peer};
+use crate::peer_capnp::peer as peer_rpc;
+
+/// Longest life of a connection for exchanges.
+pub const CONNECTION_MOST: Duration = Duration::from_secs(10);
+/// Pause after a failed accept.
+pub const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+
+/// Why an exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No answer in time.
+    #[error("no answer in time")]
+    Silent,
+    /// No connection.
+    #[error("cannot connect: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The call failed.
+    #[error("call failed: {0}")]
+    Call(#[from] capnp::Error),
+    /// The answer is malformed.
+    #[error(transparent)]
+    Malformed(#[from] codec::Malformed),
+}
+
+/// One exchange each period, with each peer in turn.
+pub async fn rounds(control: Rc<Control>) {
+    let mut timer = tokio::time::interval(control.context.settings.membership.period);
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let now = Instant::now();
+        if control.state.borrow_mut().table.tick(now) {
+            control.publish();
+        }
+        let next = control.state.borrow_mut().table.next_peer();
+        match next {
+            Some(record) => {
+                tokio::task::spawn_local(round(Rc::clone(&control), record));
+            }
+            None => join(&control).await,
+        }
+    }
+}
+
+/// One round: the peer itself, then others about it, then suspicion.
+async fn round(control: Rc<Control>, record: Record) {
+    if with(&control, record.control_address).await.is_ok() {
+        control.state.borrow_mut().table.answered(&record.server);
+        return;
+    }
+    let relays = control.state.borrow_mut().table.relays(&record.server);
+    for relay in relays {
+        if ask(&control, &relay, &record).await.unwrap_or(false) {
+            return;
+        }
+    }
+    log::info!(server = &*record.server; "server does not answer");
+    let now = Instant::now();
+    control
+        .state
+        .borrow_mut()
+        .table
+        .unanswered(now, &record.server);
+    control.publish();
+}
+
+/// Tells a few peers at once when something changed here.
+pub async fn pushes(control: Rc<Control>) {
+    loop {
+        control.news.notified().await;
+        push(&control).await;
+    }
+}
+
+/// Exchanges with a few peers at once.
+pub async fn push(control: &Rc<Control>) {
+    let most = control.context.settings.control.push_to;
+    let peers = control.state.borrow_mut().table.sample(most, "");
+    let exchanges = peers
+        .iter()
+        .map(|record| with(control, record.control_address));
+    futures_util::future::join_all(exchanges).await;
+}
+
+/// Finds the fleet through the addresses in the settings.
+async fn join(control: &Rc<Control>) {
+    let own = control.context.addresses.control;
+    let peers = control.context.settings.peers.iter();
+    for address in peers.filter(|address| **address != own) {
+        if join_at(control, *address).await.is_ok() {
+            return;
+        }
+    }
+}
+
+/// Joins through one peer: an exchange, then its whole table.
+pub async fn join_at(control: &Rc<Control>, address: SocketAddr) -> Result<(), Error> {
+    with(control, address).await?;
+    pull(control, address).await
+}
+
+/// One exchange with the peer at this address.
+pub async fn with(control: &Rc<Control>, address: SocketAddr) -> Result<(), Error> {
+    let asked_at = Instant::now();
+    let within = control.context.settings.membership.answer_within;
+    let theirs = match tokio::time::timeout(within, call(control, address)).await {
+        Ok(Ok(theirs)) => theirs,
+        Ok(Err(error)) => {
+            control.context.metrics.exchange("failed", 0);
+            return Err(error);
+        }
+        Err(_) => {
+            control.context.metrics.exchange("silent", 0);
+            return Err(Error::Silent);
+        }
+    };
+    control.state.borrow_mut().heard_at = Some(Instant::now());
+    let (digest, revision) = (theirs.digest, theirs.revision);
+    take_in(control, Instant::now(), theirs);
+    control.heard(asked_at);
+    give_newer(control, address, revision).await;
+    compare(control, address, digest).await;
+    Ok(())
+}
+
+async fn call(control: &Rc<Control>, address: SocketAddr) -> Result<codec::Exchange, Error> {
+    let client = connect(control, address).await?;
+    let mut request = client.exchange_request();
+    let ours = compose(control, None);
+    codec::write_exchange(&ours, request.get().init_ours());
+    let sent = request.get().total_size()?.word_count;
+    let response = request.send().promise.await?;
+    let theirs = response.get()?.get_theirs()?;
+    let words = sent + theirs.total_size()?.word_count;
+    control.context.metrics.exchange("answered", words * 8);
+    Ok(codec::read_exchange(theirs)?)
+}
+
+/// The peer is behind: it hears of our preset without waiting for the next round.
+async fn give_newer(control: &Rc<Control>, address: SocketAddr, theirs: Revision) {
+    let ours = control.state.borrow().register.current().revision;
+    if theirs >= ours {
+        return;
+    }
+    let within = control.context.settings.membership.answer_within;
+    let given = async {
+        let client = connect(control, address).await?;
+        let mut request = client.exchange_request();
+        let ours = compose(control, Some(theirs));
+        codec::write_exchange(&ours, request.get().init_ours());
+        request.send().promise.await?;
+        Ok::<(), Error>(())
+    };
+    if !matches!(tokio::time::timeout(within, given).await, Ok(Ok(()))) {
+        log::debug!(peer:% = address; "newer preset not given");
+    }
+}
+
+/// Asks for the whole table when news alone did not make the tables equal.
+///
+/// Failure: a record was missed by all the rounds that spread it. Symptom: two nodes
+/// disagree for good. A lasting difference of the digests shows it; a short one is news
+/// on its way and costs nothing more.
+async fn compare(control: &Rc<Control>, address: SocketAddr, theirs: u64) {
+    let pull_due = {
+        let mut state = control.state.borrow_mut();
+        if state.table.digest() == theirs {
+            state.differing = 0;
+        } else {
+            state.differing += 1;
+        }
+        state.differing >= control.context.settings.control.pull_after
+    };
+    if !pull_due {
+        return;
+    }
+    control.state.borrow_mut().differing = 0;
+    if let Err(error) = pull(control, address).await {
+        log::debug!(peer:% = address, error:% = error; "table not pulled");
+    }
+}
+
+async fn pull(control: &Rc<Control>, address: SocketAddr) -> Result<(), Error> {
+    let within = control.context.settings.membership.answer_within;
+    let pulled = async {
+        let client = connect(control, address).await?;
+        let response = client.table_request().send().promise.await?;
+        let records = response.get()?.get_records()?;
+        Ok::<_, Error>(codec::read_records(records)?)
+    };
+    let records = tokio::time::timeout(within, pulled)
+        .await
+        .map_err(|_| Error::Silent)??;
+    control.merge(Instant::now(), records);
+    Ok(())
+}
+
+async fn ask(control: &Rc<Control>, relay: &Record, about: &Record) -> Result<bool, Error> {
+    let within = control.context.settings.membership.answer_within * 2;
+    let asked = async {
+        let client = connect(control, relay.control_address).await?;
+        let mut request = client.ask_request();
+        let address = about.control_address.to_string();
+        request.get().set_control_address(address);
+        let response = request.send().promise.await?;
+        Ok::<_, Error>(response.get()?.get_answered())
+    };
+    tokio::time::timeout(within, asked)
+        .await
+        .map_err(|_| Error::Silent)?
+}
+
+/// Each exchange has a connection of its own: with hundreds of peers taken in turn an
+/// open one would mostly be idle, and an idle one may have been lost by the network.
+async fn connect(control: &Rc<Control>, address: SocketAddr) -> Result<peer_rpc::Client, Error> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let bytes_most = control.context.settings.control.message_bytes_most;
+    let network = peer::network(stream, Side::Client, bytes_most);
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let client = system.bootstrap(Side::Server);
+    tokio::task::spawn_local(async move {
+        let _ = tokio::time::timeout(CONNECTION_MOST, system).await;
+    });
+    Ok(client)
+}
+
+/// What this node says in an exchange; the preset only if the peer's is known older.
+pub fn compose(control: &Control, theirs: Option<Revision>) -> codec::Exchange {
+    let mut state = control.state.borrow_mut();
+    let current = state.register.current();
+    let revision = current.revision;
+    let in_force = theirs
+        .filter(|theirs| *theirs < revision)
+        .map(|_| current.as_ref().clone());
+    codec::Exchange {
+        news: state.table.take_news(),
+        digest: state.table.digest(),
+        revision,
+        in_force,
+    }
+}
+
+/// Takes in what a peer said.
+pub fn take_in(control: &Control, now: Instant, theirs: codec::Exchange) {
+    if let Some(document) = theirs.in_force {
+        control.offer(document);
+    }
+    control.merge(now, theirs.news);
+}
--- /dev/null
+++ b/crates/node/src/entry.rs
@@ -0,0 +1,500 @@
+//! The entry: takes callers' requests, chooses servers, tries again where that is safe.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use fastrace::future::FutureExt as _;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode, Uri};
+use mintridge_core::load::Report;
+use mintridge_core::membership::{Record, Standing};
+use mintridge_core::outcome::{Outcome, Reason, Refusal};
+use mintridge_core::placement::{Ending, Placement, Upstream};
+use mintridge_core::retry::{self, Progress};
+use mintridge_http::handler::{Answer, Function};
+use mintridge_http::{Body, problem, reply, server};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use crate::arrival;
+use crate::body::Held;
+use crate::claims::Job;
+use crate::context::{Context, View};
+use crate::headers;
+use crate::link::{self, Links};
+use crate::replay::Source;
+use crate::traces;
+
+/// When a caller is told to come back if no server offers its service.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
+/// How often operators' view of the upstreams is renewed.
+const PUBLISH_EVERY: Duration = Duration::from_millis(500);
+
+/// Everything the entry's requests share.
+pub struct Entry {
+    context: Arc<Context>,
+    placement: Mutex<Placement>,
+    budgets: Mutex<HashMap<Arc<str>, retry::Budget>>,
+    peers: Mutex<HashMap<Arc<str>, SocketAddr>>,
+    links: Links,
+    next_number: AtomicU64,
+}
+
+/// One upstream as this entry sees it, for operators.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Seen {
+    /// The server.
+    pub server: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// The last report that arrived.
+    pub report: Report,
+    /// Requests of this node that are on their way there or back.
+    pub outstanding: u32,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    /// The upstream's answer has begun.
+    Answered(Response<Incoming>),
+    /// The request was given up on, here or by the node beside the upstream.
+    Refused {
+        refusal: Refusal,
+        progress: Progress,
+        /// Whether the request may hold its claim.
+        claimed: bool,
+    },
+}
+
+/// A request placed on a server; counted there until dropped.
+struct Placed {
+    entry: Arc<Entry>,
+    service: Arc<str>,
+    server: Arc<str>,
+    ending: Ending,
+}
+
+impl Drop for Placed {
+    fn drop(&mut self) {
+        let mut placement = self.entry.placement.lock();
+        placement.finish(Instant::now(), &self.service, &self.server, self.ending);
+    }
+}
+
+/// What all attempts of one request share.
+struct Journey {
+    request: arrival::Request,
+    parts: Parts,
+    source: Source,
+    tried: Vec<Arc<str>>,
+    claimed: bool,
+}
+
+/// Serves callers until the node closes their listener.
+pub async fn run(context: Arc<Context>, listener: TcpListener) {
+    let entry = Arc::new(Entry::new(Arc::clone(&context)));
+    entry.take_view(&context.latest.view.borrow().clone());
+    tokio::spawn(follow_view(Arc::clone(&entry)));
+    tokio::spawn(publish(Arc::clone(&entry)));
+    let limits = server::Limits {
+        connections: context.settings.callers.connections_most,
+        ..server::Limits::default()
+    };
+    let handler = Function::new(entry, |entry, request| -> Answer {
+        Box::pin(answer(entry, request))
+    });
+    let phase = context.callers_phase();
+    let ended = server::serve(listener, handler, server::Protocol::Http1, limits, phase).await;
+    if ended.cut > 0 {
+        log::warn!(connections = ended.cut; "callers' requests were cut by the stop");
+    }
+}
+
+async fn follow_view(entry: Arc<Entry>) {
+    let mut view = entry.context.latest.view.subscribe();
+    while view.changed().await.is_ok() {
+        let current = Arc::clone(&view.borrow_and_update());
+        entry.take_view(&current);
+    }
+}
+
+/// Shows operators what this entry knows of the upstreams.
+async fn publish(entry: Arc<Entry>) {
+    loop {
+        entry.context.latest.seen.send_replace(entry.seen());
+        tokio::time::sleep(PUBLISH_EVERY).await;
+    }
+}
+
+async fn answer(entry: Arc<Entry>, request: Request<Body>) -> Response<Body> {
+    let now = Instant::now();
+    let number = entry.number();
+    let span = traces::root("entry", &entry.context, request.headers());
+    let mut response = serve(Arc::clone(&entry), now, number, request)
+        .in_span(span)
+        .await;
+    entry.context.metrics.answered(now.elapsed(), &response);
+    if entry.context.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn serve(
+    entry: Arc<Entry>,
+    now: Instant,
+    number: Arc<str>,
+    request: Request<Body>,
+) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let settings = &entry.context.settings.callers;
+    let read = match arrival::read(settings, now, Arc::clone(&number), &parts) {
+        Ok(read) => read,
+        Err(error) => {
+            entry.context.metrics.bad_input("caller-request");
+            log::info!(request = &*number, error:% = error; "request not taken");
+            let refusal = Refusal::not_run(Reason::BadRequest, now);
+            return entry.refuse(&refusal, &number);
+        }
+    };
+    let journey = Journey {
+        request: read,
+        parts,
+        source: Source::new(body, settings.replay_most),
+        tried: Vec::new(),
+        claimed: false,
+    };
+    travel(&entry, journey).await
+}
+
+/// Tries servers until one answers or no further attempt may be made.
+async fn travel(entry: &Arc<Entry>, mut journey: Journey) -> Response<Body> {
+    let mut last = None;
+    loop {
+        let now = Instant::now();
+        let service = &journey.request.head.service;
+        let picked = entry.placement.lock().pick(now, service, &journey.tried);
+        let Some(server) = picked else {
+            let none = Refusal::not_run(Reason::NoUpstream, now + NO_UPSTREAM_RETRY);
+            return entry.give_up(&journey, last.unwrap_or(none));
+        };
+        journey.tried.push(Arc::clone(&server));
+        let mut placed = Placed {
+            entry: Arc::clone(entry),
+            service: Arc::clone(service),
+            server,
+            ending: Ending::Answered,
+        };
+        let (refusal, progress, claimed) = match attempt(entry, &journey, &mut placed).await {
+            Attempt::Answered(response) if !is_overloaded(&response) => {
+                return entry.pass_on(response, placed, &journey);
+            }
+            Attempt::Answered(response) => {
+                placed.ending = Ending::Avoid;
+                if !entry.may_retry(&journey, Progress::MayHaveRun) {
+                    return entry.pass_on(response, placed, &journey);
+                }
+                continue;
+            }
+            Attempt::Refused {
+                refusal,
+                progress,
+                claimed,
+            } => (refusal, progress, claimed),
+        };
+        drop(placed);
+        journey.claimed |= claimed;
+        let certain = progress != Progress::MayHaveRun;
+        if certain && !refusal.reason.is_local() || !entry.may_retry(&journey, progress) {
+            return entry.give_up(&journey, refusal);
+        }
+        last = Some(refusal);
+    }
+}
+
+/// Whether an upstream's answer says that it cannot serve at the moment.
+///
+/// One that says when to come back was refused deeper down, or by its own choice: it is
+/// passed on, so that a refusal at depth is not tried again at every level above.
+fn is_overloaded(response: &Response<Incoming>) -> bool {
+    let status = response.status();
+    let unavailable =
+        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::BAD_GATEWAY;
+    unavailable && !response.headers().contains_key(RETRY_AFTER)
+}
+
+/// Sends the request to one server and waits for the head of its answer.
+async fn attempt(entry: &Arc<Entry>, journey: &Journey, placed: &mut Placed) -> Attempt {
+    let now = Instant::now();
+    let head = &journey.request.head;
+    let address = entry.peers.lock().get(&placed.server).copied();
+    let request = journey
+        .source
+        .replay()
+        .and_then(|body| build(now, journey, Body::new(body)));
+    let (Some(address), Some(request)) = (address, request) else {
+        placed.ending = Ending::Avoid;
+        return never_sent(now, Reason::NoUpstream);
+    };
+    let until = head.deadline + entry.context.settings.callers.grace;
+    let sent = entry.links.send(address, request);
+    let answered = tokio::time::timeout_at(until.into(), sent).await;
+    let now = Instant::now();
+    match answered {
+        Ok(Ok(response)) => read_answer(entry, now, placed, response),
+        Ok(Err(link::Error::NeverSent)) => {
+            placed.ending = Ending::Avoid;
+            never_sent(now, Reason::Unreachable)
+        }
+        Ok(Err(link::Error::Broken)) => {
+            if !entry.links.can_connect(address).await {
+                placed.ending = Ending::Avoid;
+            }
+            may_have_run(now, Reason::LinkLost)
+        }
+        Err(_) => {
+            placed.ending = Ending::Avoid;
+            may_have_run(now, Reason::Deadline)
+        }
+    }
+}
+
+fn build(now: Instant, journey: &Journey, body: Body) -> Option<Request<Body>> {
+    let mut request = Request::new(body);
+    *request.method_mut() = journey.parts.method.clone();
+    *request.uri_mut() = peer_uri(&journey.parts)?;
+    let fields = request.headers_mut();
+    fields.clone_from(&journey.parts.headers);
+    headers::strip_hop_by_hop(fields);
+    headers::strip_own(fields);
+    headers::write(now, &journey.request.head, fields);
+    traces::inject(fields);
+    Some(request)
+}
+
+/// HTTP/2 needs scheme and authority; the authority is the caller's `Host`.
+fn peer_uri(parts: &Parts) -> Option<Uri> {
+    let host = parts.headers.get(hyper::header::HOST);
+    let host = host
+        .and_then(|host| host.to_str().ok())
+        .unwrap_or("upstream");
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    Uri::builder()
+        .scheme("http")
+        .authority(host)
+        .path_and_query(path)
+        .build()
+        .ok()
+}
+
+/// Tells a refusal of the node beside the upstream from an answer.
+fn read_answer(
+    entry: &Entry,
+    now: Instant,
+    placed: &mut Placed,
+    mut response: Response<Incoming>,
+) -> Attempt {
+    let fields = response.headers_mut();
+    let refusal = problem::read(now, fields);
+    let claimed = headers::take_claimed(fields);
+    if let Some(report) = headers::take_load(fields) {
+        let mut placement = entry.placement.lock();
+        placement.reported(now, &placed.service, &placed.server, report);
+    }
+    let Some(refusal) = refusal else {
+        return Attempt::Answered(response);
+    };
+    placed.ending = match refusal.reason {
+        Reason::Busy | Reason::Deadline | Reason::Duplicate => Ending::Full,
+        _ => Ending::Avoid,
+    };
+    Attempt::Refused {
+        refusal,
+        progress: retry::progress_of(&refusal),
+        claimed,
+    }
+}
+
+const fn never_sent(now: Instant, reason: Reason) -> Attempt {
+    Attempt::Refused {
+        refusal: Refusal::not_run(reason, now),
+        progress: Progress::NeverSent,
+        claimed: false,
+    }
+}
+
+const fn may_have_run(now: Instant, reason: Reason) -> Attempt {
+    Attempt::Refused {
+        refusal: Refusal::unknown(reason, now),
+        progress: Progress::MayHaveRun,
+        claimed: false,
+    }
+}
+
+impl Entry {
+    fn new(context: Arc<Context>) -> Self {
+        let settings = &context.settings;
+        let seed = context.incarnation ^ u64::from(context.addresses.callers.port());
+        Self {
+            placement: Mutex::new(Placement::new(settings.placement.clone(), seed)),
+            budgets: Mutex::default(),
+            peers: Mutex::default(),
+            links: Links::new(settings.link.clone()),
+            next_number: AtomicU64::new(1),
+            context,
+        }
+    }
+
+    /// Number of a request within the fleet: server, its start, and a count.
+    fn number(&self) -> Arc<str> {
+        let count = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let server = self.context.server();
+        let incarnation = self.context.incarnation;
+        Arc::from(format!("{server}.{incarnation:x}.{count}"))
+    }
+
+    /// Takes the members that offer something.
+    fn take_view(&self, view: &View) {
+        let own_zone = &self.context.settings.availability_zone;
+        let upstreams = candidates(&view.members, own_zone);
+        let addresses: HashMap<Arc<str>, SocketAddr> = view
+            .members
+            .iter()
+            .map(|record| (Arc::clone(&record.server), record.peer_address))
+            .collect();
+        self.links
+            .keep(|address| addresses.values().any(|known| known == address));
+        *self.peers.lock() = addresses;
+        self.placement.lock().update(Instant::now(), &upstreams);
+        let share = view.in_force.preset.retry_share;
+        for budget in self.budgets.lock().values_mut() {
+            budget.set_share(share);
+        }
+    }
+
+    fn may_retry(&self, journey: &Journey, progress: Progress) -> bool {
+        let request = &journey.request;
+        let attempts = u32::try_from(journey.tried.len()).unwrap_or(u32::MAX);
+        let deadline = request.head.deadline;
+        let allowed = self.with_budget(&request.head.service, |budget| {
+            budget.may_retry(
+                Instant::now(),
+                deadline,
+                attempts,
+                progress,
+                request.repeatable,
+            )
+        });
+        if allowed {
+            self.context.metrics.retry();
+        }
+        allowed
+    }
+
+    fn with_budget<T>(&self, service: &Arc<str>, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
+        let mut budgets = self.budgets.lock();
+        let budget = budgets.entry(Arc::clone(service)).or_insert_with(|| {
+            let share = self.context.in_force().preset.retry_share;
+            retry::Budget::new(self.context.settings.retry.clone(), share)
+        });
+        act(budget)
+    }
+
+    /// Passes the upstream's answer on, as it comes.
+    fn pass_on(
+        &self,
+        response: Response<Incoming>,
+        placed: Placed,
+        journey: &Journey,
+    ) -> Response<Body> {
+        if placed.ending == Ending::Answered {
+            self.with_budget(&journey.request.head.service, retry::Budget::earn);
+        }
+        let (mut parts, body) = response.into_parts();
+        headers::strip_hop_by_hop(&mut parts.headers);
+        let idle = self.context.settings.callers.body_idle;
+        let body = Held::new(reply::from_incoming(body), placed, idle);
+        Response::from_parts(parts, Body::new(body))
+    }
+
+    /// Tells the caller of a refusal; a claim that was made for nothing is given back.
+    ///
+    /// Only a request that was certainly refused by every server it went to gives its
+    /// claim back: no server will hand it over any more.
+    fn give_up(&self, journey: &Journey, refusal: Refusal) -> Response<Body> {
+        let head = &journey.request.head;
+        if let Some(claim) = &head.claim
+            && journey.claimed
+            && refusal.outcome == Outcome::NotRun
+        {
+            let job = Job::Release(claim.clone());
+            if self.context.rings.claims.try_send(job).is_err() {
+                self.context.metrics.ring_full("claims");
+            }
+        }
+        self.refuse(&refusal, &head.request)
+    }
+
+    fn refuse(&self, refusal: &Refusal, number: &str) -> Response<Body> {
+        log::debug!(
+            request = number,
+            outcome = refusal.outcome.as_str(),
+            reason = refusal.reason.as_str();
+            "given up"
+        );
+        self.context.metrics.refusal(refusal);
+        let server = self.context.server();
+        problem::response(Instant::now(), refusal, server, number)
+    }
+
+    fn seen(&self) -> Vec<Seen> {
+        let placement = self.placement.lock();
+        placement
+            .view()
+            .map(|(upstream, report, outstanding)| Seen {
+                server: Arc::clone(&upstream.server),
+                service: Arc::clone(&upstream.service),
+                report: *report,
+                outstanding,
+            })
+            .collect()
+    }
+}
+
+/// Servers that may be chosen: those that answer and are not leaving; a suspected one
+/// only while its service has no other, since a suspicion must not empty the set.
+fn candidates(members: &[Record], own_zone: &Arc<str>) -> Vec<Upstream> {
+    let offering = |record: &&Record| {
+        let upstream = record.upstream.as_ref();
+        upstream.is_some_and(|upstream| !upstream.leaving)
+    };
+    let alive = |service: &Arc<str>| {
+        members.iter().filter(offering).any(|record| {
+            let upstream = record.upstream.as_ref();
+            record.standing == Standing::Alive && upstream.is_some_and(|u| u.service == *service)
+        })
+    };
+    members
+        .iter()
+        .filter(offering)
+        .filter_map(|record| {
+            let upstream = record.upstream.as_ref()?;
+            if record.standing != Standing::Alive && alive(&upstream.service) {
+                return None;
+            }
+            Some(Upstream {
+                server: Arc::clone(&record.server),
+                service: Arc::clone(&upstream.service),
+                slots: upstream.slots,
+                same_zone: record.availability_zone == *own_zone,
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/node/src/guard.rs
@@ -0,0 +1,637 @@
+//! The guard: all requests to the upstream pass here, so its load is counted, not asked.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fastrace::Span;
+use fastrace::future::FutureExt as _;
+use http_body_util::Empty;
+use hyper::header::HOST;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use mintridge_core::admission::{Action, Admission, Answer as Begun, Decision};
+use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
+use mintridge_core::gate::Gate;
+use mintridge_core::health::{Health, Verdict};
+use mintridge_core::membership;
+use mintridge_core::outcome::{Reason, Refusal};
+use mintridge_core::preset::Preset;
+use mintridge_core::probe;
+use mintridge_core::request::{Arrival, Id};
+use mintridge_http::handler::{Answer, Function};
+use mintridge_http::{Body, problem, reply, server};
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::announcement::{Announcement, State as Announced};
+use crate::body::Held;
+use crate::claims::Job;
+use crate::context::{Context, Guarded};
+use crate::headers::{self, Head};
+use crate::link::CHECK_PATH;
+use crate::traces;
+
+/// How often the gate's timer runs and the state is shown to the other duties.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Everything the guard's requests share.
+struct Guard {
+    context: Arc<Context>,
+    state: Mutex<State>,
+    queued: Notify,
+    client: Client<HttpConnector, Body>,
+    prober: Client<HttpConnector, Empty<Bytes>>,
+}
+
+struct State {
+    admission: Admission,
+    gate: Gate,
+    health: Health,
+    budget: probe::Budget,
+    announcement: Option<Announcement>,
+    waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
+    next_id: u64,
+}
+
+/// A slot of the upstream, given back when dropped.
+struct Slot {
+    guard: Arc<Guard>,
+    id: Id,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.guard.state.lock().admission.finish(self.id);
+        self.guard.pump();
+    }
+}
+
+/// A place in the queue, given up when its caller goes away.
+struct Place {
+    guard: Arc<Guard>,
+    id: Id,
+    settled: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let mut state = self.guard.state.lock();
+        state.waiters.remove(&self.id);
+        state.admission.withdraw(self.id);
+        state.admission.finish(self.id);
+        drop(state);
+        self.guard.pump();
+    }
+}
+
+/// Serves peers until the node closes their listener.
+pub async fn run(
+    context: Arc<Context>,
+    listener: TcpListener,
+    announcements: mpsc::Receiver<Announcement>,
+) {
+    let guard = Arc::new(Guard::new(Arc::clone(&context)));
+    tokio::spawn(take_announcements(Arc::clone(&guard), announcements));
+    tokio::spawn(follow_view(Arc::clone(&guard)));
+    tokio::spawn(follow_stage(Arc::clone(&guard)));
+    tokio::spawn(follow_refreshed(Arc::clone(&guard)));
+    tokio::spawn(refuse_late(Arc::clone(&guard)));
+    tokio::spawn(probe_when_due(Arc::clone(&guard)));
+    tokio::spawn(tick(Arc::clone(&guard)));
+    let handler = Function::new(guard, |guard, request| -> Answer {
+        Box::pin(answer(guard, request))
+    });
+    let limits = server::Limits::default();
+    let phase = context.peers_phase();
+    let ended = server::serve(listener, handler, server::Protocol::Http2, limits, phase).await;
+    if ended.cut > 0 {
+        log::warn!(connections = ended.cut; "peers' requests were cut by the stop");
+    }
+}
+
+async fn answer(guard: Arc<Guard>, request: Request<Body>) -> Response<Body> {
+    if request.uri().path() == CHECK_PATH {
+        return reply::text(StatusCode::OK, "here\n");
+    }
+    let now = Instant::now();
+    let head = match headers::read(now, request.headers()) {
+        Ok(head) => head,
+        Err(error) => {
+            guard.context.metrics.bad_input("peer-request");
+            log::warn!(error:% = error; "request of a peer not taken");
+            let refusal = Refusal::not_run(Reason::BadRequest, now);
+            return guard.refuse(&refusal, "", false);
+        }
+    };
+    let span = traces::child("guard", &guard.context, request.headers());
+    serve(guard, head, request).in_span(span).await
+}
+
+async fn serve(guard: Arc<Guard>, head: Head, request: Request<Body>) -> Response<Body> {
+    let slot = match admit(&guard, &head).await {
+        Ok(slot) => slot,
+        Err(refusal) => return guard.refuse(&refusal, &head.request, false),
+    };
+    if let Some(claim) = &head.claim
+        && let Err(refusal) = guard.claim(claim, head.deadline).await
+    {
+        return guard.refuse(&refusal, &head.request, true);
+    }
+    let claimed = head.claim.is_some();
+    match hand_over(&guard, slot, &head, request).await {
+        Ok(response) => response,
+        Err(refusal) => guard.refuse(&refusal, &head.request, claimed),
+    }
+}
+
+/// What admission said at once.
+enum Entered {
+    Admitted(Slot),
+    Queued(Place, oneshot::Receiver<Result<(), Refusal>>),
+}
+
+/// Waits for a slot.
+async fn admit(guard: &Arc<Guard>, head: &Head) -> Result<Slot, Refusal> {
+    let (mut place, admitted) = match enter(guard, head)? {
+        Entered::Admitted(slot) => return Ok(slot),
+        Entered::Queued(place, admitted) => (place, admitted),
+    };
+    guard.pump();
+    guard.queued.notify_one();
+    let Ok(settled) = admitted.await else {
+        return Err(guard.not_run(Reason::Busy));
+    };
+    place.settled = true;
+    settled?;
+    Ok(Slot {
+        guard: Arc::clone(guard),
+        id: place.id,
+    })
+}
+
+fn enter(guard: &Arc<Guard>, head: &Head) -> Result<Entered, Refusal> {
+    let now = Instant::now();
+    let weight = guard.context.in_force().preset.weight(&head.customer);
+    let mut state = guard.state.lock();
+    if let Some(reason) = state.closed(now, &head.service) {
+        return Err(state.admission.refusal(now, reason));
+    }
+    let id = Id(state.next_id);
+    state.next_id += 1;
+    let arrival = Arrival {
+        id,
+        customer: Arc::clone(&head.customer),
+        deadline: head.deadline,
+    };
+    let guard = Arc::clone(guard);
+    match state.admission.arrive(now, arrival, weight) {
+        Decision::Admit => Ok(Entered::Admitted(Slot { guard, id })),
+        Decision::Refuse(refusal) => Err(refusal),
+        Decision::Queue => {
+            let (sender, admitted) = oneshot::channel();
+            state.waiters.insert(id, sender);
+            drop(state);
+            let place = Place {
+                guard,
+                id,
+                settled: false,
+            };
+            Ok(Entered::Queued(place, admitted))
+        }
+    }
+}
+
+/// Hands the request to the upstream; an error is what the caller is told instead.
+async fn hand_over(
+    guard: &Arc<Guard>,
+    slot: Slot,
+    head: &Head,
+    request: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    let now = Instant::now();
+    let address = guard.check_hand_over(now, head)?;
+    let mut request = request;
+    let in_left = head.deadline.saturating_duration_since(now);
+    guard.prepare(&mut request, address, in_left);
+    let span = Span::enter_with_local_parent("upstream");
+    let handed = guard.client.request(request).in_span(span);
+    let answered = tokio::time::timeout_at(head.deadline.into(), handed).await;
+    let now = Instant::now();
+    let response = match answered {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return Err(guard.failed(now, &error)),
+        Err(_) => {
+            guard.judge(now, Verdict::Failed);
+            let refusal = guard.unknown(now, Reason::Deadline);
+            return Err(refusal);
+        }
+    };
+    guard.answered(now, slot.id, response.status());
+    let (mut parts, body) = response.into_parts();
+    headers::strip_hop_by_hop(&mut parts.headers);
+    headers::strip_own(&mut parts.headers);
+    headers::write_load(&guard.state.lock().admission.report(), &mut parts.headers);
+    let idle = guard.context.settings.callers.body_idle;
+    let body = Held::new(reply::from_incoming(body), slot, idle);
+    Ok(Response::from_parts(parts, Body::new(body)))
+}
+
+impl Guard {
+    fn new(context: Arc<Context>) -> Self {
+        let settings = &context.settings;
+        let now = Instant::now();
+        let share = context.in_force().preset.probe_share;
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(settings.guard.connect_within));
+        let client = Client::builder(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(settings.guard.idle_connections_for)
+            .pool_max_idle_per_host(settings.guard.idle_connections_most)
+            // A request that may have reached the upstream is never sent again from here.
+            .retry_canceled_requests(false)
+            .build(connector.clone());
+        let prober = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build(connector);
+        Self {
+            state: Mutex::new(State {
+                admission: Admission::new(settings.admission.clone(), 1),
+                gate: Gate::new(settings.gate.clone(), now),
+                health: Health::new(settings.health.clone()),
+                budget: probe::Budget::new(settings.probe.clone(), share, now),
+                announcement: None,
+                waiters: HashMap::new(),
+                next_id: 0,
+            }),
+            queued: Notify::new(),
+            client,
+            prober,
+            context,
+        }
+    }
+
+    /// Does what admission decided, until it has nothing more.
+    fn pump(&self) {
+        let now = Instant::now();
+        loop {
+            let mut state = self.state.lock();
+            let Some(action) = state.admission.poll(now) else {
+                return;
+            };
+            let (id, settled) = match action {
+                Action::Admit(id) => (id, Ok(())),
+                Action::Refuse(id, refusal) => (id, Err(refusal)),
+            };
+            let waiter = state.waiters.remove(&id);
+            if waiter.is_none_or(|waiter| waiter.send(settled).is_err()) {
+                state.admission.finish(id);
+            }
+        }
+    }
+
+    async fn claim(&self, claim: &Claim, deadline: Instant) -> Result<(), Refusal> {
+        let (answer, answered) = oneshot::channel();
+        let job = Job::Ask {
+            claim: claim.clone(),
+            deadline,
+            answer,
+        };
+        if self.context.rings.claims.try_send(job).is_err() {
+            self.context.metrics.ring_full("claims");
+            return Err(self.not_run(Reason::StoreUnavailable));
+        }
+        match tokio::time::timeout_at(deadline.into(), answered).await {
+            Ok(Ok(ClaimVerdict::Granted)) => Ok(()),
+            Ok(Ok(ClaimVerdict::Duplicate)) => Err(self.unknown(Instant::now(), Reason::Duplicate)),
+            Ok(Ok(ClaimVerdict::Unavailable) | Err(_)) => {
+                Err(self.not_run(Reason::StoreUnavailable))
+            }
+            Err(_) => Err(self.not_run(Reason::Deadline)),
+        }
+    }
+
+    /// Looks once more before the point of no return.
+    ///
+    /// Failure: the process is paused between admission and here, or the claim took
+    /// long. Symptom: a request runs after its caller was told that it may not have,
+    /// or on a server that left long ago. The monotonic clock shows the pause.
+    fn check_hand_over(&self, now: Instant, head: &Head) -> Result<SocketAddr, Refusal> {
+        let mut state = self.state.lock();
+        if now >= head.deadline {
+            return Err(state.admission.refusal(now, Reason::Deadline));
+        }
+        if let Some(reason) = state.gate.check_hand_over(now) {
+            return Err(state.admission.refusal(now, reason));
+        }
+        match &state.announcement {
+            Some(announcement) => Ok(announcement.address),
+            None => Err(state.admission.refusal(now, Reason::Unannounced)),
+        }
+    }
+
+    fn prepare(&self, request: &mut Request<Body>, address: SocketAddr, left: Duration) {
+        let host = request.uri().authority().map(ToString::to_string);
+        let path = request.uri().path_and_query().cloned();
+        let mut uri = request.uri().clone().into_parts();
+        uri.scheme = Some(hyper::http::uri::Scheme::HTTP);
+        uri.authority = address.to_string().parse().ok();
+        uri.path_and_query = path;
+        if let Ok(uri) = Uri::from_parts(uri) {
+            *request.uri_mut() = uri;
+        }
+        *request.version_mut() = hyper::Version::HTTP_11;
+        let fields = request.headers_mut();
+        headers::strip_own(fields);
+        if let Some(host) = host.and_then(|host| host.parse().ok()) {
+            fields.entry(HOST).or_insert(host);
+        }
+        let timeout = &self.context.settings.callers.timeout_header;
+        if let (Ok(name), Ok(left)) = (
+            hyper::header::HeaderName::try_from(timeout.as_str()),
+            hyper::header::HeaderValue::try_from(left.as_millis().to_string()),
+        ) {
+            fields.insert(name, left);
+        }
+        traces::inject(fields);
+    }
+
+    /// The upstream gave no answer: what that proves.
+    fn failed(&self, now: Instant, error: &hyper_util::client::legacy::Error) -> Refusal {
+        self.judge(now, Verdict::Failed);
+        if error.is_connect() {
+            return self.not_run(Reason::Unreachable);
+        }
+        log::info!(error:% = error; "upstream broke off before its answer");
+        self.unknown(now, Reason::LinkLost)
+    }
+
+    /// The upstream began to answer.
+    fn answered(&self, now: Instant, id: Id, status: StatusCode) {
+        let shed = matches!(
+            status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+        );
+        let begun = if shed { Begun::Shed } else { Begun::Served };
+        self.state.lock().admission.answered(now, id, begun);
+        let failed = matches!(
+            status,
+            StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE
+        );
+        let verdict = if failed {
+            Verdict::Failed
+        } else {
+            Verdict::Answered
+        };
+        self.judge(now, verdict);
+    }
+
+    fn judge(&self, now: Instant, verdict: Verdict) {
+        let mut state = self.state.lock();
+        let was_ready = state.health.is_ready();
+        state.health.note(now, verdict);
+        if was_ready && !state.health.is_ready() {
+            log::warn!("upstream is doubtful");
+            state.admission.refuse_waiting(now, Reason::Doubtful);
+            drop(state);
+            self.queued.notify_one();
+            self.pump();
+        }
+    }
+
+    fn not_run(&self, reason: Reason) -> Refusal {
+        self.state.lock().admission.refusal(Instant::now(), reason)
+    }
+
+    fn unknown(&self, now: Instant, reason: Reason) -> Refusal {
+        let retry_at = self.state.lock().admission.refusal(now, reason).retry_at;
+        Refusal::unknown(reason, retry_at)
+    }
+
+    fn refuse(&self, refusal: &Refusal, request: &str, claimed: bool) -> Response<Body> {
+        let server = self.context.server();
+        self.context.metrics.guard_refusal(refusal);
+        log::debug!(
+            request = request,
+            outcome = refusal.outcome.as_str(),
+            reason = refusal.reason.as_str();
+            "refused"
+        );
+        let mut response = problem::response(Instant::now(), refusal, server, request);
+        let report = self.state.lock().admission.report();
+        headers::write_load(&report, response.headers_mut());
+        if claimed {
+            headers::write_claimed(response.headers_mut());
+        }
+        response
+    }
+
+    fn take_preset(&self, preset: &Preset) {
+        let now = Instant::now();
+        let leaving = preset.leaving.contains(self.context.server());
+        let mut state = self.state.lock();
+        state.gate.set_preset_drain(now, leaving);
+        state.budget.set_share(now, preset.probe_share);
+        drop(state);
+        self.publish();
+    }
+
+    /// Shows the upstream to the other duties.
+    fn publish(&self) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let service = state.announcement.as_ref().map(|a| Arc::clone(&a.service));
+        let closed = state.gate.check(now);
+        let announced = closed != Some(Reason::Unannounced);
+        let leaving = state.gate.is_leaving();
+        let upstream = service
+            .filter(|_| announced)
+            .map(|service| membership::Upstream {
+                service,
+                slots: state.announcement.as_ref().map_or(1, |a| a.slots),
+                leaving,
+            });
+        let guarded = Guarded {
+            load: state.admission.report(),
+            closed,
+            doubtful: !state.health.is_ready(),
+            probe_micros: u64::try_from(state.budget.spent().as_micros()).unwrap_or(u64::MAX),
+        };
+        drop(state);
+        self.context.metrics.guarded(&guarded);
+        replace(&self.context.latest.upstream, upstream);
+        replace(&self.context.latest.guarded, guarded);
+    }
+}
+
+impl State {
+    /// The reason to refuse a new request for `service`, if there is one.
+    fn closed(&mut self, now: Instant, service: &str) -> Option<Reason> {
+        if let Some(reason) = self.gate.check(now) {
+            return Some(reason);
+        }
+        if !self.health.is_ready() {
+            return Some(Reason::Doubtful);
+        }
+        match &self.announcement {
+            Some(announcement) if announcement.service.as_ref() == service => None,
+            _ => Some(Reason::Unannounced),
+        }
+    }
+}
+
+fn replace<T: PartialEq>(latest: &tokio::sync::watch::Sender<T>, value: T) {
+    latest.send_if_modified(|current| {
+        let changed = *current != value;
+        *current = value;
+        changed
+    });
+}
+
+async fn take_announcements(guard: Arc<Guard>, mut ring: mpsc::Receiver<Announcement>) {
+    while let Some(announcement) = ring.recv().await {
+        let now = Instant::now();
+        let mut state = guard.state.lock();
+        state
+            .gate
+            .announced(now, announcement.state == Announced::Draining);
+        state.admission.set_slots(announcement.slots.max(1));
+        state.announcement = Some(announcement);
+        drop(state);
+        guard.publish();
+        guard.pump();
+    }
+}
+
+/// Takes what the preset in force says about this server.
+async fn follow_view(guard: Arc<Guard>) {
+    let mut view = guard.context.latest.view.subscribe();
+    loop {
+        let in_force = Arc::clone(&view.borrow_and_update().in_force);
+        guard.take_preset(&in_force.preset);
+        if view.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_stage(guard: Arc<Guard>) {
+    let mut stage = guard.context.latest.stage.subscribe();
+    let stopping = stage
+        .wait_for(|stage| *stage != crate::context::Stage::Serving)
+        .await
+        .is_ok();
+    if stopping {
+        guard.state.lock().gate.stop(Instant::now());
+        guard.publish();
+    }
+}
+
+async fn follow_refreshed(guard: Arc<Guard>) {
+    let mut refreshed = guard.context.latest.refreshed.subscribe();
+    while refreshed.changed().await.is_ok() {
+        let asked_at = *refreshed.borrow_and_update();
+        guard.state.lock().gate.refreshed(asked_at);
+    }
+}
+
+/// Refuses requests in the queue whose turn would come too late.
+async fn refuse_late(guard: Arc<Guard>) {
+    loop {
+        let wake_at = guard.state.lock().admission.wake_at();
+        match wake_at {
+            Some(at) => tokio::select! {
+                () = tokio::time::sleep_until(at.into()) => {}
+                () = guard.queued.notified() => {}
+            },
+            None => guard.queued.notified().await,
+        }
+        guard.pump();
+    }
+}
+
+async fn tick(guard: Arc<Guard>) {
+    loop {
+        guard.publish();
+        guard.queued.notify_one();
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Probes a doubtful upstream, from here alone and within the budget.
+async fn probe_when_due(guard: Arc<Guard>) {
+    let mut doubts = guard.context.latest.guarded.subscribe();
+    loop {
+        let due = guard.state.lock().health.probe_at();
+        match due {
+            None => {
+                if doubts.changed().await.is_err() {
+                    return;
+                }
+            }
+            Some(at) if Instant::now() < at => tokio::time::sleep_until(at.into()).await,
+            Some(_) => probe_once(&guard).await,
+        }
+    }
+}
+
+async fn probe_once(guard: &Guard) {
+    let now = Instant::now();
+    let reserved = {
+        let mut state = guard.state.lock();
+        let Some(announcement) = state.announcement.clone() else {
+            state.health.wait_until(now + TICK);
+            return;
+        };
+        match state.budget.reserve(now) {
+            Ok(reservation) => {
+                state.health.probing();
+                Ok((announcement, reservation))
+            }
+            Err(at) => {
+                state
+                    .health
+                    .wait_until(at.unwrap_or(now + Duration::from_secs(1)));
+                Err(())
+            }
+        }
+    };
+    let Ok((announcement, reservation)) = reserved else {
+        return;
+    };
+    let verdict = probe(guard, &announcement).await;
+    let ended = Instant::now();
+    guard.context.metrics.probe(verdict);
+    let mut state = guard.state.lock();
+    state.budget.settle(&reservation, ended - now);
+    state.health.probed(ended, verdict);
+}
+
+async fn probe(guard: &Guard, announcement: &Announcement) -> Verdict {
+    let uri = format!(
+        "http://{}{}",
+        announcement.address, announcement.health_path
+    );
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(uri)
+        .body(Empty::new());
+    let Ok(request) = request else {
+        return Verdict::Failed;
+    };
+    let timeout = guard.context.settings.probe.timeout;
+    match tokio::time::timeout(timeout, guard.prober.request(request)).await {
+        Ok(Ok(response)) if response.status().is_success() => Verdict::Answered,
+        _ => Verdict::Failed,
+    }
+}
--- /dev/null
+++ b/crates/node/src/headers.rs
@@ -0,0 +1,167 @@
+//! Headers between nodes, and those that are never passed on.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use mintridge_core::claim::{Claim, Key, Mark};
+use mintridge_core::load::Report;
+
+/// Prefix of all headers of mintridge; from outside they are dropped.
+const PREFIX: &str = "mintridge-";
+/// Service asked for.
+const SERVICE: HeaderName = HeaderName::from_static("mintridge-to-service");
+/// Customer on whose behalf the request runs.
+const CUSTOMER: HeaderName = HeaderName::from_static("mintridge-for-customer");
+/// Time left until the deadline, in microseconds: clocks differ, what is left does not.
+const LEFT: HeaderName = HeaderName::from_static("mintridge-left-us");
+/// Number of the request, given by the entry node.
+const REQUEST: HeaderName = HeaderName::from_static("mintridge-request");
+/// Digest of service, customer and idempotency key, if a claim is needed.
+const CLAIM: HeaderName = HeaderName::from_static("mintridge-claim");
+/// Load of the upstream that answered, a [`Report`] in JSON.
+const LOAD: HeaderName = HeaderName::from_static("mintridge-load");
+/// Present on a refusal whose request may hold its claim.
+const CLAIMED: HeaderName = HeaderName::from_static("mintridge-claimed");
+
+/// Fields that belong to one connection (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// What the entry node tells the node beside the upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Service asked for.
+    pub service: Arc<str>,
+    /// Customer on whose behalf the request runs.
+    pub customer: Arc<str>,
+    /// The answer is worth nothing after this instant.
+    pub deadline: Instant,
+    /// Number of the request, given by the entry node.
+    pub request: Arc<str>,
+    /// The claim that must be granted before the request is handed over.
+    pub claim: Option<Claim>,
+}
+
+/// A header between nodes is missing or malformed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("header {name} is missing or malformed")]
+pub struct Malformed {
+    /// The header.
+    pub name: HeaderName,
+}
+
+/// Writes the head into the headers of a request to a peer.
+pub fn write(now: Instant, head: &Head, headers: &mut HeaderMap) {
+    let left = head.deadline.saturating_duration_since(now);
+    insert(headers, SERVICE, &head.service);
+    insert(headers, CUSTOMER, &head.customer);
+    insert(headers, LEFT, &left.as_micros().to_string());
+    insert(headers, REQUEST, &head.request);
+    if let Some(claim) = &head.claim {
+        insert(headers, CLAIM, &claim.key.0);
+    }
+}
+
+/// Reads the head from the headers of a request of a peer.
+///
+/// # Errors
+/// If a header is missing or malformed.
+pub fn read(now: Instant, headers: &HeaderMap) -> Result<Head, Malformed> {
+    let request: Arc<str> = Arc::from(required(headers, REQUEST)?);
+    let left = required(headers, LEFT)?
+        .parse()
+        .map_err(|_| Malformed { name: LEFT })?;
+    let deadline = now
+        .checked_add(Duration::from_micros(left))
+        .ok_or(Malformed { name: LEFT })?;
+    let claim = text(headers, CLAIM).map(|key| Claim {
+        key: Key(Arc::from(key)),
+        mark: Mark(Arc::clone(&request)),
+    });
+    Ok(Head {
+        service: Arc::from(required(headers, SERVICE)?),
+        customer: Arc::from(required(headers, CUSTOMER)?),
+        deadline,
+        request,
+        claim,
+    })
+}
+
+/// Attaches a load report to a response to a peer.
+pub fn write_load(report: &Report, headers: &mut HeaderMap) {
+    if let Ok(written) = serde_json::to_string(report) {
+        insert(headers, LOAD, &written);
+    }
+}
+
+/// Takes the load report off a response of a peer.
+#[must_use]
+pub fn take_load(headers: &mut HeaderMap) -> Option<Report> {
+    let written = headers.remove(LOAD)?;
+    serde_json::from_slice(written.as_bytes()).ok()
+}
+
+/// Marks a refusal whose request may hold its claim.
+pub fn write_claimed(headers: &mut HeaderMap) {
+    headers.insert(CLAIMED, HeaderValue::from_static("yes"));
+}
+
+/// Takes that mark off.
+#[must_use]
+pub fn take_claimed(headers: &mut HeaderMap) -> bool {
+    headers.remove(CLAIMED).is_some()
+}
+
+/// Drops what belongs to one connection, the fields that `Connection` names included.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// Drops every header of mintridge.
+///
+/// Failure: an upstream passes on the refusal of a deeper call with its headers.
+/// Symptom: the entry node takes the answer for a refusal as not run and sends an
+/// unrepeatable request that ran to a second server. Only the node that received the
+/// response adds these headers, so none can come from further away.
+pub fn strip_own(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| name.as_str().starts_with(PREFIX))
+        .cloned()
+        .collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::try_from(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn required(headers: &HeaderMap, name: HeaderName) -> Result<&str, Malformed> {
+    text(headers, name.clone()).ok_or(Malformed { name })
+}
+
+fn text(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,182 @@
+//! Links to peers: one HTTP/2 connection to each, checked while it is in use.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyper::body::Incoming;
+use hyper::client::conn::http2;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use mintridge_http::{Body, reply};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+
+use crate::configs::link::Settings;
+
+/// Path answered by every peer at once, by which a link is checked.
+pub const CHECK_PATH: &str = "/mintridge/link-check";
+
+/// How far a request got on a link that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// No byte of it was sent.
+    #[error("the peer cannot be reached; nothing was sent")]
+    NeverSent,
+    /// It was sent, and the link broke before the answer.
+    #[error("the link broke before the answer")]
+    Broken,
+}
+
+type Sender = http2::SendRequest<Body>;
+
+/// Links by address.
+#[derive(Debug)]
+pub struct Links {
+    settings: Settings,
+    slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    open: tokio::sync::Mutex<Option<Open>>,
+}
+
+#[derive(Debug)]
+struct Open {
+    sender: Sender,
+    heard_at: Instant,
+}
+
+impl Links {
+    /// No link yet; each is opened when first used.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            slots: Mutex::default(),
+        }
+    }
+
+    /// Forgets links to addresses that are no longer in use.
+    pub fn keep(&self, in_use: impl Fn(&SocketAddr) -> bool) {
+        self.slots.lock().retain(|address, _| in_use(address));
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    /// If the link cannot be opened or breaks.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, Error> {
+        let slot = self.slot(address);
+        let mut sender = self.ready(&slot, address).await?;
+        let sent = sender.try_send_request(request).await;
+        match sent {
+            Ok(response) => {
+                self.heard(&slot).await;
+                Ok(response)
+            }
+            Err(mut error) => {
+                if error.take_message().is_some() {
+                    return Err(Error::NeverSent);
+                }
+                Err(Error::Broken)
+            }
+        }
+    }
+
+    /// Whether a new connection to the peer can be opened now, whatever became of the
+    /// one in use: a lost connection is no fault of the server's.
+    pub async fn can_connect(&self, address: SocketAddr) -> bool {
+        let slot = self.slot(address);
+        self.ready(&slot, address).await.is_ok()
+    }
+
+    fn slot(&self, address: SocketAddr) -> Arc<Slot> {
+        Arc::clone(self.slots.lock().entry(address).or_default())
+    }
+
+    /// A link that is open and was heard lately, or a new one.
+    ///
+    /// Failure: something between two nodes loses track of an idle connection.
+    /// Symptom: the next request on it hangs, and an unrepeatable one ends as unknown.
+    /// A link that was silent for a while answers a cheap request first; if it does
+    /// not, it is replaced and nothing was risked.
+    async fn ready(&self, slot: &Slot, address: SocketAddr) -> Result<Sender, Error> {
+        let mut open = slot.open.lock().await;
+        if let Some(link) = open.as_mut()
+            && !link.sender.is_closed()
+            && self.is_alive(link).await
+        {
+            return Ok(link.sender.clone());
+        }
+        *open = None;
+        let sender = self.connect(address).await?;
+        *open = Some(Open {
+            sender: sender.clone(),
+            heard_at: Instant::now(),
+        });
+        Ok(sender)
+    }
+
+    async fn is_alive(&self, link: &mut Open) -> bool {
+        let now = Instant::now();
+        if now < link.heard_at + self.settings.check_after_idle {
+            return true;
+        }
+        let Ok(request) = Request::builder()
+            .method(Method::GET)
+            .uri(format!("http://peer{CHECK_PATH}"))
+            .body(reply::empty())
+        else {
+            return false;
+        };
+        let check = link.sender.send_request(request);
+        let answered = tokio::time::timeout(self.settings.check_within, check).await;
+        let alive = matches!(answered, Ok(Ok(_)));
+        if alive {
+            link.heard_at = now;
+        }
+        alive
+    }
+
+    async fn heard(&self, slot: &Slot) {
+        if let Some(link) = slot.open.lock().await.as_mut() {
+            link.heard_at = Instant::now();
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Sender, Error> {
+        let connected = self.handshake(address);
+        tokio::time::timeout(self.settings.connect_within, connected)
+            .await
+            .map_err(|_| Error::NeverSent)?
+    }
+
+    /// Pings run only while requests are open, so that idle links cost nothing.
+    async fn handshake(&self, address: SocketAddr) -> Result<Sender, Error> {
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|_| Error::NeverSent)?;
+        stream.set_nodelay(true).map_err(|_| Error::NeverSent)?;
+        let (sender, connection) = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(self.settings.ping_every)
+            .keep_alive_timeout(self.settings.ping_within)
+            .keep_alive_while_idle(false)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| Error::NeverSent)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(peer:% = address, error:% = error; "link ended");
+            }
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,235 @@
+//! Counters of a node, in the Prometheus text format. Label sets are bounded: they take
+//! values of this program only, never a caller's.
+
+use std::time::Duration;
+
+use hyper::Response;
+use mintridge_core::claim::Verdict as ClaimVerdict;
+use mintridge_core::health::Verdict;
+use mintridge_core::outcome::Refusal;
+use mintridge_http::{Body, problem};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::context::Guarded;
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0,
+];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
+/// All counters of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Counter,
+    seconds: Histogram,
+    refusals: Family<RefusalLabels, Counter>,
+    guard_refusals: Family<RefusalLabels, Counter>,
+    retries: Counter,
+    claims: Family<KindLabels, Counter>,
+    store_calls: Family<KindLabels, Counter>,
+    probes: Family<KindLabels, Counter>,
+    rings_full: Family<KindLabels, Counter>,
+    bad_input: Family<KindLabels, Counter>,
+    exchanges: Family<KindLabels, Counter>,
+    exchange_bytes: Counter,
+    in_flight: Gauge,
+    queued: Gauge,
+    limit: Gauge,
+    probe_micros: Gauge,
+    members: Gauge,
+    revision: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("mintridge"),
+            requests: Counter::default(),
+            seconds: Histogram::new(LATENCY_BOUNDS),
+            refusals: Family::default(),
+            guard_refusals: Family::default(),
+            retries: Counter::default(),
+            claims: Family::default(),
+            store_calls: Family::default(),
+            probes: Family::default(),
+            rings_full: Family::default(),
+            bad_input: Family::default(),
+            exchanges: Family::default(),
+            exchange_bytes: Counter::default(),
+            in_flight: Gauge::default(),
+            queued: Gauge::default(),
+            limit: Gauge::default(),
+            probe_micros: Gauge::default(),
+            members: Gauge::default(),
+            revision: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests of callers answered",
+            self.requests.clone(),
+        );
+        let help = "Time until the answer to a caller began";
+        registry.register("request_seconds", help, self.seconds.clone());
+        let help = "Refusals given to callers";
+        registry.register("refusals", help, self.refusals.clone());
+        let help = "Refusals given to peers by the guard of this upstream";
+        registry.register("guard_refusals", help, self.guard_refusals.clone());
+        registry.register("retries", "Second attempts made", self.retries.clone());
+        let help = "Claims on idempotency keys by verdict";
+        registry.register("claims", help, self.claims.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
+        registry.register("probes", "Probes of the upstream", self.probes.clone());
+        let help = "Messages refused because a ring was full";
+        registry.register("rings_full", help, self.rings_full.clone());
+        registry.register(
+            "bad_input",
+            "Malformed input by kind",
+            self.bad_input.clone(),
+        );
+        registry.register("exchanges", "Exchanges with peers", self.exchanges.clone());
+        let help = "Bytes of exchange messages, both ways";
+        registry.register("exchange_bytes", help, self.exchange_bytes.clone());
+        let help = "Requests in the upstream";
+        registry.register("upstream_in_flight", help, self.in_flight.clone());
+        let help = "Requests waiting for the upstream";
+        registry.register("upstream_queued", help, self.queued.clone());
+        let help = "Requests the upstream may have at once";
+        registry.register("upstream_limit", help, self.limit.clone());
+        let help = "Upstream time spent on probes, in microseconds";
+        registry.register("probe_microseconds", help, self.probe_micros.clone());
+        let help = "Servers that are there, this one included";
+        registry.register("members", help, self.members.clone());
+        let help = "Revision of the preset in force here";
+        registry.register("preset_revision", help, self.revision.clone());
+    }
+
+    /// A caller got the head of its answer.
+    pub fn answered(&self, took: Duration, response: &Response<Body>) {
+        self.requests.inc();
+        if !response.headers().contains_key(problem::OUTCOME) {
+            self.seconds.observe(took.as_secs_f64());
+        }
+    }
+
+    /// A caller was refused.
+    pub fn refusal(&self, refusal: &Refusal) {
+        self.refusals.get_or_create(&labels(refusal)).inc();
+    }
+
+    /// A peer was refused by the guard.
+    pub fn guard_refusal(&self, refusal: &Refusal) {
+        self.guard_refusals.get_or_create(&labels(refusal)).inc();
+    }
+
+    /// A second attempt is made.
+    pub fn retry(&self) {
+        self.retries.inc();
+    }
+
+    /// A claim was answered.
+    pub fn claim(&self, verdict: ClaimVerdict) {
+        let kind = match verdict {
+            ClaimVerdict::Granted => "granted",
+            ClaimVerdict::Duplicate => "duplicate",
+            ClaimVerdict::Unavailable => "unavailable",
+        };
+        count(&self.claims, kind);
+    }
+
+    /// A call to the store.
+    pub fn store_call(&self, kind: &'static str) {
+        count(&self.store_calls, kind);
+    }
+
+    /// A probe came back.
+    pub fn probe(&self, verdict: Verdict) {
+        let kind = match verdict {
+            Verdict::Answered => "answered",
+            Verdict::Failed => "failed",
+        };
+        count(&self.probes, kind);
+    }
+
+    /// A ring was full and a message refused.
+    pub fn ring_full(&self, ring: &'static str) {
+        count(&self.rings_full, ring);
+    }
+
+    /// Malformed input was refused.
+    pub fn bad_input(&self, kind: &'static str) {
+        count(&self.bad_input, kind);
+    }
+
+    /// An exchange ended.
+    pub fn exchange(&self, kind: &'static str, bytes: u64) {
+        count(&self.exchanges, kind);
+        self.exchange_bytes.inc_by(bytes);
+    }
+
+    /// State of the guarded upstream.
+    pub fn guarded(&self, guarded: &Guarded) {
+        self.in_flight.set(guarded.load.in_flight.into());
+        self.queued.set(guarded.load.queued.into());
+        self.limit.set(guarded.load.limit.into());
+        self.probe_micros
+            .set(i64::try_from(guarded.probe_micros).unwrap_or(i64::MAX));
+    }
+
+    /// Members and preset as known here.
+    pub fn view(&self, members: usize, revision: u64) {
+        self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// All counters in the text format.
+    ///
+    /// # Errors
+    /// If the text cannot be written.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+const fn labels(refusal: &Refusal) -> RefusalLabels {
+    RefusalLabels {
+        outcome: refusal.outcome.as_str(),
+        reason: refusal.reason.as_str(),
+    }
+}
+
+fn count(family: &Family<KindLabels, Counter>, kind: &'static str) {
+    family.get_or_create(&KindLabels { kind }).inc();
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,172 @@
+//! A node's life: start, planned stop, end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use error_stack::{Report, ResultExt};
+use tokio::sync::{mpsc, watch};
+
+use crate::context::{Addresses, Context, Guarded, Latest, Rings, Stage, View, unix_millis};
+use crate::duties::{self, Duty, Inputs, Socket};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::traces;
+
+/// How often a stop looks whether a duty has ended.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address} for {purpose}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What it is for.
+        purpose: &'static str,
+    },
+    /// A thread cannot be started.
+    #[error("cannot start the threads")]
+    Threads,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct Node {
+    context: Arc<Context>,
+    duties: Vec<Duty>,
+}
+
+/// Starts a node; it listens when this returns.
+///
+/// # Errors
+/// If an address cannot be listened on or a thread not started.
+pub fn start(settings: Settings) -> Result<Node, Report<Error>> {
+    let listeners = &settings.listeners;
+    let callers = listen(listeners.callers, "callers")?;
+    let peers = listen(listeners.peers, "peers")?;
+    let control = listen(listeners.control, "control")?;
+    let announcements = listen(listeners.announcements, "announcements")?;
+    let operators = listen(listeners.operators, "operators")?;
+    let addresses = Addresses {
+        callers: callers.1,
+        peers: peers.1,
+        control: control.1,
+        announcements: announcements.1,
+        operators: operators.1,
+    };
+    let (to_guard, announced) = mpsc::channel(settings.guard.announcements_ring);
+    let (to_claims, jobs) = mpsc::channel(settings.claims.ring);
+    let rings = Rings {
+        announcements: to_guard,
+        claims: to_claims,
+    };
+    if settings.traces.sampled {
+        traces::start();
+    }
+    let context = Arc::new(Context {
+        settings,
+        addresses,
+        incarnation: unix_millis(),
+        metrics: Metrics::default(),
+        rings,
+        latest: latest(),
+    });
+    let inputs = Inputs {
+        callers: callers.0,
+        peers: peers.0,
+        control: control.0,
+        announcements: announcements.0,
+        operators: operators.0,
+        announced,
+        jobs,
+    };
+    let duties = duties::start(&context, inputs).change_context(Error::Threads)?;
+    log::info!(
+        server = &**context.server(),
+        callers:% = addresses.callers,
+        operators:% = addresses.operators;
+        "node started"
+    );
+    Ok(Node { context, duties })
+}
+
+fn latest() -> Latest {
+    Latest {
+        view: watch::Sender::new(Arc::new(View::default())),
+        upstream: watch::Sender::new(None),
+        guarded: watch::Sender::new(Guarded::default()),
+        seen: watch::Sender::new(Vec::new()),
+        refreshed: watch::Sender::new(Instant::now()),
+        stage: watch::Sender::new(Stage::Serving),
+    }
+}
+
+fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(Socket, SocketAddr), Report<Error>> {
+    let opened = || -> io::Result<(Socket, SocketAddr)> {
+        let socket = Socket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let bound = socket.local_addr()?;
+        Ok((socket, bound))
+    };
+    opened().change_context(Error::Listen { address, purpose })
+}
+
+impl Node {
+    /// What the duties share.
+    #[must_use]
+    pub const fn context(&self) -> &Arc<Context> {
+        &self.context
+    }
+
+    /// Stops as planned: no request in progress is cut within the time allowed.
+    ///
+    /// 1. Nothing new is let through to the upstream; peers are told, and callers are
+    ///    still served while they learn of it.
+    /// 2. Callers' listener closes when their requests in progress are finished.
+    /// 3. Peers' listener closes when theirs are.
+    /// 4. The node says goodbye.
+    pub fn stop(self) {
+        let settings = &self.context.settings.node;
+        let give_up_at = Instant::now() + settings.stop_within;
+        log::info!("stopping");
+        self.set(Stage::Leaving);
+        thread::sleep(settings.linger);
+        self.set(Stage::ClosingCallers { give_up_at });
+        self.wait_for("entry");
+        self.set(Stage::ClosingPeers { give_up_at });
+        self.wait_for("guard");
+        self.end();
+    }
+
+    /// Ends at once; requests in progress are cut.
+    pub fn end(self) {
+        self.set(Stage::Ending);
+        for duty in self.duties {
+            if duty.thread.join().is_err() {
+                log::error!(duty = duty.name; "duty panicked");
+            }
+        }
+        log::info!("ended");
+    }
+
+    fn set(&self, stage: Stage) {
+        self.context.latest.stage.send_replace(stage);
+    }
+
+    fn wait_for(&self, name: &str) {
+        let Some(duty) = self.duties.iter().find(|duty| duty.name == name) else {
+            return;
+        };
+        while !duty.thread.is_finished() {
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,87 @@
+//! What a node answers operators and their tools: health, metrics, state.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, StatusCode};
+use mintridge_core::outcome::Reason;
+use mintridge_http::handler::{Answer, Function};
+use mintridge_http::{Body, reply, server};
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+
+use crate::context::{Context, Guarded, View};
+use crate::entry::Seen;
+
+/// Path that answers 200 while the process works.
+pub const HEALTH: &str = "/health";
+/// Path that answers 200 while the node lets requests through to its upstream.
+pub const READY: &str = "/ready";
+/// Path of the counters in the Prometheus text format.
+pub const METRICS: &str = "/metrics";
+/// Path of the whole state, a [`Status`] in JSON.
+pub const STATE: &str = "/state";
+
+/// State of a node as it sees itself and the others.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of its server.
+    pub server: Arc<str>,
+    /// Whether a stop was asked for.
+    pub stopping: bool,
+    /// Members and preset.
+    pub view: View,
+    /// The upstream beside it.
+    pub guarded: Guarded,
+    /// The upstreams as its entry sees them.
+    pub seen: Vec<Seen>,
+}
+
+/// Serves operators until the node ends.
+pub async fn run(context: Arc<Context>, listener: TcpListener) {
+    let phase = context.control_phase();
+    let limits = server::Limits {
+        connections: 64,
+        ..server::Limits::default()
+    };
+    let handler = Function::new(context, |context, request| -> Answer {
+        Box::pin(async move { answer(&context, &request) })
+    });
+    server::serve(listener, handler, server::Protocol::Http1, limits, phase).await;
+}
+
+fn answer(context: &Context, request: &Request<Body>) -> Response<Body> {
+    match request.uri().path() {
+        HEALTH => reply::text(StatusCode::OK, "working\n"),
+        READY => ready(context),
+        METRICS => metrics(context),
+        STATE => reply::json(StatusCode::OK, &status(context)),
+        _ => reply::text(StatusCode::NOT_FOUND, "/health /ready /metrics /state\n"),
+    }
+}
+
+fn ready(context: &Context) -> Response<Body> {
+    match context.latest.guarded.borrow().closed {
+        None => reply::text(StatusCode::OK, "ready\n"),
+        Some(reason) => {
+            let text = format!("{}\n", Reason::as_str(reason));
+            reply::text(StatusCode::SERVICE_UNAVAILABLE, text)
+        }
+    }
+}
+
+fn metrics(context: &Context) -> Response<Body> {
+    match context.metrics.text() {
+        Ok(text) => reply::text(StatusCode::OK, text),
+        Err(error) => reply::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
+fn status(context: &Context) -> Status {
+    Status {
+        server: Arc::clone(context.server()),
+        stopping: context.is_stopping(),
+        view: context.latest.view.borrow().as_ref().clone(),
+        guarded: context.latest.guarded.borrow().clone(),
+        seen: context.latest.seen.borrow().clone(),
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,241 @@
+//! A node's settings file: JSON with comments, checked as a whole before anything runs.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use error_stack::{Report, ResultExt};
+use mintridge_core::configs as core;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use crate::configs;
+
+/// All settings of a node. `server` and `availability_zone` are required; everything
+/// else has a default.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this server, unlike that of any other.
+    pub server: Arc<str>,
+    /// Availability zone in which it stands.
+    pub availability_zone: Arc<str>,
+    /// Where the node listens.
+    #[serde(default)]
+    pub listeners: configs::listeners::Settings,
+    /// Control addresses of some other nodes, tried when the store does not answer.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// The platform's key-value store.
+    #[serde(default)]
+    pub store: configs::store::Settings,
+    /// Start and stop.
+    #[serde(default)]
+    pub node: configs::node::Settings,
+    /// The callers' side.
+    #[serde(default)]
+    pub callers: configs::callers::Settings,
+    /// Links to peers.
+    #[serde(default)]
+    pub link: configs::link::Settings,
+    /// Calls to the upstream.
+    #[serde(default)]
+    pub guard: configs::guard::Settings,
+    /// Claims on idempotency keys: the thread.
+    #[serde(default)]
+    pub claims: configs::claims::Settings,
+    /// Exchanges with peers and the store.
+    #[serde(default)]
+    pub control: configs::control::Settings,
+    /// Logs.
+    #[serde(default)]
+    pub logs: configs::logs::Settings,
+    /// Traces.
+    #[serde(default)]
+    pub traces: configs::traces::Settings,
+    /// Admission beside the upstream.
+    #[serde(default)]
+    pub admission: core::admission::Settings,
+    /// Claims on idempotency keys: the decisions.
+    #[serde(default)]
+    pub claim: core::claim::Settings,
+    /// The gate before the upstream.
+    #[serde(default)]
+    pub gate: core::gate::Settings,
+    /// Trust in the upstream.
+    #[serde(default)]
+    pub health: core::health::Settings,
+    /// Membership.
+    #[serde(default)]
+    pub membership: core::membership::Settings,
+    /// Choice of an upstream.
+    #[serde(default)]
+    pub placement: core::placement::Settings,
+    /// Probes of a doubtful upstream.
+    #[serde(default)]
+    pub probe: core::probe::Settings,
+    /// Second attempts.
+    #[serde(default)]
+    pub retry: core::retry::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            server: Arc::from("server-1"),
+            availability_zone: Arc::from("zone-a"),
+            listeners: configs::listeners::Settings::default(),
+            peers: Vec::new(),
+            store: configs::store::Settings::default(),
+            node: configs::node::Settings::default(),
+            callers: configs::callers::Settings::default(),
+            link: configs::link::Settings::default(),
+            guard: configs::guard::Settings::default(),
+            claims: configs::claims::Settings::default(),
+            control: configs::control::Settings::default(),
+            logs: configs::logs::Settings::default(),
+            traces: configs::traces::Settings::default(),
+            admission: core::admission::Settings::default(),
+            claim: core::claim::Settings::default(),
+            gate: core::gate::Settings::default(),
+            health: core::health::Settings::default(),
+            membership: core::membership::Settings::default(),
+            placement: core::placement::Settings::default(),
+            probe: core::probe::Settings::default(),
+            retry: core::retry::Settings::default(),
+        }
+    }
+}
+
+/// Why a settings file was not taken.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("{}: cannot be read", path.display())]
+    Unread {
+        /// The file.
+        path: PathBuf,
+    },
+    /// A key is unknown, or a value has the wrong form.
+    #[error("{}:{line}: {key}: {problem}", path.display())]
+    Malformed {
+        /// The file.
+        path: PathBuf,
+        /// Line of the value, from 1; 0 if the parser does not tell.
+        line: usize,
+        /// Path of the key.
+        key: String,
+        /// What was found and what is allowed.
+        problem: String,
+    },
+    /// A value is out of range.
+    #[error("{}: {key}: {found} is outside {allowed}", path.display())]
+    Range {
+        /// The file.
+        path: PathBuf,
+        /// Path of the key.
+        key: &'static str,
+        /// The value found.
+        found: f64,
+        /// What is allowed.
+        allowed: &'static str,
+    },
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// If the file cannot be read, or a key or value is not allowed.
+pub fn load(path: &Path) -> Result<Settings, Report<Error>> {
+    let settings: Settings = read(path)?;
+    check(path, &settings)?;
+    Ok(settings)
+}
+
+/// Reads JSON with comments.
+///
+/// # Errors
+/// If the file cannot be read, or a key or value has the wrong form.
+pub fn read<T: DeserializeOwned>(path: &Path) -> Result<T, Report<Error>> {
+    let text = std::fs::read_to_string(path).change_context_lazy(|| Error::Unread {
+        path: path.to_owned(),
+    })?;
+    let mut reader = json5::Deserializer::from_str(&text);
+    serde_path_to_error::deserialize(&mut reader).map_err(|error| {
+        let line = error
+            .inner()
+            .position()
+            .map_or(0, |position| position.line + 1);
+        Report::new(Error::Malformed {
+            path: path.to_owned(),
+            line,
+            key: error.path().to_string(),
+            problem: error.inner().to_string(),
+        })
+    })
+}
+
+/// One bound of one value.
+struct Bound {
+    key: &'static str,
+    found: f64,
+    least: f64,
+    most: f64,
+    allowed: &'static str,
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn bounds(settings: &Settings) -> [Bound; 9] {
+    let share = |key, found| Bound {
+        key,
+        found,
+        least: f64::MIN_POSITIVE,
+        most: 1.0,
+        allowed: "above 0 to 1",
+    };
+    let at_least_one = |key, found| Bound {
+        key,
+        found,
+        least: 1.0,
+        most: 1e6,
+        allowed: "1 to 1000000",
+    };
+    [
+        share(
+            "admission.service_time_share",
+            settings.admission.service_time_share,
+        ),
+        share(
+            "admission.limit_decrease",
+            settings.admission.limit_decrease,
+        ),
+        share("guard.fast_failure", settings.guard.fast_failure),
+        at_least_one("admission.limit_least", settings.admission.limit_least),
+        at_least_one("claim.writes_per_second", settings.claim.writes_per_second),
+        at_least_one("claim.writes_burst", settings.claim.writes_burst),
+        at_least_one("retry.attempts", f64::from(settings.retry.attempts)),
+        at_least_one("claims.ring", settings.claims.ring as f64),
+        Bound {
+            key: "claim.batch_most",
+            found: settings.claim.batch_most as f64,
+            least: 1.0,
+            most: mintridge_store::wire::TXN_OPERATIONS_MOST as f64,
+            allowed: "1 to 128",
+        },
+    ]
+}
+
+fn check(path: &Path, settings: &Settings) -> Result<(), Report<Error>> {
+    for bound in bounds(settings) {
+        if (bound.least..=bound.most).contains(&bound.found) {
+            continue;
+        }
+        return Err(Report::new(Error::Range {
+            path: path.to_owned(),
+            key: bound.key,
+            found: bound.found,
+            allowed: bound.allowed,
+        }));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for what mintridge meets: the platform's store, an upstream, and a
+//! network between two processes that can be cut. For tests and trials only.
+
+pub mod announcer;
+pub mod relay;
+pub mod scene;
+pub mod store;
+pub mod upstream;
--- /dev/null
+++ b/crates/standin/src/relay.rs
@@ -0,0 +1,123 @@
+//! A network between two processes: a relay that can be cut or fall silent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+const CHUNK: usize = 16 * 1024;
+
+/// State of the network.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Weather {
+    /// Everything passes.
+    #[default]
+    Clear,
+    /// Open connections are broken and new ones refused.
+    Cut,
+    /// Nothing passes, and nobody is told; new connections hang too.
+    Silent,
+}
+
+/// A relay from one address to another.
+#[derive(Debug)]
+pub struct Relay {
+    weather: watch::Sender<Weather>,
+    lost: Mutex<watch::Sender<bool>>,
+}
+
+impl Default for Relay {
+    fn default() -> Self {
+        Self {
+            weather: watch::Sender::new(Weather::Clear),
+            lost: Mutex::new(watch::Sender::new(false)),
+        }
+    }
+}
+
+impl Relay {
+    /// Changes the weather for all connections, present and future.
+    pub fn set(&self, weather: Weather) {
+        self.weather.send_replace(weather);
+    }
+
+    /// Loses track of the connections open now: they stay open and nothing passes on
+    /// them ever again, while new ones work.
+    pub fn lose_open_connections(&self) {
+        let mut lost = self.lost.lock();
+        lost.send_replace(true);
+        *lost = watch::Sender::new(false);
+    }
+
+    /// Relays from `listener` to `target` until dropped.
+    pub async fn run(self: Arc<Self>, listener: TcpListener, target: SocketAddr) {
+        while let Ok((near, _)) = listener.accept().await {
+            let relay = Arc::clone(&self);
+            tokio::spawn(async move { relay.carry(near, target).await });
+        }
+    }
+
+    async fn carry(&self, near: TcpStream, target: SocketAddr) {
+        let mut weather = self.weather.subscribe();
+        if weather
+            .wait_for(|now| *now != Weather::Silent)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        if *weather.borrow() == Weather::Cut {
+            return;
+        }
+        let Ok(far) = TcpStream::connect(target).await else {
+            return;
+        };
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let lost = self.lost.lock().subscribe();
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let cut = weather.clone();
+        tokio::select! {
+            () = pump(near_read, far_write, weather.clone(), lost.clone()) => {}
+            () = pump(far_read, near_write, weather, lost) => {}
+            () = until_cut(cut) => {}
+        }
+    }
+}
+
+async fn until_cut(mut weather: watch::Receiver<Weather>) {
+    let _ = weather.wait_for(|now| *now == Weather::Cut).await;
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut weather: watch::Receiver<Weather>,
+    lost: watch::Receiver<bool>,
+) {
+    let mut chunk = vec![0; CHUNK];
+    while let Ok(read @ 1..) = from.read(&mut chunk).await {
+        if *lost.borrow() {
+            std::future::pending::<()>().await;
+        }
+        if weather
+            .wait_for(|now| *now != Weather::Silent)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        if to.write_all(&chunk[..read]).await.is_err() {
+            return;
+        }
+    }
+    if *lost.borrow() {
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,476 @@
+//! The platform's store: compare-and-swap, leases, watches, and faults on command.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use hyper::{Request, Response, StatusCode};
+use mintridge_http::handler::{Answer, Function};
+use mintridge_http::server::{Limits, Phase, Protocol, serve};
+use mintridge_http::{Body, reply};
+use mintridge_store::wire;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{broadcast, watch};
+
+/// Path that reads and replaces the faults.
+pub const FAULTS: &str = "/standin/faults";
+/// Path that reads the counters.
+pub const CALLS: &str = "/standin/calls";
+const BODY_MOST: usize = 2 * 1024 * 1024;
+const EVENTS_KEPT: usize = 1024;
+
+/// Faults in force; all off by default.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is refused with status 503 and watches are cut.
+    pub down: bool,
+    /// Every call takes this much longer.
+    pub slow_millis: u64,
+    /// So many next writes take effect and get no reply.
+    pub lose_replies: u32,
+    /// So many next writes take effect only after `late_millis`, and get no reply.
+    pub late_writes: u32,
+    /// See `late_writes`.
+    pub late_millis: u64,
+    /// Open watches stay open and tell nothing more.
+    pub silent_watches: bool,
+    /// Reads answer with the state at the time this was set.
+    pub stale_reads: bool,
+}
+
+/// Calls counted by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Calls {
+    /// Range reads.
+    pub reads: u64,
+    /// Transactions.
+    pub writes: u64,
+    /// Lease grants, renewals and revocations.
+    pub leases: u64,
+    /// Watches opened.
+    pub watches: u64,
+}
+
+/// The store with its data, shared by its connections.
+#[derive(Debug)]
+pub struct Store {
+    inner: Mutex<Inner>,
+    events: broadcast::Sender<wire::KeyValue>,
+    cut: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    faults: Faults,
+    calls: Calls,
+    data: Data,
+    snapshot: Option<BTreeMap<Vec<u8>, wire::KeyValue>>,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, wire::KeyValue>,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+}
+
+#[derive(Debug)]
+struct Lease {
+    time_to_live: Duration,
+    lapses_at: Instant,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            inner: Mutex::default(),
+            events: broadcast::Sender::new(EVENTS_KEPT),
+            cut: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Store {
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: Faults) {
+        let mut inner = self.inner.lock();
+        inner.snapshot = faults.stale_reads.then(|| {
+            let kept = inner.snapshot.take();
+            kept.unwrap_or_else(|| inner.data.keys.clone())
+        });
+        if faults.down && !inner.faults.down {
+            self.cut.send_modify(|cuts| *cuts += 1);
+        }
+        inner.faults = faults;
+    }
+
+    /// Calls counted so far.
+    #[must_use]
+    pub fn calls(&self) -> Calls {
+        self.inner.lock().calls
+    }
+
+    /// Sets a key from outside the API, as a restored backup or a stray hand would.
+    pub fn overwrite(&self, key: &str, value: &[u8]) {
+        let put = wire::Put {
+            key: key.into(),
+            value: value.to_vec(),
+            lease: 0,
+        };
+        let changed = self.inner.lock().data.put(put);
+        let _ = self.events.send(changed);
+    }
+
+    /// Value of a key.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let mut inner = self.inner.lock();
+        inner.data.lapse(Instant::now());
+        let found = inner.data.keys.get(key.as_bytes());
+        found.map(|found| found.value.clone())
+    }
+
+    /// Sends an event to every open watch again, as after a reconnection.
+    pub fn replay(&self, key: &str, value: &[u8]) {
+        let _ = self.events.send(wire::KeyValue {
+            key: key.into(),
+            value: value.to_vec(),
+            ..wire::KeyValue::default()
+        });
+    }
+
+    fn write(&self, txn: wire::Txn) -> wire::TxnReply {
+        let mut inner = self.inner.lock();
+        inner.data.lapse(Instant::now());
+        let (reply, changed) = inner.data.run(txn);
+        let silent = inner.faults.silent_watches;
+        drop(inner);
+        if silent {
+            return reply;
+        }
+        for change in changed {
+            let _ = self.events.send(change);
+        }
+        reply
+    }
+}
+
+impl Data {
+    fn put(&mut self, put: wire::Put) -> wire::KeyValue {
+        self.revision += 1;
+        let created = self.keys.get(&put.key).map(|old| old.create_revision);
+        let stored = wire::KeyValue {
+            key: put.key.clone(),
+            value: put.value,
+            create_revision: created.unwrap_or(self.revision),
+            mod_revision: self.revision,
+            lease: put.lease,
+        };
+        self.keys.insert(put.key, stored.clone());
+        stored
+    }
+
+    fn run(&mut self, txn: wire::Txn) -> (wire::TxnReply, Vec<wire::KeyValue>) {
+        let succeeded = txn.compare.iter().all(|compare| self.holds(compare));
+        let operations = if succeeded { txn.success } else { txn.failure };
+        let mut changed = Vec::new();
+        let mut responses = Vec::new();
+        for operation in operations {
+            responses.push(self.operate(operation, &mut changed));
+        }
+        let reply = wire::TxnReply {
+            header: self.header(),
+            succeeded,
+            responses,
+        };
+        (reply, changed)
+    }
+
+    fn operate(
+        &mut self,
+        operation: wire::Operation,
+        changed: &mut Vec<wire::KeyValue>,
+    ) -> wire::OperationReply {
+        match operation {
+            wire::Operation::Put(put) => changed.push(self.put(put)),
+            wire::Operation::Delete(range) => {
+                if self.keys.remove(&range.key).is_some() {
+                    self.revision += 1;
+                }
+            }
+            wire::Operation::Range(range) => {
+                return wire::OperationReply {
+                    response_range: Some(wire::RangeReply {
+                        header: self.header(),
+                        kvs: select(&self.keys, &range),
+                    }),
+                };
+            }
+        }
+        wire::OperationReply::default()
+    }
+
+    fn holds(&self, compare: &wire::Compare) -> bool {
+        let found = self.keys.get(&compare.key);
+        match compare.target {
+            wire::Target::Mod => {
+                found.map_or(0, |found| found.mod_revision) == compare.mod_revision.unwrap_or(0)
+            }
+            wire::Target::Create => {
+                found.map_or(0, |found| found.create_revision)
+                    == compare.create_revision.unwrap_or(0)
+            }
+            wire::Target::Value => found.map(|found| &found.value) == compare.value.as_ref(),
+        }
+    }
+
+    /// Ends leases that were not renewed, and deletes their keys.
+    fn lapse(&mut self, now: Instant) {
+        let before = self.leases.len();
+        self.leases.retain(|_, lease| now < lease.lapses_at);
+        if self.leases.len() == before {
+            return;
+        }
+        let leases = &self.leases;
+        self.keys
+            .retain(|_, stored| stored.lease == 0 || leases.contains_key(&stored.lease));
+        self.revision += 1;
+    }
+
+    fn grant(&mut self, seconds: i64) -> wire::Lease {
+        self.next_lease += 1;
+        let time_to_live = Duration::from_secs(u64::try_from(seconds).unwrap_or(0));
+        let lease = Lease {
+            time_to_live,
+            lapses_at: Instant::now() + time_to_live,
+        };
+        self.leases.insert(self.next_lease, lease);
+        wire::Lease {
+            id: self.next_lease,
+            ttl: seconds,
+        }
+    }
+
+    fn renew(&mut self, id: i64) -> wire::Lease {
+        self.lapse(Instant::now());
+        let Some(lease) = self.leases.get_mut(&id) else {
+            return wire::Lease { id, ttl: 0 };
+        };
+        lease.lapses_at = Instant::now() + lease.time_to_live;
+        let ttl = i64::try_from(lease.time_to_live.as_secs()).unwrap_or(i64::MAX);
+        wire::Lease { id, ttl }
+    }
+
+    fn revoke(&mut self, id: i64) {
+        self.leases.remove(&id);
+        self.keys.retain(|_, stored| stored.lease != id);
+    }
+
+    const fn header(&self) -> wire::Header {
+        wire::Header {
+            revision: self.revision,
+        }
+    }
+}
+
+fn select(keys: &BTreeMap<Vec<u8>, wire::KeyValue>, range: &wire::Range) -> Vec<wire::KeyValue> {
+    if range.range_end.is_empty() {
+        return keys.get(&range.key).cloned().into_iter().collect();
+    }
+    keys.range(range.key.clone()..range.range_end.clone())
+        .map(|(_, stored)| stored.clone())
+        .collect()
+}
+
+/// Serves until `phase` closes.
+pub async fn run(listener: TcpListener, store: Arc<Store>, phase: watch::Receiver<Phase>) {
+    let limits = Limits {
+        connections: 65_536,
+        ..Limits::default()
+    };
+    let handler = Function::new(store, |store, request| -> Answer {
+        Box::pin(answer(store, request))
+    });
+    serve(listener, handler, Protocol::Http1, limits, phase).await;
+}
+
+async fn answer(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
+    let path = request.uri().path().to_owned();
+    match path.as_str() {
+        FAULTS => return set_faults(&store, request).await,
+        CALLS => return reply::json(StatusCode::OK, &store.calls()),
+        _ => {}
+    }
+    let faults = store.inner.lock().faults.clone();
+    if faults.slow_millis > 0 {
+        tokio::time::sleep(Duration::from_millis(faults.slow_millis)).await;
+    }
+    count(&store, &path);
+    if store.inner.lock().faults.down {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+    }
+    match path.as_str() {
+        wire::RANGE => range(&store, request).await,
+        wire::TXN => txn(store, request).await,
+        wire::GRANT | wire::KEEP_ALIVE | wire::REVOKE => lease(&store, &path, request).await,
+        wire::WATCH => watch(&store, request).await,
+        _ => reply::text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+fn count(store: &Store, path: &str) {
+    let calls = &mut store.inner.lock().calls;
+    match path {
+        wire::RANGE => calls.reads += 1,
+        wire::TXN => calls.writes += 1,
+        wire::WATCH => calls.watches += 1,
+        _ => calls.leases += 1,
+    }
+}
+
+async fn set_faults(store: &Store, request: Request<Body>) -> Response<Body> {
+    match reply::read_json::<Faults, _>(request.into_body(), BODY_MOST).await {
+        Ok(faults) => {
+            store.set_faults(faults);
+            reply::text(StatusCode::OK, "set\n")
+        }
+        Err(error) => bad(&error),
+    }
+}
+
+async fn range(store: &Store, request: Request<Body>) -> Response<Body> {
+    let range: wire::Range = match reply::read_json(request.into_body(), BODY_MOST).await {
+        Ok(range) => range,
+        Err(error) => return bad(&error),
+    };
+    let mut inner = store.inner.lock();
+    inner.data.lapse(Instant::now());
+    let keys = inner.snapshot.as_ref().unwrap_or(&inner.data.keys);
+    let found = wire::RangeReply {
+        header: inner.data.header(),
+        kvs: select(keys, &range),
+    };
+    reply::json(StatusCode::OK, &found)
+}
+
+async fn txn(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
+    let txn: wire::Txn = match reply::read_json(request.into_body(), BODY_MOST).await {
+        Ok(txn) => txn,
+        Err(error) => return bad(&error),
+    };
+    let largest = [txn.compare.len(), txn.success.len(), txn.failure.len()];
+    if largest
+        .into_iter()
+        .any(|length| length > wire::TXN_OPERATIONS_MOST)
+    {
+        return reply::text(
+            StatusCode::BAD_REQUEST,
+            "too many operations in txn request\n",
+        );
+    }
+    if take_one(&store, |faults| &mut faults.late_writes) {
+        let late = Duration::from_millis(store.inner.lock().faults.late_millis);
+        tokio::spawn(async move {
+            tokio::time::sleep(late).await;
+            store.write(txn);
+        });
+        return std::future::pending().await;
+    }
+    let reply = store.write(txn);
+    if take_one(&store, |faults| &mut faults.lose_replies) {
+        return std::future::pending().await;
+    }
+    reply::json(StatusCode::OK, &reply)
+}
+
+fn take_one(store: &Store, field: impl Fn(&mut Faults) -> &mut u32) -> bool {
+    let mut inner = store.inner.lock();
+    let left = field(&mut inner.faults);
+    let taken = *left > 0;
+    *left = left.saturating_sub(1);
+    taken
+}
+
+async fn lease(store: &Store, path: &str, request: Request<Body>) -> Response<Body> {
+    let asked: wire::Lease = match reply::read_json(request.into_body(), BODY_MOST).await {
+        Ok(asked) => asked,
+        Err(error) => return bad(&error),
+    };
+    let data = &mut store.inner.lock().data;
+    match path {
+        wire::GRANT => reply::json(StatusCode::OK, &data.grant(asked.ttl)),
+        wire::KEEP_ALIVE => {
+            let result = data.renew(asked.id);
+            reply::json(StatusCode::OK, &wire::Streamed { result })
+        }
+        _ => {
+            data.revoke(asked.id);
+            reply::json(StatusCode::OK, &wire::RangeReply::default())
+        }
+    }
+}
+
+async fn watch(store: &Store, request: Request<Body>) -> Response<Body> {
+    let asked: wire::Watch = match reply::read_json(request.into_body(), BODY_MOST).await {
+        Ok(asked) => asked,
+        Err(error) => return bad(&error),
+    };
+    let watching = Watching {
+        key: asked.create_request.key,
+        events: store.events.subscribe(),
+        cut: store.cut.subscribe(),
+        created: false,
+    };
+    let items = stream::unfold(watching, |mut watching| async move {
+        let item = watching.next().await?;
+        let mut written = serde_json::to_vec(&wire::Streamed { result: item }).ok()?;
+        written.push(b'\n');
+        let frame = Frame::data(Bytes::from(written));
+        Some((Ok::<_, io::Error>(frame), watching))
+    });
+    Response::new(Body::new(StreamBody::new(items)))
+}
+
+struct Watching {
+    key: Vec<u8>,
+    events: broadcast::Receiver<wire::KeyValue>,
+    cut: watch::Receiver<u64>,
+    created: bool,
+}
+
+impl Watching {
+    async fn next(&mut self) -> Option<wire::WatchReply> {
+        if !self.created {
+            self.created = true;
+            return Some(wire::WatchReply {
+                created: true,
+                events: vec![],
+            });
+        }
+        loop {
+            let kv = tokio::select! {
+                event = self.events.recv() => event.ok()?,
+                _ = self.cut.changed() => return None,
+            };
+            if kv.key == self.key {
+                return Some(wire::WatchReply {
+                    created: false,
+                    events: vec![wire::Event { kv }],
+                });
+            }
+        }
+    }
+}
+
+fn bad(error: &reply::BadBody) -> Response<Body> {
+    reply::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
+}
--- /dev/null
+++ b/crates/standin/src/upstream.rs
@@ -0,0 +1,325 @@
+//! An upstream: slots, a service time, and misbehaviour on command. It counts what ran
+//! by request id, which is the account that proofs are checked against.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use hyper::{Method, Request, Response, StatusCode};
+use mintridge_http::handler::{Answer, Function};
+use mintridge_http::server::{Ended, Limits, Phase, Protocol, serve};
+use mintridge_http::{Body, reply};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+/// Header by which a caller numbers its request for the account.
+pub const REQUEST_ID: &str = "x-request-id";
+/// Header that names the upstream that answered.
+pub const SERVER: &str = "x-server";
+/// Path that reads and replaces the behaviour.
+pub const BEHAVIOUR: &str = "/standin/behaviour";
+/// Path that reads the account of what ran.
+pub const ACCOUNT: &str = "/standin/account";
+/// Path of health probes.
+pub const HEALTH: &str = "/health";
+/// Prefix of paths that answer with that many bytes, as in `/bytes/1000`.
+pub const BYTES: &str = "/bytes/";
+const BODY_MOST: usize = 64 * 1024;
+const CHUNK: usize = 64 * 1024;
+
+/// What an upstream does with requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Manner {
+    /// Serves them; those beyond the slots wait.
+    #[default]
+    Serve,
+    /// Serves them; those beyond the slots are refused with status 503.
+    Shed,
+    /// Refuses every one at once with status 503.
+    FailFast,
+    /// Runs them and never answers.
+    Silent,
+    /// Breaks answers off after half of their bytes.
+    BreakAnswers,
+}
+
+/// How the upstream behaves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Behaviour {
+    /// Time that one request takes once it has a slot.
+    pub service_micros: u64,
+    /// Requests served at once.
+    pub slots: usize,
+    /// What it does with requests.
+    pub manner: Manner,
+    /// Probes are never answered.
+    pub hang_probes: bool,
+}
+
+impl Default for Behaviour {
+    fn default() -> Self {
+        Self {
+            service_micros: 20_000,
+            slots: 12,
+            manner: Manner::Serve,
+            hang_probes: false,
+        }
+    }
+}
+
+/// What ran here.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Account {
+    /// Runs by request id.
+    pub runs: HashMap<String, u32>,
+    /// Requests that reached this upstream, probes excluded.
+    pub requests: u64,
+    /// Probes that reached this upstream.
+    pub probes: u64,
+    /// Most requests open at once.
+    pub open_most: u64,
+    /// Requests open now.
+    pub open: u64,
+}
+
+/// An upstream, shared by its connections.
+#[derive(Debug)]
+pub struct Upstream {
+    name: Arc<str>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    behaviour: Behaviour,
+    slots: Arc<Semaphore>,
+    account: Account,
+}
+
+/// Answer to an ordinary request, in JSON; a caller checks that it is its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Result {
+    /// The upstream that answered.
+    pub server: String,
+    /// The caller's id of the request.
+    pub id: String,
+    /// Bytes of the request body.
+    pub body_bytes: u64,
+    /// BLAKE3 digest of the request body, in hexadecimal.
+    pub body_digest: String,
+}
+
+impl Result {
+    /// Reads an answer; `None` if it is something else.
+    #[must_use]
+    pub fn parse(body: &[u8]) -> Option<Self> {
+        serde_json::from_slice(body).ok()
+    }
+}
+
+impl Upstream {
+    /// An upstream of this name.
+    #[must_use]
+    pub fn new(name: &str, behaviour: Behaviour) -> Self {
+        Self {
+            name: Arc::from(name),
+            state: Mutex::new(State {
+                slots: Arc::new(Semaphore::new(behaviour.slots)),
+                behaviour,
+                account: Account::default(),
+            }),
+        }
+    }
+
+    /// Replaces the behaviour; requests that hold slots keep them.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        let mut state = self.state.lock();
+        if behaviour.slots != state.behaviour.slots {
+            state.slots = Arc::new(Semaphore::new(behaviour.slots));
+        }
+        state.behaviour = behaviour;
+    }
+
+    fn count_run(&self, id: &str) {
+        let runs = &mut self.state.lock().account.runs;
+        *runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// The behaviour in force.
+    #[must_use]
+    pub fn behaviour(&self) -> Behaviour {
+        self.state.lock().behaviour.clone()
+    }
+
+    /// What ran so far.
+    #[must_use]
+    pub fn account(&self) -> Account {
+        self.state.lock().account.clone()
+    }
+}
+
+/// Serves until `phase` closes.
+pub async fn run(
+    listener: TcpListener,
+    upstream: Arc<Upstream>,
+    phase: watch::Receiver<Phase>,
+) -> Ended {
+    let handler = Function::new(upstream, |upstream, request| -> Answer {
+        Box::pin(answer(upstream, request))
+    });
+    serve(listener, handler, Protocol::Http1, Limits::default(), phase).await
+}
+
+async fn answer(upstream: Arc<Upstream>, request: Request<Body>) -> Response<Body> {
+    let behaviour = upstream.behaviour();
+    match request.uri().path() {
+        BEHAVIOUR => return set_behaviour(&upstream, request).await,
+        ACCOUNT => return reply::json(StatusCode::OK, &upstream.account()),
+        HEALTH => return probe(&upstream, &behaviour).await,
+        _ => {}
+    }
+    let id = header(&request, REQUEST_ID);
+    let _open = Open::new(Arc::clone(&upstream));
+    if behaviour.manner == Manner::FailFast {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "failing fast\n");
+    }
+    let slots = Arc::clone(&upstream.state.lock().slots);
+    let slot = match slots.try_acquire() {
+        Ok(slot) => slot,
+        Err(_) if behaviour.manner == Manner::Shed => {
+            return reply::text(StatusCode::SERVICE_UNAVAILABLE, "shedding load\n");
+        }
+        Err(_) => match slots.acquire().await {
+            Ok(slot) => slot,
+            Err(_) => return reply::text(StatusCode::SERVICE_UNAVAILABLE, "closed\n"),
+        },
+    };
+    upstream.count_run(&id);
+    let response = work(&upstream, &behaviour, request, id).await;
+    drop(slot);
+    response
+}
+
+async fn work(
+    upstream: &Upstream,
+    behaviour: &Behaviour,
+    request: Request<Body>,
+    id: String,
+) -> Response<Body> {
+    tokio::time::sleep(Duration::from_micros(behaviour.service_micros)).await;
+    if behaviour.manner == Manner::Silent {
+        std::future::pending::<()>().await;
+    }
+    let length = request
+        .uri()
+        .path()
+        .strip_prefix(BYTES)
+        .and_then(|length| length.parse().ok());
+    let mut response = match (request.method(), length) {
+        (&Method::GET, Some(length)) => bytes(length, behaviour.manner == Manner::BreakAnswers),
+        _ => result(upstream, request, id).await,
+    };
+    if let Ok(name) = upstream.name.parse() {
+        response.headers_mut().insert(SERVER, name);
+    }
+    response
+}
+
+async fn result(upstream: &Upstream, request: Request<Body>, id: String) -> Response<Body> {
+    let mut digest = blake3::Hasher::new();
+    let mut body_bytes = 0;
+    let mut body = request.into_body();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return reply::text(StatusCode::BAD_REQUEST, "body broke off\n");
+        };
+        if let Some(data) = frame.data_ref() {
+            digest.update(data);
+            body_bytes += data.len() as u64;
+        }
+    }
+    let result = Result {
+        server: upstream.name.to_string(),
+        id,
+        body_bytes,
+        body_digest: digest.finalize().to_hex().to_string(),
+    };
+    reply::json(StatusCode::OK, &result)
+}
+
+/// A body of `length` bytes; a broken one ends with an error half way.
+fn bytes(length: usize, broken: bool) -> Response<Body> {
+    let end = if broken { length / 2 } else { length };
+    let chunks = stream::unfold(0_usize, move |sent| async move {
+        if sent < end {
+            let next = CHUNK.min(end - sent);
+            let frame = Frame::data(Bytes::from(vec![b'x'; next]));
+            return Some((Ok(frame), sent + next));
+        }
+        (broken && sent == end).then(|| (Err(io::Error::other("broken on command")), length + 1))
+    });
+    let mut response = Response::new(Body::new(StreamBody::new(chunks)));
+    let headers = response.headers_mut();
+    headers.insert(hyper::header::CONTENT_LENGTH, length.into());
+    response
+}
+
+async fn probe(upstream: &Upstream, behaviour: &Behaviour) -> Response<Body> {
+    upstream.state.lock().account.probes += 1;
+    if behaviour.hang_probes {
+        std::future::pending::<()>().await;
+    }
+    if behaviour.manner == Manner::FailFast {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "failing fast\n");
+    }
+    reply::text(StatusCode::OK, "ready\n")
+}
+
+async fn set_behaviour(upstream: &Upstream, request: Request<Body>) -> Response<Body> {
+    match reply::read_json(request.into_body(), BODY_MOST).await {
+        Ok(behaviour) => {
+            upstream.set_behaviour(behaviour);
+            reply::text(StatusCode::OK, "set\n")
+        }
+        Err(error) => reply::text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+    }
+}
+
+fn header(request: &Request<Body>, name: &str) -> String {
+    request
+        .headers()
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Counts a request as open while it is worked on.
+struct Open(Arc<Upstream>);
+
+impl Open {
+    fn new(upstream: Arc<Upstream>) -> Self {
+        let mut state = upstream.state.lock();
+        let account = &mut state.account;
+        account.requests += 1;
+        account.open += 1;
+        account.open_most = account.open_most.max(account.open);
+        drop(state);
+        Self(upstream)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.state.lock().account.open -= 1;
+    }
+}
