--- /dev/null
+++ b/crates/ctl/src/commands/node.rs
@@ -0,0 +1,84 @@
+//! `mintridge node`: what nodes say.
+
+use std::fmt::Write as _;
+
+use mintridge_node::operators::Status;
+use serde::Serialize;
+
+use super::Context;
+use crate::error::Error;
+use crate::{nodes, output};
+
+/// Answers of all nodes asked.
+#[derive(Debug, Serialize)]
+struct Answers {
+    nodes: Vec<Status>,
+    silent: Vec<std::net::SocketAddr>,
+}
+
+/// Shows the state of every node found through the named ones.
+///
+/// # Errors
+/// If none is named or none answers.
+pub async fn status(context: &Context) -> Result<(), Error> {
+    let asked = nodes::all(&context.nodes, context.timeout).await?;
+    let mut answers = Answers {
+        nodes: Vec::new(),
+        silent: Vec::new(),
+    };
+    for answer in asked {
+        match answer {
+            Ok(status) => answers.nodes.push(status),
+            Err(address) => answers.silent.push(address),
+        }
+    }
+    answers.nodes.sort_by(|a, b| a.server.cmp(&b.server));
+    output::print(context.json, &answers, text)
+}
+
+fn text(answers: &Answers) -> String {
+    let head = [
+        "SERVER", "ZONE", "SERVICE", "REVISION", "PRESET", "MEMBERS", "LOAD", "QUEUED", "STATE",
+    ];
+    let rows: Vec<Vec<String>> = answers.nodes.iter().map(row).collect();
+    let mut text = output::table(&head, &rows);
+    for address in &answers.silent {
+        let _ = writeln!(text, "{address} does not answer");
+    }
+    text
+}
+
+fn row(status: &Status) -> Vec<String> {
+    let own = status
+        .view
+        .members
+        .iter()
+        .find(|record| record.server == status.server);
+    let upstream = own.and_then(|record| record.upstream.as_ref());
+    let load = &status.guarded.load;
+    vec![
+        status.server.to_string(),
+        own.map_or_else(String::new, |record| record.availability_zone.to_string()),
+        upstream.map_or_else(
+            || String::from("-"),
+            |upstream| upstream.service.to_string(),
+        ),
+        status.view.in_force.revision.0.to_string(),
+        status.view.in_force.name.to_string(),
+        status.view.members.len().to_string(),
+        format!("{}/{}", load.in_flight, load.limit),
+        load.queued.to_string(),
+        state(status),
+    ]
+}
+
+fn state(status: &Status) -> String {
+    if status.stopping {
+        return String::from("stopping");
+    }
+    match status.guarded.closed {
+        Some(reason) => reason.as_str().to_owned(),
+        None if status.guarded.doubtful => String::from("doubtful"),
+        None => String::from("ready"),
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -89,6 +89,9 @@
     log::info!(
         server = &**context.server(),
         callers:% = addresses.callers,
+        peers:% = addresses.peers,
+        control:% = addresses.control,
+        announcements:% = addresses.announcements,
         operators:% = addresses.operators;
         "node started"
     );
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! network between two processes that can be cut. For tests and trials only.
 
 pub mod announcer;
+pub mod process;
 pub mod relay;
 pub mod scene;
 pub mod store;
