--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,202 @@
+//! Admission: slots, the fair queue, deadlines and the limit.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::admission::{Action, Admission, Answer, Decision};
+use mintridge_core::configs::admission::Settings;
+use mintridge_core::outcome::{Outcome, Reason};
+use mintridge_core::request::{Arrival, Id};
+use rstest::rstest;
+
+const SERVICE: Duration = Duration::from_millis(20);
+
+fn admission(slots: u32) -> Admission {
+    let settings = Settings {
+        service_time_initial: SERVICE,
+        ..Settings::default()
+    };
+    Admission::new(settings, slots)
+}
+
+fn arrival(id: u64, customer: &str, deadline: Instant) -> Arrival {
+    Arrival {
+        id: Id(id),
+        customer: Arc::from(customer),
+        deadline,
+    }
+}
+
+fn drain(admission: &mut Admission, now: Instant) -> Vec<Action> {
+    std::iter::from_fn(|| admission.poll(now)).collect()
+}
+
+/// Ids admitted one by one while each admitted request finishes at once.
+fn run_queue(admission: &mut Admission, now: Instant, mut running: Id) -> Vec<u64> {
+    let mut order = Vec::new();
+    loop {
+        admission.finish(running);
+        match admission.poll(now) {
+            Some(Action::Admit(id)) => {
+                order.push(id.0);
+                running = id;
+            }
+            Some(Action::Refuse(..)) => {}
+            None => return order,
+        }
+    }
+}
+
+#[test]
+fn arrive_admits_up_to_slots_then_queues() {
+    let now = Instant::now();
+    let mut admission = admission(2);
+    let late = now + Duration::from_secs(10);
+    let decisions: Vec<Decision> = (0..3)
+        .map(|id| admission.arrive(now, arrival(id, "a", late), 1.0))
+        .collect();
+    assert_eq!(
+        decisions,
+        [Decision::Admit, Decision::Admit, Decision::Queue]
+    );
+}
+
+#[test]
+fn arrive_refuses_at_once_what_cannot_be_in_time() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let late = now + Duration::from_secs(10);
+    admission.arrive(now, arrival(0, "a", late), 1.0);
+    let soon = now + SERVICE;
+    let Decision::Refuse(refusal) = admission.arrive(now, arrival(1, "a", soon), 1.0) else {
+        panic!("must be refused");
+    };
+    assert_eq!(refusal.outcome, Outcome::NotRun);
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert!(refusal.retry_at > now);
+}
+
+/// What the caller sees: a queued request whose turn does not come is refused while
+/// there is still time to go elsewhere, not at its deadline. Order: one runs for good,
+/// one waits, time passes.
+#[test]
+fn poll_refuses_waiting_before_its_deadline() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let deadline = now + Duration::from_millis(100);
+    admission.arrive(now, arrival(0, "a", deadline), 1.0);
+    admission.arrive(now, arrival(1, "a", deadline), 1.0);
+    let wake_at = admission.wake_at().expect("one waits");
+    assert!(wake_at < deadline);
+    assert_eq!(drain(&mut admission, now), []);
+    let refused = drain(&mut admission, wake_at);
+    assert!(matches!(refused[..], [Action::Refuse(Id(1), _)]));
+}
+
+/// What the callers see: a large customer that filled the queue waits behind itself;
+/// a small one that comes later is next. Order: the large one's requests queue, then
+/// one of the small one, then slots come free one by one.
+#[test]
+fn dequeue_is_fair_between_customers() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let late = now + Duration::from_secs(10);
+    for id in 0..4 {
+        admission.arrive(now, arrival(id, "large", late), 1.0);
+    }
+    admission.arrive(now, arrival(10, "small", late), 1.0);
+    let order = run_queue(&mut admission, now, Id(0));
+    assert_eq!(order, [10, 1, 2, 3]);
+}
+
+#[rstest]
+#[case::equal(1.0, 2)]
+#[case::triple(3.0, 3)]
+fn dequeue_follows_weights(#[case] weight: f64, #[case] heavy_in_first_four: usize) {
+    let now = Instant::now();
+    let settings = Settings {
+        queue_least: 20,
+        ..Settings::default()
+    };
+    let mut admission = Admission::new(settings, 1);
+    let late = now + Duration::from_secs(10);
+    admission.arrive(now, arrival(0, "first", late), 1.0);
+    for id in 0..6 {
+        admission.arrive(now, arrival(100 + id, "heavy", late), weight);
+        admission.arrive(now, arrival(200 + id, "light", late), 1.0);
+    }
+    let order = run_queue(&mut admission, now, Id(0));
+    let heavy = order[..4].iter().filter(|id| (100..200).contains(*id));
+    assert_eq!(heavy.count(), heavy_in_first_four);
+}
+
+/// What the callers see: with the queue full of a large customer's requests, a small
+/// customer still gets a place; the large one's newest request is refused as not run.
+#[test]
+fn arrive_displaces_the_longest_backlog_when_full() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let late = now + Duration::from_secs(10);
+    for id in 0..5 {
+        admission.arrive(now, arrival(id, "large", late), 1.0);
+    }
+    let large = admission.arrive(now, arrival(5, "large", late), 1.0);
+    assert!(matches!(large, Decision::Refuse(refusal) if refusal.reason == Reason::Busy));
+    let small = admission.arrive(now, arrival(10, "small", late), 1.0);
+    assert_eq!(small, Decision::Queue);
+    let displaced = drain(&mut admission, now);
+    assert!(
+        matches!(displaced[..], [Action::Refuse(Id(4), refusal)] if refusal.outcome == Outcome::NotRun)
+    );
+}
+
+#[test]
+fn withdraw_frees_the_place_in_the_queue() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let late = now + Duration::from_secs(10);
+    admission.arrive(now, arrival(0, "a", late), 1.0);
+    admission.arrive(now, arrival(1, "a", late), 1.0);
+    admission.withdraw(Id(1));
+    admission.finish(Id(0));
+    assert_eq!(drain(&mut admission, now), []);
+    assert_eq!(admission.report().queued, 0);
+}
+
+#[test]
+fn limit_falls_when_the_upstream_sheds_and_recovers() {
+    let mut now = Instant::now();
+    let mut admission = admission(10);
+    let late = now + Duration::from_mins(10);
+    for id in 0..3 {
+        admission.arrive(now, arrival(id, "a", late), 1.0);
+        admission.answered(now, Id(id), Answer::Shed);
+        admission.finish(Id(id));
+        now += Duration::from_secs(1);
+    }
+    let lowered = admission.report().limit;
+    assert!(lowered < 10, "limit {lowered}");
+    for id in 10..400 {
+        admission.arrive(now, arrival(id, "a", late), 1.0);
+        admission.answered(now + SERVICE, Id(id), Answer::Served);
+        admission.finish(Id(id));
+        now += SERVICE;
+    }
+    assert_eq!(admission.report().limit, 10);
+}
+
+#[test]
+fn refuse_waiting_empties_the_queue_as_not_run() {
+    let now = Instant::now();
+    let mut admission = admission(1);
+    let late = now + Duration::from_secs(10);
+    for id in 0..3 {
+        admission.arrive(now, arrival(id, "a", late), 1.0);
+    }
+    admission.refuse_waiting(now, Reason::Doubtful);
+    let refused = drain(&mut admission, now);
+    assert_eq!(refused.len(), 2);
+    let truthful =
+        |action: &Action| matches!(action, Action::Refuse(_, r) if r.outcome == Outcome::NotRun);
+    assert!(refused.iter().all(truthful));
+}
--- /dev/null
+++ b/crates/core/tests/measuring.rs
@@ -0,0 +1,92 @@
+//! What measuring costs: probes only in doubt, and never above the budget.
+
+use std::time::{Duration, Instant};
+
+use mintridge_core::configs;
+use mintridge_core::health::{Health, Verdict};
+use mintridge_core::probe::Budget;
+use rstest::rstest;
+
+const SHARE: f64 = 0.005;
+const TIMEOUT: Duration = Duration::from_millis(25);
+
+fn settings() -> configs::probe::Settings {
+    configs::probe::Settings { timeout: TIMEOUT }
+}
+
+/// What the upstream sees: however long each probe takes and however eager the prober,
+/// the upstream time spent stays under the share, beside the first probe.
+#[rstest]
+#[case::normal(Duration::from_millis(6))]
+#[case::fast(Duration::from_micros(100))]
+#[case::hanging(TIMEOUT)]
+fn reserve_keeps_probes_under_the_share(#[case] cost: Duration) {
+    let began = Instant::now();
+    let mut budget = Budget::new(settings(), SHARE, began);
+    let mut now = began;
+    let end = began + Duration::from_mins(10);
+    let mut probes = 0;
+    while now < end {
+        match budget.reserve(now) {
+            Ok(reservation) => {
+                now += cost;
+                budget.settle(&reservation, cost);
+                probes += 1;
+            }
+            Err(at) => now = at.expect("the share is above zero").max(now),
+        }
+    }
+    let allowed = TIMEOUT + (now - began).mul_f64(SHARE);
+    assert!(probes > 10, "{probes} probes");
+    assert!(
+        budget.spent() <= allowed,
+        "{:?} of {allowed:?}",
+        budget.spent()
+    );
+}
+
+#[test]
+fn reserve_with_no_share_allows_only_the_first() {
+    let now = Instant::now();
+    let mut budget = Budget::new(settings(), 0.0, now);
+    let first = budget
+        .reserve(now)
+        .expect("a first doubt is settled at once");
+    budget.settle(&first, TIMEOUT);
+    assert_eq!(
+        budget.reserve(now + Duration::from_hours(1)).err(),
+        Some(None)
+    );
+}
+
+#[test]
+fn note_asks_for_no_probe_while_the_upstream_answers() {
+    let now = Instant::now();
+    let mut health = Health::new(configs::health::Settings::default());
+    for _ in 0..100 {
+        health.note(now, Verdict::Answered);
+        health.note(now, Verdict::Failed);
+        health.note(now, Verdict::Failed);
+        health.note(now, Verdict::Answered);
+    }
+    assert!(health.is_ready());
+    assert_eq!(health.probe_at(), None);
+}
+
+#[test]
+fn note_failures_in_a_row_make_doubtful_until_a_probe_answers() {
+    let now = Instant::now();
+    let mut health = Health::new(configs::health::Settings::default());
+    for _ in 0..3 {
+        health.note(now, Verdict::Failed);
+    }
+    assert!(!health.is_ready());
+    assert_eq!(health.probe_at(), Some(now));
+    health.probing();
+    assert_eq!(health.probe_at(), None, "one probe at a time");
+    health.probed(now, Verdict::Failed);
+    assert!(health.probe_at() > Some(now));
+    health.probing();
+    health.probed(now, Verdict::Answered);
+    assert!(health.is_ready());
+}
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,190 @@
+//! Membership: news reach all, the dead are noticed, the woken speak again.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::configs::membership::Settings;
+use mintridge_core::membership::{Record, Standing, Table, Upstream, Version};
+use rstest::rstest;
+
+fn record(server: &str, incarnation: u64) -> Record {
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    Record {
+        server: Arc::from(server),
+        availability_zone: Arc::from("zone-a"),
+        peer_address: address,
+        control_address: address,
+        operators_address: address,
+        version: Version {
+            incarnation,
+            change: 0,
+        },
+        standing: Standing::Alive,
+        upstream: None,
+    }
+}
+
+fn table(server: &str, seed: u64) -> Table {
+    Table::new(Settings::default(), record(server, 1), seed)
+}
+
+fn fleet(size: u64) -> Vec<Table> {
+    let mut tables: Vec<Table> = (0..size)
+        .map(|n| table(&format!("server-{n}"), n))
+        .collect();
+    let records: Vec<Record> = tables.iter().map(|table| table.own().clone()).collect();
+    let now = Instant::now();
+    for table in &mut tables {
+        for record in &records {
+            table.merge(now, record.clone());
+        }
+        while !table.take_news().is_empty() {}
+    }
+    tables
+}
+
+/// One round: each node exchanges news with the next peer.
+fn round(tables: &mut [Table], now: Instant) {
+    for index in 0..tables.len() {
+        let Some(peer) = tables[index].next_peer() else {
+            continue;
+        };
+        let other = tables.iter().position(|t| t.own().server == peer.server);
+        let other = other.expect("the peer exists");
+        let ours = tables[index].take_news();
+        for record in ours {
+            tables[other].merge(now, record);
+        }
+        let theirs = tables[other].take_news();
+        for record in theirs {
+            tables[index].merge(now, record);
+        }
+    }
+}
+
+/// What operators see: a change on one of 510 nodes is known everywhere after few
+/// rounds, at a bounded number of records an exchange.
+#[rstest]
+#[case::small(12, 8)]
+#[case::large(510, 16)]
+fn take_news_reaches_all(#[case] size: u64, #[case] rounds_most: u32) {
+    let mut tables = fleet(size);
+    tables[0].set_upstream(Some(Upstream {
+        service: Arc::from("service"),
+        slots: 12,
+        leaving: true,
+    }));
+    let now = Instant::now();
+    let mut rounds = 0;
+    while tables
+        .iter()
+        .any(|table| table.digest() != tables[0].digest())
+    {
+        round(&mut tables, now);
+        rounds += 1;
+        assert!(
+            rounds <= rounds_most,
+            "not everywhere after {rounds_most} rounds"
+        );
+    }
+}
+
+#[test]
+fn tick_turns_a_silent_server_into_a_dead_one_after_suspicion() {
+    let now = Instant::now();
+    let mut table = table("a", 1);
+    table.merge(now, record("b", 1));
+    table.unanswered(now, "b");
+    assert_eq!(
+        table.present().count(),
+        2,
+        "a suspicion alone removes nobody"
+    );
+    assert!(!table.tick(now + Duration::from_millis(2900)));
+    assert!(table.tick(now + Duration::from_secs(3)));
+    assert_eq!(table.present().count(), 1);
+}
+
+/// What the others see: a server that was declared dead while it was frozen speaks up
+/// with a version that outweighs its death.
+#[test]
+fn merge_news_of_own_death_is_refuted() {
+    let now = Instant::now();
+    let mut other = table("a", 1);
+    let mut frozen = table("b", 2);
+    other.merge(now, frozen.own().clone());
+    other.unanswered(now, "b");
+    other.tick(now + Duration::from_secs(3));
+    let death = Record {
+        standing: Standing::Dead,
+        ..frozen.own().clone()
+    };
+    frozen.merge(now, death);
+    assert!(other.merge(now, frozen.own().clone()));
+    assert_eq!(other.present().count(), 2);
+}
+
+/// What the others see: a server replaced by an empty process whose clock is behind is
+/// known again as soon as it hears what is said of it.
+#[test]
+fn merge_of_a_later_incarnation_is_overtaken() {
+    let now = Instant::now();
+    let mut other = table("a", 1);
+    other.merge(now, record("b", 9_000));
+    let mut replaced = Table::new(Settings::default(), record("b", 5), 2);
+    assert!(!other.merge(now, replaced.own().clone()), "it looks old");
+    for said in other.present().cloned().collect::<Vec<_>>() {
+        replaced.merge(now, said);
+    }
+    assert!(other.merge(now, replaced.own().clone()));
+}
+
+#[rstest]
+#[case::older_version(Version { incarnation: 1, change: 4 }, Standing::Alive, false)]
+#[case::same(Version { incarnation: 1, change: 5 }, Standing::Alive, false)]
+#[case::worse_standing(Version { incarnation: 1, change: 5 }, Standing::Suspect, true)]
+#[case::newer_version(Version { incarnation: 1, change: 6 }, Standing::Alive, true)]
+#[case::newer_process(Version { incarnation: 2, change: 0 }, Standing::Alive, true)]
+fn merge_takes_only_news(
+    #[case] version: Version,
+    #[case] standing: Standing,
+    #[case] taken: bool,
+) {
+    let now = Instant::now();
+    let mut table = table("a", 1);
+    let known = Record {
+        version: Version {
+            incarnation: 1,
+            change: 5,
+        },
+        ..record("b", 1)
+    };
+    table.merge(now, known.clone());
+    let said = Record {
+        version,
+        standing,
+        ..known
+    };
+    assert_eq!(table.merge(now, said), taken);
+}
+
+#[test]
+fn is_holder_names_the_same_few_on_every_node() {
+    let tables = fleet(100);
+    let holders = tables.iter().filter(|table| table.is_holder()).count();
+    assert_eq!(holders, 2);
+}
+
+#[test]
+fn leave_is_not_undone_by_old_news() {
+    let now = Instant::now();
+    let mut other = table("a", 1);
+    let mut leaving = table("b", 2);
+    let before = leaving.own().clone();
+    other.merge(now, before.clone());
+    leaving.leave();
+    other.merge(now, leaving.own().clone());
+    other.merge(now, before);
+    assert_eq!(other.present().count(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,124 @@
+//! Placement: spreads, avoids, and never leaves the set empty.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::configs::placement::Settings;
+use mintridge_core::load::Report;
+use mintridge_core::placement::{Ending, Placement, Upstream};
+
+const SERVICE: &str = "service";
+
+fn upstream(index: u32) -> Upstream {
+    Upstream {
+        server: Arc::from(format!("server-{index}")),
+        service: Arc::from(SERVICE),
+        slots: 12,
+        same_zone: true,
+    }
+}
+
+fn placement(now: Instant, count: u32) -> Placement {
+    let mut placement = Placement::new(Settings::default(), 7);
+    let upstreams: Vec<Upstream> = (0..count).map(upstream).collect();
+    placement.update(now, &upstreams);
+    placement
+}
+
+fn picks(placement: &mut Placement, now: Instant, count: u32) -> BTreeMap<Arc<str>, u32> {
+    let mut spread = BTreeMap::new();
+    for _ in 0..count {
+        let server = placement.pick(now, SERVICE, &[]).expect("one is open");
+        *spread.entry(server).or_default() += 1;
+    }
+    spread
+}
+
+const fn report(in_flight: u32, queued: u32) -> Report {
+    Report {
+        in_flight,
+        queued,
+        limit: 12,
+        service_micros: 20_000,
+    }
+}
+
+/// What the upstreams see: a burst between two reports is spread over all of them, not
+/// sent to the one that looked emptiest.
+#[test]
+fn pick_counts_its_own_since_the_report() {
+    let now = Instant::now();
+    let mut placement = placement(now, 4);
+    let spread = picks(&mut placement, now, 40);
+    assert_eq!(spread.len(), 4);
+    assert!(
+        spread.values().all(|count| (8..=12).contains(count)),
+        "{spread:?}"
+    );
+}
+
+#[test]
+fn pick_prefers_the_less_loaded_by_report() {
+    let now = Instant::now();
+    let mut placement = placement(now, 2);
+    placement.reported(now, SERVICE, "server-0", report(12, 10));
+    placement.reported(now, SERVICE, "server-1", report(2, 0));
+    let spread = picks(&mut placement, now, 8);
+    assert_eq!(spread.get("server-1"), Some(&8));
+}
+
+#[test]
+fn pick_takes_an_avoided_server_rather_than_none() {
+    let now = Instant::now();
+    let mut placement = placement(now, 2);
+    for server in ["server-0", "server-1"] {
+        placement.finish(now, SERVICE, server, Ending::Avoid);
+    }
+    assert!(placement.pick(now, SERVICE, &[]).is_some());
+    let tried = [Arc::from("server-0")];
+    assert_eq!(
+        placement.pick(now, SERVICE, &tried).as_deref(),
+        Some("server-1")
+    );
+    let tried = [Arc::from("server-0"), Arc::from("server-1")];
+    assert_eq!(placement.pick(now, SERVICE, &tried), None);
+}
+
+#[test]
+fn pick_avoids_a_server_that_broke_until_later() {
+    let now = Instant::now();
+    let mut placement = placement(now, 2);
+    placement.finish(now, SERVICE, "server-0", Ending::Avoid);
+    let spread = picks(&mut placement, now, 10);
+    assert_eq!(spread.get("server-0"), None);
+    let later = now + Duration::from_secs(1);
+    let spread = picks(&mut placement, later, 10);
+    assert!(spread.contains_key("server-0"), "{spread:?}");
+}
+
+/// What the callers see: a server that joins a running fleet is cold; it gets a small
+/// share at first and its full share after the ramp.
+#[test]
+fn pick_ramps_up_a_server_that_joins() {
+    let now = Instant::now();
+    let mut placement = placement(now, 3);
+    let upstreams: Vec<Upstream> = (0..4).map(upstream).collect();
+    placement.update(now, &upstreams);
+    let spread = picks(&mut placement, now, 12);
+    assert_eq!(spread.get("server-3"), None);
+    let later = now + Duration::from_secs(6);
+    let spread = picks(&mut placement, later, 12);
+    assert!(spread.contains_key("server-3"), "{spread:?}");
+}
+
+#[test]
+fn update_keeps_what_is_known_of_those_that_stay() {
+    let now = Instant::now();
+    let mut placement = placement(now, 2);
+    placement.reported(now, SERVICE, "server-0", report(12, 20));
+    let upstreams: Vec<Upstream> = (0..2).map(upstream).collect();
+    placement.update(now, &upstreams);
+    let spread = picks(&mut placement, now, 5);
+    assert_eq!(spread.get("server-0"), None);
+}
