--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod caller;
 pub mod load;
+pub mod policy;
 pub mod report;
--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -34,7 +34,7 @@
             queue_per_slot: 2.0,
             queue_least: 4,
             service_time_initial: Duration::from_millis(20),
-            service_time_share: 0.05,
+            service_time_share: 0.2,
             limit_least: 1.0,
             limit_decrease: 0.8,
             limit_increase: 0.5,
--- a/crates/core/src/configs/placement.rs
+++ b/crates/core/src/configs/placement.rs
@@ -16,6 +16,12 @@
     pub service_time_initial: Duration,
     /// Weight of an upstream's filling while it has free slots, in service times.
     pub spread: f64,
+    /// A server is taken as a straggler when its service time exceeds the median of its
+    /// peers by this factor.
+    pub straggler_factor: f64,
+    /// The suspicion of a straggler fades with the age of its last report at this rate.
+    #[serde(with = "humantime_serde")]
+    pub straggler_fades: Duration,
     /// A server that joined takes its full share only after this long.
     #[serde(with = "humantime_serde")]
     pub ramp: Duration,
@@ -31,7 +37,9 @@
         Self {
             zone_cost: Duration::from_micros(500),
             service_time_initial: Duration::from_millis(20),
-            spread: 0.25,
+            spread: 1.0,
+            straggler_factor: 2.0,
+            straggler_fades: Duration::from_secs(5),
             ramp: Duration::from_secs(5),
             avoid_for: Duration::from_millis(500),
             choices: 8,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,9 +1,10 @@
 //! Choice of an upstream for one request, by the node the caller spoke to.
 //!
 //! Every upstream's load is counted by the node beside it and carried on answers that
-//! are sent anyway. Such a report is stale on arrival, and several nodes act on it at
-//! once, so what this node placed since the report counts in full, and old reports
-//! drain at the speed that the upstream itself reported.
+//! are sent anyway. Such a report is stale on arrival. What it says splits in two: this
+//! node's own requests, which it knows exactly at any moment, and those of others, which
+//! turn over within one service time. So the others' part is believed while it is fresh
+//! and relaxes to the mean of all candidates as it ages; the own part is never guessed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -16,8 +17,8 @@
 use crate::configs::placement::Settings;
 use crate::load::Report;
 
-/// Share of the full cost that keeps a joining server's part small at first.
-const RAMP_STEEPNESS: f64 = 4.0;
+/// Chance that a server which has just joined is compared at all.
+const RAMP_LEAST: f64 = 0.05;
 /// Cost added to a server to be avoided, in seconds: above any real wait.
 const AVOIDED_SECONDS: f64 = 60.0;
 
@@ -58,7 +59,7 @@
     upstream: Upstream,
     report: Report,
     reported_at: Instant,
-    placed_since: u32,
+    others: f64,
     outstanding: u32,
     ramped_at: Instant,
     avoid_until: Option<Instant>,
@@ -106,23 +107,17 @@
     /// Chooses a server that is not among `tried`, and counts the request as placed.
     pub fn pick(&mut self, now: Instant, service: &str, tried: &[Arc<str>]) -> Option<Arc<str>> {
         let candidates = self.services.get_mut(service)?;
-        let mut open: Vec<usize> = (0..candidates.len())
-            .filter(|&index| !tried.contains(&candidates[index].upstream.server))
-            .collect();
-        let compared = self.settings.choices.max(1).min(open.len());
-        let (compared, _) = open.partial_shuffle(&mut self.rng, compared);
+        let compared = draw(&self.settings, &mut self.rng, candidates, now, tried);
+        let peers = Peers::of(candidates, &compared);
         let mut best: Option<(usize, f64)> = None;
-        for &mut index in compared {
-            let cost = cost_of(&self.settings, &candidates[index], now);
-            let jitter = 1.0 + self.rng.random::<f64>() * 0.01;
-            let cost = cost * jitter;
+        for index in compared {
+            let cost = cost_of(&self.settings, &candidates[index], &peers, now);
             if best.is_none_or(|(_, least)| cost < least) {
                 best = Some((index, cost));
             }
         }
         let candidate = &mut candidates[best?.0];
         candidate.outstanding += 1;
-        candidate.placed_since += 1;
         Some(Arc::clone(&candidate.upstream.server))
     }
 
@@ -133,7 +128,6 @@
             return;
         };
         candidate.outstanding = candidate.outstanding.saturating_sub(1);
-        candidate.placed_since = candidate.placed_since.min(candidate.outstanding);
         match ending {
             Ending::Answered => candidate.avoid_until = None,
             Ending::Full => {}
@@ -141,14 +135,15 @@
         }
     }
 
-    /// A report arrived; it counts what was placed before it.
+    /// A report arrived: what it counts beyond this node's own requests is others'.
     pub fn reported(&mut self, now: Instant, service: &str, server: &str, report: Report) {
         let Some(candidate) = self.candidate(service, server) else {
             return;
         };
         candidate.report = report;
         candidate.reported_at = now;
-        candidate.placed_since = 0;
+        let counted = f64::from(report.in_flight + report.queued);
+        candidate.others = (counted - f64::from(candidate.outstanding)).max(0.0);
     }
 
     /// The candidates of each service with their last report, for operators.
@@ -185,7 +180,7 @@
                 ..Report::default()
             },
             reported_at: now,
-            placed_since: 0,
+            others: 0.0,
             outstanding: 0,
             ramped_at: now + ramp,
             avoid_until: None,
@@ -200,12 +195,62 @@
     Some(candidates.swap_remove(index))
 }
 
+/// Draws the candidates that one choice compares, in random order.
+///
+/// A server that joined takes part with a chance that grows to one over the ramp, so its
+/// share grows with it, whatever the others' load.
+fn draw(
+    settings: &Settings,
+    rng: &mut ChaCha8Rng,
+    candidates: &[Candidate],
+    now: Instant,
+    tried: &[Arc<str>],
+) -> Vec<usize> {
+    let is_open = |index: &usize| !tried.contains(&candidates[*index].upstream.server);
+    let mut open: Vec<usize> = (0..candidates.len()).filter(is_open).collect();
+    open.shuffle(rng);
+    let warm = |index: &usize| {
+        let chance = ramp_chance(settings, &candidates[*index], now);
+        chance >= 1.0 || rng.random::<f64>() < chance
+    };
+    let mut compared: Vec<usize> = open.iter().copied().filter(warm).collect();
+    if compared.is_empty() {
+        compared = open;
+    }
+    compared.truncate(settings.choices.max(1));
+    compared
+}
+
+/// What the compared candidates have in common.
+struct Peers {
+    others_mean: f64,
+    service_median: f64,
+}
+
+impl Peers {
+    fn of(candidates: &[Candidate], compared: &[usize]) -> Self {
+        let count = f64::from(u32::try_from(compared.len().max(1)).unwrap_or(u32::MAX));
+        let others: f64 = compared.iter().map(|index| candidates[*index].others).sum();
+        let mut services: Vec<u32> = compared
+            .iter()
+            .map(|index| candidates[*index].report.service_micros)
+            .collect();
+        services.sort_unstable();
+        let median = services.get(services.len() / 2).copied().unwrap_or(0);
+        Self {
+            others_mean: others / count,
+            service_median: seconds(median),
+        }
+    }
+}
+
 /// Expected time until the answer, in seconds, with a mild preference for emptier
 /// upstreams among those with free slots.
-fn cost_of(settings: &Settings, candidate: &Candidate, now: Instant) -> f64 {
-    let service = seconds(candidate.report.service_micros);
+fn cost_of(settings: &Settings, candidate: &Candidate, peers: &Peers, now: Instant) -> f64 {
+    let age = now.duration_since(candidate.reported_at);
+    let service = service_of(settings, candidate, peers, age);
     let limit = f64::from(candidate.report.limit.max(1));
-    let load = load_of(candidate, now, service, limit);
+    let load = load_of(candidate, peers, age);
     let wait = (load + 1.0 - limit).max(0.0) / limit * service;
     let filling = settings.spread * service * load / limit;
     let zone = if candidate.upstream.same_zone {
@@ -213,33 +258,49 @@
     } else {
         settings.zone_cost.as_secs_f64()
     };
-    let cost = (service + wait + filling) * ramp_factor(settings, candidate, now) + zone;
+    let cost = service + wait + filling + zone;
     if candidate.avoid_until.is_some_and(|until| now < until) {
         return cost + AVOIDED_SECONDS;
     }
     cost
 }
 
+/// Expected time of a request in the upstream.
+///
+/// Reported means differ by chance, and following every difference sends the traffic of
+/// all nodes to whoever was lucky last. Only a straggler, slower than its peers by a
+/// clear factor, is taken as slower, and the suspicion fades with the report's age, so
+/// that one request now and then finds out whether it has recovered.
+fn service_of(settings: &Settings, candidate: &Candidate, peers: &Peers, age: Duration) -> f64 {
+    let reported = seconds(candidate.report.service_micros);
+    let median = peers.service_median;
+    let fading = (-age.as_secs_f64() / settings.straggler_fades.as_secs_f64()).exp();
+    let believed = median + (reported - median) * fading;
+    if believed > median * settings.straggler_factor {
+        believed
+    } else {
+        median
+    }
+}
+
 /// Requests expected at the upstream now.
 ///
-/// Failure: several nodes see the same low report and all choose it. Symptom: one
-/// server at a time is flooded. What this node placed since counts at once, so its own
-/// part of the herd stops at the next request.
-fn load_of(candidate: &Candidate, now: Instant, service: f64, limit: f64) -> f64 {
-    let reported = f64::from(candidate.report.in_flight + candidate.report.queued);
-    let age = now.duration_since(candidate.reported_at).as_secs_f64();
-    let drained = age / service.max(1e-6) * reported.min(limit);
-    let left = (reported - drained).max(0.0);
-    let own = f64::from(candidate.outstanding);
-    (left + f64::from(candidate.placed_since)).max(own)
+/// Failure: several nodes see the same low report and all choose it. Symptom: one server
+/// at a time is flooded. The own part counts at once, and the others' part is believed
+/// for no longer than it takes them to turn over.
+fn load_of(candidate: &Candidate, peers: &Peers, age: Duration) -> f64 {
+    let turnover = peers.service_median.max(1e-6);
+    let fresh = (-age.as_secs_f64() / turnover).exp();
+    let others = candidate.others * fresh + peers.others_mean * (1.0 - fresh);
+    others + f64::from(candidate.outstanding)
 }
 
-fn ramp_factor(settings: &Settings, candidate: &Candidate, now: Instant) -> f64 {
+fn ramp_chance(settings: &Settings, candidate: &Candidate, now: Instant) -> f64 {
     let left = candidate.ramped_at.saturating_duration_since(now);
     if left.is_zero() || settings.ramp.is_zero() {
         return 1.0;
     }
-    1.0 + RAMP_STEEPNESS * left.div_duration_f64(settings.ramp)
+    (1.0 - left.div_duration_f64(settings.ramp)).max(RAMP_LEAST)
 }
 
 fn seconds(micros: u32) -> f64 {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -98,18 +98,30 @@
 }
 
 /// What the callers see: a server that joins a running fleet is cold; it gets a small
-/// share at first and its full share after the ramp.
+/// share at first, more as the ramp goes on, and its full share after it, also while the
+/// others have room.
 #[test]
 fn pick_ramps_up_a_server_that_joins() {
     let now = Instant::now();
     let mut placement = placement(now, 3);
     let upstreams: Vec<Upstream> = (0..4).map(upstream).collect();
     placement.update(now, &upstreams);
-    let spread = picks(&mut placement, now, 12);
-    assert_eq!(spread.get("server-3"), None);
-    let later = now + Duration::from_secs(6);
-    let spread = picks(&mut placement, later, 12);
-    assert!(spread.contains_key("server-3"), "{spread:?}");
+    let mut shares = Vec::new();
+    for seconds in [0, 2, 6] {
+        let at = now + Duration::from_secs(seconds);
+        let mut share = 0;
+        for _ in 0..400 {
+            let server = placement.pick(at, SERVICE, &[]).expect("one is open");
+            share += u32::from(&*server == "server-3");
+            placement.finish(at, SERVICE, &server, Ending::Answered);
+        }
+        shares.push(share);
+    }
+    assert!(
+        shares[0] > 0 && shares[0] < shares[1] && shares[1] < shares[2],
+        "{shares:?}"
+    );
+    assert!((80..=120).contains(&shares[2]), "{shares:?}");
 }
 
 #[test]
--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,206 @@
+//! A leaving server gets nothing new after a few seconds; a planned stop cuts nothing.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{Account, get, mixed_load, processes, servers, within};
+use mintridge_core::preset::Preset;
+use mintridge_node::announcement::State;
+use mintridge_standin::scene::{Scene, wait_for};
+use mintridge_standin::store::Faults;
+use rustix::process::Signal;
+
+/// How long after the announcement a server may still get new requests.
+const FEW_SECONDS: Duration = Duration::from_secs(3);
+
+fn leaving(server: &str) -> Preset {
+    Preset {
+        leaving: BTreeSet::from([Arc::from(server)]),
+        ..Preset::default()
+    }
+}
+
+fn requests(scene: &Scene, index: usize) -> u64 {
+    scene.servers[index].upstream.account().requests
+}
+
+/// Under load one node gets SIGTERM, and callers that speak to the others and to it see
+/// every request answered. Callers of the stopped node go elsewhere once it closes.
+#[tokio::test]
+async fn stop_of_a_node_cuts_no_request() {
+    let mut scene = processes(servers(3)).await;
+    let mut load = mixed_load(&scene, 150.0, 5.0);
+    load.targets.remove(0);
+    let sending = tokio::spawn(async move {
+        let mut account = Account::default();
+        account.run(&load).await;
+        account
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    scene.stop(0).await;
+    let account = sending.await.expect("the load ends");
+    account.check(&scene);
+    account.all_succeeded();
+}
+
+/// The node that a caller speaks to gets SIGTERM while the caller's request runs: the
+/// caller gets its answer, whole.
+#[tokio::test]
+async fn stop_of_the_entry_finishes_what_it_has() {
+    let mut scene = processes(servers(2)).await;
+    for index in 0..2 {
+        scene.behave(index, |behaviour| behaviour.service_micros = 2_500_000);
+    }
+    let entry = scene.addresses(0).callers;
+    let caller = scene.caller.clone();
+    let call = within(20_000, get("long"));
+    let long = tokio::spawn(async move { caller.call(entry, &call).await.told });
+    wait_for("the request runs", || scene.runs("long") == 1).await;
+    scene.stop(0).await;
+    assert!(long.await.expect("the caller lives").is_success());
+}
+
+/// An upstream announces that it drains, under load: nobody sees a failure, and after a
+/// few seconds it gets nothing new.
+#[tokio::test]
+async fn drain_of_an_upstream_cuts_no_request() {
+    let scene = processes(servers(3)).await;
+    let load = mixed_load(&scene, 150.0, 5.0);
+    let sending = tokio::spawn(async move {
+        let mut account = Account::default();
+        account.run(&load).await;
+        account
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    scene.announce(0, State::Draining);
+    tokio::time::sleep(FEW_SECONDS).await;
+    let before = requests(&scene, 0);
+    let account = sending.await.expect("the load ends");
+    assert_eq!(requests(&scene, 0), before, "new requests after leaving");
+    account.check(&scene);
+    account.all_succeeded();
+}
+
+/// The preset in force names a server as leaving: it finishes what it has, gets nothing
+/// new, and serves again when a later preset no longer names it.
+#[tokio::test]
+async fn preset_takes_a_server_out_and_back() {
+    let scene = processes(servers(3)).await;
+    scene
+        .put_in_force(leaving("service-1"), "out")
+        .await
+        .expect("accepted");
+    scene
+        .until("all know that it leaves", |status| {
+            status.view.members.iter().any(|record| {
+                &*record.server == "service-1"
+                    && record.upstream.as_ref().is_some_and(|u| u.leaving)
+            })
+        })
+        .await;
+    let before = requests(&scene, 0);
+    let mut account = Account::default();
+    account.run(&mixed_load(&scene, 100.0, 2.0)).await;
+    account.all_succeeded();
+    assert_eq!(requests(&scene, 0), before);
+    scene
+        .put_in_force(Preset::default(), "back")
+        .await
+        .expect("accepted");
+    scene
+        .until_of(&[0], "it is open again", |status| {
+            status.guarded.closed.is_none()
+        })
+        .await;
+    scene
+        .until("all know that it is back", |status| {
+            status
+                .view
+                .members
+                .iter()
+                .all(|record| record.upstream.as_ref().is_some_and(|u| !u.leaving))
+        })
+        .await;
+    account.run(&mixed_load(&scene, 100.0, 2.0)).await;
+    account.all_succeeded();
+    assert!(requests(&scene, 0) > before);
+}
+
+/// A server's node is frozen, longer than every lease and timeout, while a preset takes
+/// the server out; then it wakes. Requests that reach it then are refused as not run and
+/// run elsewhere: its upstream gets nothing.
+#[tokio::test]
+async fn frozen_node_that_missed_the_preset_runs_nothing_on_waking() {
+    let scene = processes(servers(3)).await;
+    scene.process(0).signal(Signal::STOP).expect("frozen");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    scene
+        .put_in_force(leaving("service-1"), "out")
+        .await
+        .expect("accepted");
+    scene
+        .until_of(&[1, 2], "in force", |status| {
+            status.view.in_force.revision.0 == 1
+        })
+        .await;
+    let before = requests(&scene, 0);
+    let entry = scene.addresses(0).callers;
+    // Sent while it is frozen, so that they are the first thing it sees.
+    let waiting: Vec<_> = (0..8)
+        .map(|n| {
+            let caller = scene.caller.clone();
+            let call = within(20_000, get(&format!("early-{n}")));
+            tokio::spawn(async move { caller.call(entry, &call).await.told })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    scene.process(0).signal(Signal::CONT).expect("woken");
+    for told in waiting {
+        let told = told.await.expect("the caller lives");
+        assert!(told.is_success() || told.is_not_run(), "{told:?}");
+    }
+    scene
+        .until_of(&[0], "it knows that it leaves", |status| {
+            status.view.in_force.revision.0 == 1
+        })
+        .await;
+    assert_eq!(
+        requests(&scene, 0),
+        before,
+        "new requests on a leaving server"
+    );
+}
+
+/// The store is out and a server drains: its own node refuses, and the others learn of it
+/// from their peers.
+#[tokio::test]
+async fn drain_needs_no_store() {
+    let scene = processes(servers(3)).await;
+    scene.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    scene.announce(0, State::Draining);
+    scene
+        .until("all know that it leaves", |status| {
+            status
+                .view
+                .members
+                .iter()
+                .any(|record| record.upstream.as_ref().is_some_and(|u| u.leaving))
+        })
+        .await;
+    let before = requests(&scene, 0);
+    for n in 0..20 {
+        assert!(
+            scene
+                .call(n % 3, &get(&format!("id-{n}")))
+                .await
+                .is_success()
+        );
+    }
+    assert_eq!(requests(&scene, 0), before);
+}
