--- a/crates/node/src/configs/listeners.rs
+++ b/crates/node/src/configs/listeners.rs
@@ -12,6 +12,8 @@
     pub callers: SocketAddr,
     /// Requests from peers, HTTP/2.
     pub peers: SocketAddr,
+    /// Where peers reach that listener, if something stands in between.
+    pub peers_public: Option<SocketAddr>,
     /// Exchanges with peers, Cap'n Proto.
     pub control: SocketAddr,
     /// Announcements of the upstream, HTTP/1.1.
@@ -26,6 +28,7 @@
         Self {
             callers: any_port,
             peers: any_port,
+            peers_public: None,
             control: any_port,
             announcements: any_port,
             operators: any_port,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -77,10 +77,11 @@
 impl Control {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
+        let peers_public = settings.listeners.peers_public;
         let own = Record {
             server: Arc::clone(&settings.server),
             availability_zone: Arc::clone(&settings.availability_zone),
-            peer_address: context.addresses.peers,
+            peer_address: peers_public.unwrap_or(context.addresses.peers),
             control_address: context.addresses.control,
             operators_address: context.addresses.operators,
             version: Version {
--- /dev/null
+++ b/crates/node/tests/answers.rs
@@ -0,0 +1,341 @@
+//! A caller gets the whole answer to its own request, or sees that it broke.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use common::{Account, get, is_broken, mixed_load, post, processes, servers, threads, within};
+use hyper::Method;
+use mintridge_bench::caller::{Call, Told};
+use mintridge_core::outcome::Reason;
+use mintridge_standin::relay::{Relay, Weather};
+use mintridge_standin::scene::{Scene, loopback, wait_for};
+use mintridge_standin::upstream::{Manner, Result as Answer};
+use rstest::rstest;
+use rustix::process::Signal;
+
+fn bytes(length: usize) -> Call {
+    Call {
+        path: format!("/bytes/{length}"),
+        timeout: Duration::from_secs(30),
+        ..get("bytes")
+    }
+}
+
+#[rstest]
+#[case::nothing(0)]
+#[case::one(1)]
+#[case::window(128 * 1024)]
+#[case::large(20_000_000)]
+#[tokio::test]
+async fn answer_arrives_whole(#[case] length: usize) {
+    let scene = processes(servers(2)).await;
+    for entry in 0..2 {
+        let Told::Answer { body, .. } = scene.call(entry, &bytes(length)).await else {
+            panic!("no answer");
+        };
+        assert_eq!(body.len(), length);
+    }
+}
+
+#[rstest]
+#[case::nothing(0)]
+#[case::replay_limit(256 * 1024)]
+#[case::large(20_000_000)]
+#[tokio::test]
+async fn request_arrives_whole(#[case] length: usize) {
+    let scene = processes(servers(2)).await;
+    let content: Vec<u8> = (0..=u8::MAX).cycle().take(length).collect();
+    let digest = blake3::hash(&content).to_hex().to_string();
+    let call = Call {
+        body: Bytes::from(content),
+        timeout: Duration::from_secs(30),
+        ..post("upload", "key")
+    };
+    let Told::Answer { body, .. } = scene.call(0, &call).await else {
+        panic!("no answer");
+    };
+    let answer = Answer::parse(&body).expect("an answer of the stand-in");
+    assert_eq!(
+        (answer.body_bytes, answer.body_digest),
+        (length as u64, digest)
+    );
+}
+
+/// A server refuses a request with a body before it is handed over; the body goes whole
+/// to the next server.
+#[tokio::test]
+async fn request_body_is_whole_at_the_second_server() {
+    let scene = processes(servers(2)).await;
+    scene.end_upstream(0);
+    let content = vec![7_u8; 100_000];
+    let digest = blake3::hash(&content).to_hex().to_string();
+    for n in 0..6 {
+        let call = Call {
+            body: Bytes::from(content.clone()),
+            ..post(&format!("id-{n}"), &format!("key-{n}"))
+        };
+        let told = scene.call(0, &call).await;
+        let Told::Answer { body, .. } = &told else {
+            panic!("{told:?}");
+        };
+        let answer = Answer::parse(body).expect("an answer of the stand-in");
+        assert_eq!(answer.body_digest, digest);
+    }
+}
+
+/// The upstream breaks its answer off half way: the caller sees it broken, never a short
+/// answer that looks whole.
+#[tokio::test]
+async fn broken_answer_is_seen_broken() {
+    let scene = processes(servers(1)).await;
+    scene.behave(0, |behaviour| behaviour.manner = Manner::BreakAnswers);
+    let told = scene.call(0, &bytes(1_000_000)).await;
+    assert_eq!(told, Told::Broken { begun: true });
+}
+
+/// The guarding node is killed while an answer passes: the caller sees it broken.
+#[tokio::test]
+async fn answer_cut_by_a_killed_guard_is_seen_broken() {
+    let mut scene = processes(servers(1)).await;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene.until_joined().await;
+    let entry = scene.addresses(1).callers;
+    let caller = scene.caller.clone();
+    let call = bytes(2_000_000_000);
+    let reading = tokio::spawn(async move { caller.call(entry, &call).await.told });
+    wait_for("the answer begins", || {
+        scene.servers[0].upstream.account().open == 0 && scene.runs("bytes") == 1
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    scene.kill(0).await;
+    let told = reading.await.expect("the caller lives");
+    assert!(is_broken(&told), "{told:?}");
+}
+
+/// Under load with every request different, each answer is that of its own request.
+#[tokio::test]
+async fn answers_are_never_mixed_up() {
+    let scene = processes(servers(3)).await;
+    let mut account = Account::default();
+    account.run(&mixed_load(&scene, 300.0, 3.0)).await;
+    account.check(&scene);
+    account.all_succeeded();
+}
+
+/// The caller hangs up: the upstream's work is cancelled and its slot is free again.
+#[tokio::test]
+async fn hang_up_cancels_the_work() {
+    let scene = processes(servers(1)).await;
+    scene.behave(0, |behaviour| behaviour.manner = Manner::Silent);
+    let entry = scene.addresses(0).callers;
+    let caller = scene.caller.clone();
+    let call = within(60_000, get("given-up"));
+    let calling = tokio::spawn(async move { caller.call(entry, &call).await });
+    let open = || scene.servers[0].upstream.account().open;
+    wait_for("it runs", || open() == 1).await;
+    calling.abort();
+    wait_for("it is cancelled", || open() == 0).await;
+    scene
+        .until_of(&[0], "its slot is free", |status| {
+            status.guarded.load.in_flight == 0
+        })
+        .await;
+}
+
+/// Every caller is answered by its deadline plus a small grace, whatever is frozen.
+#[rstest]
+#[case::upstream_silent(false)]
+#[case::guard_frozen(true)]
+#[tokio::test]
+async fn deadline_is_kept(#[case] frozen: bool) {
+    let mut scene = processes(servers(1)).await;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene.until_joined().await;
+    scene.behave(0, |behaviour| behaviour.manner = Manner::Silent);
+    if frozen {
+        scene.process(0).signal(Signal::STOP).expect("frozen");
+    }
+    let call = within(700, post("late", "key"));
+    let began = Instant::now();
+    let told = scene.call(1, &call).await;
+    // The grace is 25 ms; the rest is room for a busy machine.
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+    assert!(told.is_unknown() || told.is_not_run(), "{told:?}");
+    if frozen {
+        scene.process(0).signal(Signal::CONT).expect("woken");
+    }
+}
+
+/// A request that is given up on is answered at once, not near its deadline.
+#[tokio::test]
+async fn given_up_is_answered_at_once() {
+    let scene = processes(servers(1)).await;
+    scene.end_upstream(0);
+    let began = Instant::now();
+    let told = scene.call(0, &within(60_000, get("refused"))).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(10),
+        "{:?}",
+        began.elapsed()
+    );
+    let Told::Refused { retry_after, .. } = told else {
+        panic!("{told:?}");
+    };
+    assert!(retry_after.is_some());
+}
+
+/// Puts a relay between all nodes and one server's peer port, which its record then
+/// names; returns the relay.
+async fn relayed(scene: &mut Scene, name: &str) -> Arc<Relay> {
+    let relay = Arc::new(Relay::default());
+    let (listener, address) = loopback().await.expect("a free port");
+    let plan = Some(address);
+    scene
+        .add_with(name, "service", "zone-a", <_>::default(), move |settings| {
+            settings.listeners.peers_public = plan;
+        })
+        .await
+        .expect("starts");
+    let index = scene.servers.len() - 1;
+    let target = scene.addresses(index).peers;
+    tokio::spawn(Arc::clone(&relay).run(listener, target));
+    relay
+}
+
+/// The link to the guarding node falls silent for good while new connections work. An
+/// idle link is found out before a request is risked on it, so the caller sees nothing.
+#[tokio::test]
+async fn silent_idle_link_is_replaced_unnoticed() {
+    let mut scene = threads(servers(1)).await;
+    let relay = relayed(&mut scene, "service-2").await;
+    scene.until_joined().await;
+    scene.stop(0).await;
+    let index = 1;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene
+        .until_of(&[2], "it is known", |status| {
+            status
+                .view
+                .members
+                .iter()
+                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
+        })
+        .await;
+    assert!(scene.call(2, &post("before", "key-1")).await.is_success());
+    relay.lose_open_connections();
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let told = scene.call(2, &post("after", "key-2")).await;
+    assert!(told.is_success(), "{told:?}");
+    assert_eq!(
+        scene.servers[index].upstream.account().runs.get("after"),
+        Some(&1)
+    );
+}
+
+/// The link falls silent while a request is on it. The unrepeatable request ends as
+/// unknown, long before its deadline; the server is not blamed, and the next request on
+/// a new connection is served.
+#[tokio::test]
+async fn link_silent_under_a_request_ends_as_unknown() {
+    let mut scene = threads(servers(1)).await;
+    let relay = relayed(&mut scene, "service-2").await;
+    scene.until_joined().await;
+    scene.stop(0).await;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene
+        .until_of(&[2], "it is known", |status| {
+            status
+                .view
+                .members
+                .iter()
+                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
+        })
+        .await;
+    scene.behave(1, |behaviour| behaviour.service_micros = 400_000);
+    let entry = scene.addresses(2).callers;
+    let caller = scene.caller.clone();
+    let call = within(30_000, post("first", "key"));
+    let first = tokio::spawn(async move { caller.call(entry, &call).await });
+    wait_for("it runs", || scene.runs("first") == 1).await;
+    relay.lose_open_connections();
+    let heard = first.await.expect("the caller lives");
+    assert!(
+        matches!(
+            heard.told,
+            Told::Refused {
+                reason: Reason::LinkLost,
+                ..
+            }
+        ) && heard.told.is_unknown(),
+        "{:?}",
+        heard.told
+    );
+    assert!(heard.took < Duration::from_secs(15), "{:?}", heard.took);
+    assert!(scene.call(2, &get("second")).await.is_success());
+}
+
+/// The link is cut and comes back: requests meanwhile are refused truthfully, and served
+/// after, without a restart.
+#[tokio::test]
+async fn cut_link_is_not_run_and_heals() {
+    let mut scene = threads(servers(1)).await;
+    let relay = relayed(&mut scene, "service-2").await;
+    scene.until_joined().await;
+    scene.stop(0).await;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene
+        .until_of(&[2], "it is known", |status| {
+            status
+                .view
+                .members
+                .iter()
+                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
+        })
+        .await;
+    relay.set(Weather::Cut);
+    let told = scene.call(2, &post("cut", "key")).await;
+    assert!(told.is_not_run(), "{told:?}");
+    assert_eq!(scene.runs("cut"), 0);
+    relay.set(Weather::Clear);
+    loop {
+        if scene.call(2, &get("healed")).await.is_success() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn head_and_options_pass() {
+    let scene = threads(servers(1)).await;
+    for method in [Method::OPTIONS, Method::PUT, Method::DELETE] {
+        let call = Call {
+            method,
+            ..get("other-method")
+        };
+        assert!(scene.call(0, &call).await.is_success());
+    }
+}
--- /dev/null
+++ b/crates/node/tests/measuring.rs
@@ -0,0 +1,75 @@
+//! Measuring load never costs more than its budget.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Account, all_behave, get, mixed_load, processes, servers};
+use mintridge_standin::scene::Scene;
+use mintridge_standin::upstream::Manner;
+
+/// The share of the preset that is in force by default.
+const SHARE: f64 = 0.005;
+/// The first probe of a node, which settles a first doubt at once.
+const FIRST: Duration = Duration::from_millis(25);
+
+fn probes(scene: &Scene) -> u64 {
+    let accounts = scene.servers.iter().map(|server| server.upstream.account());
+    accounts.map(|account| account.probes).sum()
+}
+
+/// What the upstreams see: at rest and under steady traffic no probe at all; load is
+/// counted where it passes.
+#[tokio::test]
+async fn steady_traffic_costs_no_probe() {
+    let scene = processes(servers(3)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut account = Account::default();
+    account.run(&mixed_load(&scene, 150.0, 2.0)).await;
+    account.all_succeeded();
+    assert_eq!(probes(&scene), 0);
+}
+
+/// All upstreams refuse at once and their probes hang: the upstream time spent stays
+/// under the share granted by the preset, beside the first probe of each node.
+#[tokio::test]
+async fn hanging_probes_of_all_stay_in_the_budget() {
+    let scene = processes(servers(3)).await;
+    let began = Instant::now();
+    for index in 0..3 {
+        scene.behave(index, |behaviour| behaviour.hang_probes = true);
+    }
+    all_behave(&scene, Manner::FailFast);
+    for n in 0..400 {
+        scene.call(n % 3, &get(&format!("id-{n}"))).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(probes(&scene) > 3, "the doubt is looked into");
+    for index in 0..3 {
+        let status = scene.status(index).await.expect("it answers");
+        let spent = Duration::from_micros(status.guarded.probe_micros);
+        let allowed = FIRST + began.elapsed().mul_f64(SHARE) + Duration::from_millis(1);
+        assert!(spent <= allowed, "{spent:?} of {allowed:?}");
+    }
+}
+
+/// Upstreams that failed answer again: probes find out, within the budget, and callers
+/// are served again without a restart.
+#[tokio::test]
+async fn doubt_ends_by_itself() {
+    let scene = processes(servers(2)).await;
+    all_behave(&scene, Manner::FailFast);
+    for n in 0..20 {
+        scene.call(n % 2, &get(&format!("id-{n}"))).await;
+    }
+    scene
+        .until("all are doubtful", |status| status.guarded.doubtful)
+        .await;
+    let told = scene.call(0, &get("refused")).await;
+    assert!(told.is_not_run(), "{told:?}");
+    all_behave(&scene, Manner::Serve);
+    scene
+        .until("none is doubtful", |status| !status.guarded.doubtful)
+        .await;
+    assert!(scene.call(0, &get("served")).await.is_success());
+}
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -183,6 +183,21 @@
         service: &str,
         zone: &str,
         behaviour: Behaviour,
+    ) -> Result<(), Error> {
+        self.add_with(name, service, zone, behaviour, |_| {}).await
+    }
+
+    /// The same, with further changes to its node's settings.
+    ///
+    /// # Errors
+    /// If a socket or node cannot be started.
+    pub async fn add_with(
+        &mut self,
+        name: &str,
+        service: &str,
+        zone: &str,
+        behaviour: Behaviour,
+        adjust: impl FnOnce(&mut Settings),
     ) -> Result<(), Error> {
         let (listener, upstream_address) = loopback().await?;
         let slots = u32::try_from(behaviour.slots).unwrap_or(u32::MAX);
@@ -207,7 +222,7 @@
             zone: zone.to_owned(),
             phase,
         });
-        self.start_node(self.servers.len() - 1)
+        self.start_node_with(self.servers.len() - 1, adjust)
     }
 
     /// Starts a node with an empty memory beside the upstream of this server.
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -4,16 +4,17 @@
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use hyper::{Method, Request, Response, StatusCode};
+use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_http::handler::{Answer, Function};
 use mintridge_http::server::{Ended, Limits, Phase, Protocol, serve};
-use mintridge_http::{Body, reply};
+use mintridge_http::{Body, problem, reply};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -31,6 +32,8 @@
 pub const HEALTH: &str = "/health";
 /// Prefix of paths that answer with that many bytes, as in `/bytes/1000`.
 pub const BYTES: &str = "/bytes/";
+/// Path that answers with the refusal of a deeper call.
+pub const DEEPER: &str = "/deeper";
 const BODY_MOST: usize = 64 * 1024;
 const CHUNK: usize = 64 * 1024;
 
@@ -224,6 +227,9 @@
         .path()
         .strip_prefix(BYTES)
         .and_then(|length| length.parse().ok());
+    if request.uri().path() == DEEPER {
+        return deeper();
+    }
     let mut response = match (request.method(), length) {
         (&Method::GET, Some(length)) => bytes(length, behaviour.manner == Manner::BreakAnswers),
         _ => result(upstream, request, id).await,
@@ -256,6 +262,15 @@
     reply::json(StatusCode::OK, &result)
 }
 
+/// The refusal of a deeper call, passed on as it came.
+fn deeper() -> Response<Body> {
+    let now = Instant::now();
+    let refusal = Refusal::not_run(Reason::Busy, now);
+    let mut response = problem::response(now, &refusal, "deeper", "deeper");
+    response.headers_mut().remove(hyper::header::RETRY_AFTER);
+    response
+}
+
 /// A body of `length` bytes; a broken one ends with an error half way.
 fn bytes(length: usize, broken: bool) -> Response<Body> {
     let end = if broken { length / 2 } else { length };
