--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -64,3 +64,22 @@
     }
     assert_eq!(taken, 12 + 11);
 }
+
+/// The page of settings names every key with the default that the code has.
+#[test]
+fn defaults_are_as_documented() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let page = fs::read_to_string(page).expect("the page");
+    let defaults = serde_json::to_value(Settings::default()).expect("written");
+    let sections = defaults.as_object().expect("sections");
+    for (section, keys) in sections {
+        let Some(keys) = keys.as_object() else {
+            assert!(page.contains(&format!("| `{section}` |")), "{section}");
+            continue;
+        };
+        for (key, value) in keys {
+            let row = format!("| `{section}.{key}` | `{value}` |");
+            assert!(page.contains(&row), "not documented: {row}");
+        }
+    }
+}
