--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -172,6 +172,20 @@
         }
     }
 
+    /// Sends one request with further headers, and returns the head of what comes back.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        headers: &[(&'static str, &str)],
+    ) -> Option<Response<Incoming>> {
+        let mut request = request(address, call)?;
+        for (name, value) in headers {
+            request.headers_mut().insert(*name, value.parse().ok()?);
+        }
+        self.client.request(request).await.ok()
+    }
+
     async fn exchange(
         &self,
         address: SocketAddr,
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -61,10 +61,13 @@
     }
 }
 
+/// Opens the gate after a pause, once what was heard has been taken in here too: the view
+/// may have changed with the same news, and the gate must not open before it is applied.
 async fn follow_refreshed(guard: Arc<Guard>) {
     let mut refreshed = guard.context.latest.refreshed.subscribe();
     while refreshed.changed().await.is_ok() {
         let asked_at = *refreshed.borrow_and_update();
+        guard.take_preset(&guard.context.in_force().preset);
         guard.state.lock().gate.refreshed(asked_at);
     }
 }
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use common::{bare_post, post, processes, runs, servers, within};
-use mintridge_bench::caller::Told;
+use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::store::Faults;
 use mintridge_standin::upstream::Manner;
 use mintridge_store::keys::CLAIMS;
+use rstest::rstest;
 use rustix::process::Signal;
 
 /// The caller gets its answer, loses it, and asks again through another node with the
@@ -71,6 +72,32 @@
     assert_eq!(runs(&scene, &["first", "second"]), 1);
 }
 
+/// The node beside the upstream is killed while the request runs, and another server
+/// offers the same service: the entry does not send an unrepeatable request there.
+#[rstest]
+#[case::with_a_key(post("first", "key"))]
+#[case::without_a_key(bare_post("first"))]
+#[tokio::test]
+async fn killed_guard_is_not_followed_by_another_server(#[case] call: Call) {
+    let mut scene = processes(servers(2)).await;
+    scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await
+        .expect("starts");
+    scene.until_joined().await;
+    common::all_behave(&scene, Manner::Silent);
+    let entry = scene.addresses(2).callers;
+    let caller = scene.caller.clone();
+    let first = tokio::spawn(async move { caller.call(entry, &call).await.told });
+    wait_for("the request runs", || scene.runs("first") == 1).await;
+    let runs_on = |index: usize| scene.servers[index].upstream.account().requests > 0;
+    let killed = usize::from(!runs_on(0));
+    scene.kill(killed).await;
+    let told = first.await.expect("the caller lives");
+    assert!(told.is_unknown(), "{told:?}");
+    assert_eq!(scene.runs("first"), 1);
+}
+
 /// Asks until the refusal is about the key and not about a fleet still finding itself.
 async fn until_taken(
     scene: &mintridge_standin::scene::Scene,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_bench::load::{self, Plan as Load};
-use mintridge_standin::scene::{Plan, Scene};
+pub use mintridge_standin::scene::{Plan, Scene};
 use mintridge_standin::upstream::{Manner, Result as Answer};
 
 /// A scene with each node as threads of this process.
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -4,13 +4,15 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{Account, get, mixed_load, processes, servers, within};
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
+use mintridge_node::operators::Status;
 use mintridge_standin::scene::{Scene, wait_for};
 use mintridge_standin::store::Faults;
+use rstest::rstest;
 use rustix::process::Signal;
 
 /// How long after the announcement a server may still get new requests.
@@ -129,44 +131,40 @@
     assert!(requests(&scene, 0) > before);
 }
 
-/// A server's node is frozen, longer than every lease and timeout, while a preset takes
-/// the server out; then it wakes. Requests that reach it then are refused as not run and
-/// run elsewhere: its upstream gets nothing.
+/// A server's node is frozen while a preset takes the server out, and wakes with requests
+/// already waiting in its sockets: its upstream gets none of them. They are refused as not
+/// run there and run elsewhere. The short pause is shorter than an announcement lasts, so
+/// nothing but the pause itself can tell the node; the long one outlasts every lease.
+#[rstest]
+#[case::short(Duration::from_millis(1_700))]
+#[case::long(Duration::from_secs(12))]
 #[tokio::test]
-async fn frozen_node_that_missed_the_preset_runs_nothing_on_waking() {
+async fn frozen_node_that_missed_the_preset_runs_nothing_on_waking(#[case] pause: Duration) {
     let scene = processes(servers(3)).await;
+    let before = requests(&scene, 0);
+    let frozen_at = Instant::now();
     scene.process(0).signal(Signal::STOP).expect("frozen");
-    tokio::time::sleep(Duration::from_secs(2)).await;
     scene
         .put_in_force(leaving("service-1"), "out")
         .await
         .expect("accepted");
-    scene
-        .until_of(&[1, 2], "in force", |status| {
-            status.view.in_force.revision.0 == 1
-        })
-        .await;
-    let before = requests(&scene, 0);
+    let in_force = |status: &Status| status.view.in_force.revision.0 == 1;
+    scene.until_of(&[1, 2], "in force", in_force).await;
     let entry = scene.addresses(0).callers;
-    // Sent while it is frozen, so that they are the first thing it sees.
-    let waiting: Vec<_> = (0..8)
+    let waiting: Vec<_> = (0..30)
         .map(|n| {
             let caller = scene.caller.clone();
-            let call = within(20_000, get(&format!("early-{n}")));
+            let call = within(30_000, get(&format!("early-{n}")));
             tokio::spawn(async move { caller.call(entry, &call).await.told })
         })
         .collect();
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(pause.saturating_sub(frozen_at.elapsed())).await;
     scene.process(0).signal(Signal::CONT).expect("woken");
     for told in waiting {
         let told = told.await.expect("the caller lives");
         assert!(told.is_success() || told.is_not_run(), "{told:?}");
     }
-    scene
-        .until_of(&[0], "it knows that it leaves", |status| {
-            status.view.in_force.revision.0 == 1
-        })
-        .await;
+    scene.until_of(&[0], "in force", in_force).await;
     assert_eq!(
         requests(&scene, 0),
         before,
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{processes, servers};
+use common::{Account, mixed_load, processes, servers};
 use mintridge_core::preset::{InForce, Preset, Revision};
 use mintridge_standin::scene::{Scene, author};
 use mintridge_standin::store::Faults;
@@ -52,6 +52,28 @@
     }
 }
 
+/// The operator switches presets while load runs: every node shows the new one, and no
+/// caller sees anything of it.
+#[tokio::test]
+async fn use_under_load_cuts_nothing() {
+    let scene = processes(servers(3)).await;
+    let load = mixed_load(&scene, 150.0, 3.0);
+    let sending = tokio::spawn(async move {
+        let mut account = Account::default();
+        account.run(&load).await;
+        account
+    });
+    for change in 1..=5_u32 {
+        let preset = preset(f64::from(change) / 100.0);
+        let mark = format!("operator-{change}");
+        let in_force = scene.put_in_force(preset, &mark).await.expect("accepted");
+        until_revision(&scene, in_force.revision.0).await;
+    }
+    let account = sending.await.expect("the load ends");
+    account.check(&scene);
+    account.all_succeeded();
+}
+
 /// Accepted, and at that moment the store goes out, or its watches fall silent: nodes
 /// that have it pass it on, and those that watch read as well.
 #[rstest]
--- /dev/null
+++ b/crates/node/tests/traces.rs
@@ -0,0 +1,49 @@
+//! Traces: joined from hop to hop.
+
+mod common;
+
+use common::{Plan, get, servers, threads};
+use mintridge_bench::caller::Caller;
+use mintridge_standin::scene::Scene;
+use mintridge_standin::upstream::{SEEN_TRACEPARENT, TRACEPARENT};
+use rstest::rstest;
+
+const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
+const SPAN: &str = "b7ad6b7169203331";
+
+/// The trace context that reaches the upstream for this one of the caller.
+async fn seen(scene: &Scene, sent: &str) -> Option<String> {
+    let headers = [(TRACEPARENT, sent)];
+    let caller = Caller::default();
+    let response = caller
+        .send(scene.addresses(0).callers, &get("traced"), &headers)
+        .await?;
+    let seen = response.headers().get(SEEN_TRACEPARENT)?;
+    Some(seen.to_str().ok()?.to_owned())
+}
+
+#[rstest]
+#[case::sampled(true)]
+#[case::not_sampled(false)]
+#[tokio::test]
+async fn traceparent_passes_to_the_upstream(#[case] sampled: bool) {
+    let adjust = if sampled {
+        |settings: &mut mintridge_node::settings::Settings| settings.traces.sampled = true
+    } else {
+        |_: &mut mintridge_node::settings::Settings| {}
+    };
+    let plan = Plan {
+        adjust,
+        ..servers(2)
+    };
+    let scene = threads(plan).await;
+    let seen = seen(&scene, &format!("00-{TRACE}-{SPAN}-01"))
+        .await
+        .expect("it passes");
+    assert!(seen.contains(TRACE), "{seen}");
+    assert_eq!(
+        seen.contains(SPAN),
+        !sampled,
+        "each hop has its own span: {seen}"
+    );
+}
--- a/crates/standin/src/cost.rs
+++ b/crates/standin/src/cost.rs
@@ -128,7 +128,9 @@
     Duration::from_millis(ticks * 1000 / TICKS)
 }
 
-fn resident(pid: u32) -> u64 {
+/// Resident memory of a process, in bytes; 0 if it is gone.
+#[must_use]
+pub fn resident(pid: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kibibytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -24,6 +24,10 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Header that names the upstream that answered.
 pub const SERVER: &str = "x-server";
+/// Trace context of a request.
+pub const TRACEPARENT: &str = "traceparent";
+/// Header by which an answer tells the trace context that reached the upstream.
+pub const SEEN_TRACEPARENT: &str = "x-seen-traceparent";
 /// Path that reads and replaces the behaviour.
 pub const BEHAVIOUR: &str = "/standin/behaviour";
 /// Path that reads the account of what ran.
@@ -222,6 +226,7 @@
     if behaviour.manner == Manner::Silent {
         std::future::pending::<()>().await;
     }
+    let traceparent = request.headers().get(TRACEPARENT).cloned();
     let length = request
         .uri()
         .path()
@@ -234,6 +239,9 @@
         (&Method::GET, Some(length)) => bytes(length, behaviour.manner == Manner::BreakAnswers),
         _ => result(upstream, request, id).await,
     };
+    if let Some(traceparent) = traceparent {
+        response.headers_mut().insert(SEEN_TRACEPARENT, traceparent);
+    }
     if let Ok(name) = upstream.name.parse() {
         response.headers_mut().insert(SERVER, name);
     }
