--- a/crates/standin/src/bin/trial.rs
+++ b/crates/standin/src/bin/trial.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
 use mintridge_bench::load::{self, Plan as Load};
 use mintridge_bench::report::Report;
 use mintridge_core::preset::Preset;
+use mintridge_node::settings::Settings;
 use mintridge_standin::cost::{self, Cost};
 use mintridge_standin::scene::{Plan, Scene};
 use mintridge_standin::tables;
@@ -29,6 +31,10 @@
                 required members: String
                 /// Seconds measured, 20 by default.
                 optional --seconds seconds: u64
+                /// Seconds waited after all have joined, 15 by default.
+                optional --settle seconds: u64
+                /// One exchange in so many milliseconds, 500 by default.
+                optional --period-ms millis: u64
             }
             /// Cost of one exchange against the size of the table, by plain calls.
             cmd tables {
@@ -71,8 +77,12 @@
     match arguments.subcommand {
         flags::StandinTrialCmd::Control(control) => {
             let seconds = control.seconds.unwrap_or(20);
+            let settle = control.settle.unwrap_or(15);
+            if let Some(millis) = control.period_ms {
+                PERIOD_MILLIS.store(millis, Ordering::Relaxed);
+            }
             for members in numbers(&control.members) {
-                control_cost(&binary, members, seconds).await;
+                control_cost(&binary, members, settle, seconds).await;
             }
         }
         flags::StandinTrialCmd::Tables(tables) => {
@@ -113,12 +123,21 @@
         .collect()
 }
 
+/// Period of exchanges in every node, in milliseconds.
+static PERIOD_MILLIS: AtomicU64 = AtomicU64::new(500);
+
+fn adjust(settings: &mut Settings) {
+    settings.logs.level = String::from("error,mintridge_node::node=info");
+    let period = PERIOD_MILLIS.load(Ordering::Relaxed);
+    settings.membership.period = Duration::from_millis(period);
+}
+
 async fn scene(binary: &Path, services: &[(&'static str, usize)], behaviour: Behaviour) -> Scene {
     let plan = Plan {
         services: services.to_vec(),
         behaviour,
         binary: Some(binary.to_owned()),
-        adjust: |settings| settings.logs.level = String::from("error,mintridge_node::node=info"),
+        adjust,
         ..Plan::default()
     };
     Scene::start(plan).await.expect("the scene starts")
@@ -132,9 +151,9 @@
     }
 }
 
-async fn control_cost(binary: &Path, members: usize, seconds: u64) {
+async fn control_cost(binary: &Path, members: usize, settle: u64, seconds: u64) {
     let scene = scene(binary, &[("service", members)], quick()).await;
-    tokio::time::sleep(Duration::from_secs(15)).await;
+    tokio::time::sleep(Duration::from_secs(settle)).await;
     let calls = scene.store.calls();
     let before = Cost::of(&scene).await;
     tokio::time::sleep(Duration::from_secs(seconds)).await;
