--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -62,6 +62,42 @@
     assert_eq!(attempts, requests + 10);
 }
 
+/// What the deepest upstreams see when they refuse all: over 21 levels, each with its own
+/// budget, every level that may tries again, and each further try repeats all calls below
+/// it. The bursts bound the sum: work at the deepest level stays within a quarter more.
+#[test]
+fn may_retry_over_levels_keeps_amplification_bounded() {
+    const LEVELS: usize = 21;
+    const REQUESTS: u32 = 1_000;
+    let mut budgets: Vec<Budget> = (0..LEVELS)
+        .map(|_| Budget::new(Settings::default(), 0.1))
+        .collect();
+    let mut deepest = 0;
+    for _ in 0..REQUESTS {
+        deepest += call(&mut budgets);
+    }
+    assert!(
+        deepest <= REQUESTS * 5 / 4,
+        "{deepest} calls for {REQUESTS} requests"
+    );
+}
+
+/// Calls that reach the deepest level for one call at the first of these levels.
+fn call(levels: &mut [Budget]) -> u32 {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(10);
+    let Some((budget, below)) = levels.split_first_mut() else {
+        return 1;
+    };
+    let mut reached = call(below);
+    let mut attempts = 1;
+    while budget.may_retry(now, deadline, attempts, Progress::MayHaveRun, true) {
+        attempts += 1;
+        reached += call(below);
+    }
+    reached
+}
+
 #[test]
 fn may_retry_in_steady_traffic_stays_under_the_share() {
     let now = Instant::now();
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -65,6 +65,30 @@
     assert!(long.await.expect("the caller lives").is_success());
 }
 
+/// A caller keeps one connection to a node and asks again and again while that node gets
+/// SIGTERM: every answer is whole, and one of them says that the connection closes, so
+/// that the caller goes elsewhere before the listener is gone.
+#[tokio::test]
+async fn stop_tells_callers_to_go_before_it_closes() {
+    let mut scene = processes(servers(2)).await;
+    let entry = scene.addresses(0).callers;
+    let caller = scene.caller.clone();
+    let asking = tokio::spawn(async move {
+        loop {
+            let answer = caller.send(entry, &get("again"), &[]).await;
+            let answer = answer.expect("an answer until told to go");
+            assert!(answer.status().is_success(), "{}", answer.status());
+            if answer.headers().contains_key("connection") {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    scene.stop(0).await;
+    asking.await.expect("told to go");
+}
+
 /// An upstream announces that it drains, under load: nobody sees a failure, and after a
 /// few seconds it gets nothing new.
 #[tokio::test]
@@ -172,6 +196,54 @@
     );
 }
 
+/// A node that is cut off from peers and store still believes what it knew: it goes on
+/// sending to a server that left. The guard there refuses as not run, the request goes to
+/// another server, and its caller notices nothing.
+#[tokio::test]
+async fn entry_that_was_cut_off_sends_to_a_leaving_server_in_vain() {
+    let mut scene = processes(servers(2)).await;
+    let peers = vec![scene.addresses(0).control];
+    scene
+        .add_with("deaf", "other", "zone-a", <_>::default(), |settings| {
+            settings.peers = peers;
+            settings.membership.period = Duration::from_hours(1);
+            settings.membership.answer_within = Duration::from_secs(20);
+            settings.control.connections_most = 0;
+            settings.store.address = ([127, 0, 0, 1], 1).into();
+        })
+        .await
+        .expect("starts");
+    let knows_both = |status: &Status| {
+        status
+            .view
+            .members
+            .iter()
+            .filter(|r| &*r.server != "deaf")
+            .count()
+            == 2
+    };
+    scene.until_of(&[2], "it knows both", knows_both).await;
+    scene.announce(0, State::Draining);
+    scene
+        .until_of(&[0], "its guard knows", |status| {
+            status.guarded.closed.is_some()
+        })
+        .await;
+    let before = requests(&scene, 0);
+    for n in 0..20 {
+        let told = scene.call(2, &get(&format!("id-{n}"))).await;
+        assert!(told.is_success(), "{told:?}");
+    }
+    let refused = scene
+        .counter(
+            0,
+            "mintridge_guard_refusals_total{outcome=\"not-run\",reason=\"leaving\"}",
+        )
+        .await;
+    assert!(refused >= 1.0, "the deaf entry did try");
+    assert_eq!(requests(&scene, 0), before);
+}
+
 /// The store is out and a server drains: its own node refuses, and the others learn of it
 /// from their peers.
 #[tokio::test]
