--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -6,10 +6,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use common::{Account, get, is_broken, mixed_load, post, processes, servers, threads, within};
+use common::{
+    Account, add_entry, get, is_broken, mixed_load, post, processes, processes_and_entry, servers,
+    threads, within,
+};
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::Reason;
+use mintridge_node::operators::Status;
 use mintridge_standin::relay::{Relay, Weather};
 use mintridge_standin::scene::{Scene, loopback, wait_for};
 use mintridge_standin::upstream::{Manner, Result as Answer};
@@ -99,12 +103,7 @@
 /// The guarding node is killed while an answer passes: the caller sees it broken.
 #[tokio::test]
 async fn answer_cut_by_a_killed_guard_is_seen_broken() {
-    let mut scene = processes(servers(1)).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene.until_joined().await;
+    let mut scene = processes_and_entry(1).await;
     let entry = scene.addresses(1).callers;
     let caller = scene.caller.clone();
     let call = bytes(2_000_000_000);
@@ -155,12 +154,7 @@
 #[case::guard_frozen(true)]
 #[tokio::test]
 async fn deadline_is_kept(#[case] frozen: bool) {
-    let mut scene = processes(servers(1)).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene.until_joined().await;
+    let scene = processes_and_entry(1).await;
     scene.behave(0, |behaviour| behaviour.manner = Manner::Silent);
     if frozen {
         scene.process(0).signal(Signal::STOP).expect("frozen");
@@ -198,53 +192,52 @@
     assert!(retry_after.is_some());
 }
 
-/// Puts a relay between all nodes and one server's peer port, which its record then
-/// names; returns the relay.
-async fn relayed(scene: &mut Scene, name: &str) -> Arc<Relay> {
+/// Index of the server behind the relay, and of the entry that reaches it through it.
+const BEHIND: usize = 1;
+const ENTRY: usize = 2;
+
+/// A service of one server, whose peer port all others reach through a relay, and an
+/// entry apart from it.
+async fn relayed() -> (Scene, Arc<Relay>) {
+    let mut scene = threads(servers(1)).await;
     let relay = Arc::new(Relay::default());
     let (listener, address) = loopback().await.expect("a free port");
-    let plan = Some(address);
-    scene
-        .add_with(name, "service", "zone-a", <_>::default(), move |settings| {
-            settings.listeners.peers_public = plan;
-        })
-        .await
-        .expect("starts");
-    let index = scene.servers.len() - 1;
-    let target = scene.addresses(index).peers;
+    let behind = scene.add_with("behind", "service", "zone-a", <_>::default(), |settings| {
+        settings.listeners.peers_public = Some(address);
+    });
+    behind.await.expect("it starts");
+    let target = scene.addresses(BEHIND).peers;
     tokio::spawn(Arc::clone(&relay).run(listener, target));
-    relay
+    scene.until_joined().await;
+    scene.stop(0).await;
+    add_entry(&mut scene).await;
+    let knows = |status: &Status| {
+        let mut members = status.view.members.iter();
+        members.any(|record| &*record.server == "behind" && record.upstream.is_some())
+    };
+    scene
+        .until_of(&[ENTRY], "the entry knows the server", knows)
+        .await;
+    (scene, relay)
 }
 
 /// The link to the guarding node falls silent for good while new connections work. An
 /// idle link is found out before a request is risked on it, so the caller sees nothing.
 #[tokio::test]
 async fn silent_idle_link_is_replaced_unnoticed() {
-    let mut scene = threads(servers(1)).await;
-    let relay = relayed(&mut scene, "service-2").await;
-    scene.until_joined().await;
-    scene.stop(0).await;
-    let index = 1;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene
-        .until_of(&[2], "it is known", |status| {
-            status
-                .view
-                .members
-                .iter()
-                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
-        })
-        .await;
-    assert!(scene.call(2, &post("before", "key-1")).await.is_success());
+    let (scene, relay) = relayed().await;
+    assert!(
+        scene
+            .call(ENTRY, &post("before", "key-1"))
+            .await
+            .is_success()
+    );
     relay.lose_open_connections();
     tokio::time::sleep(Duration::from_millis(1_300)).await;
-    let told = scene.call(2, &post("after", "key-2")).await;
+    let told = scene.call(ENTRY, &post("after", "key-2")).await;
     assert!(told.is_success(), "{told:?}");
     assert_eq!(
-        scene.servers[index].upstream.account().runs.get("after"),
+        scene.servers[BEHIND].upstream.account().runs.get("after"),
         Some(&1)
     );
 }
@@ -254,25 +247,9 @@
 /// a new connection is served.
 #[tokio::test]
 async fn link_silent_under_a_request_ends_as_unknown() {
-    let mut scene = threads(servers(1)).await;
-    let relay = relayed(&mut scene, "service-2").await;
-    scene.until_joined().await;
-    scene.stop(0).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene
-        .until_of(&[2], "it is known", |status| {
-            status
-                .view
-                .members
-                .iter()
-                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
-        })
-        .await;
-    scene.behave(1, |behaviour| behaviour.service_micros = 400_000);
-    let entry = scene.addresses(2).callers;
+    let (scene, relay) = relayed().await;
+    scene.behave(BEHIND, |behaviour| behaviour.service_micros = 400_000);
+    let entry = scene.addresses(ENTRY).callers;
     let caller = scene.caller.clone();
     let call = within(30_000, post("first", "key"));
     let first = tokio::spawn(async move { caller.call(entry, &call).await });
@@ -291,37 +268,21 @@
         heard.told
     );
     assert!(heard.took < Duration::from_secs(15), "{:?}", heard.took);
-    assert!(scene.call(2, &get("second")).await.is_success());
+    assert!(scene.call(ENTRY, &get("second")).await.is_success());
 }
 
 /// The link is cut and comes back: requests meanwhile are refused truthfully, and served
 /// after, without a restart.
 #[tokio::test]
 async fn cut_link_is_not_run_and_heals() {
-    let mut scene = threads(servers(1)).await;
-    let relay = relayed(&mut scene, "service-2").await;
-    scene.until_joined().await;
-    scene.stop(0).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene
-        .until_of(&[2], "it is known", |status| {
-            status
-                .view
-                .members
-                .iter()
-                .any(|r| &*r.server == "service-2" && r.upstream.is_some())
-        })
-        .await;
+    let (scene, relay) = relayed().await;
     relay.set(Weather::Cut);
-    let told = scene.call(2, &post("cut", "key")).await;
+    let told = scene.call(ENTRY, &post("cut", "key")).await;
     assert!(told.is_not_run(), "{told:?}");
     assert_eq!(scene.runs("cut"), 0);
     relay.set(Weather::Clear);
     loop {
-        if scene.call(2, &get("healed")).await.is_success() {
+        if scene.call(ENTRY, &get("healed")).await.is_success() {
             break;
         }
         tokio::time::sleep(Duration::from_millis(50)).await;
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{bare_post, post, processes, runs, servers, within};
+use common::{bare_post, post, processes, processes_and_entry, runs, servers, within};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::scene::wait_for;
@@ -50,12 +50,7 @@
 /// an empty one, is told the same.
 #[tokio::test]
 async fn repeat_after_guard_is_killed_runs_once() {
-    let mut scene = processes(servers(1)).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene.until_joined().await;
+    let mut scene = processes_and_entry(1).await;
     scene.behave(0, |behaviour| behaviour.manner = Manner::Silent);
     let entry = scene.addresses(1).callers;
     let caller = scene.caller.clone();
@@ -79,12 +74,7 @@
 #[case::without_a_key(bare_post("first"))]
 #[tokio::test]
 async fn killed_guard_is_not_followed_by_another_server(#[case] call: Call) {
-    let mut scene = processes(servers(2)).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene.until_joined().await;
+    let mut scene = processes_and_entry(2).await;
     common::all_behave(&scene, Manner::Silent);
     let entry = scene.addresses(2).callers;
     let caller = scene.caller.clone();
@@ -138,12 +128,7 @@
 /// told holds after the wake, and a repeat with the same key never makes two runs.
 #[tokio::test]
 async fn guard_frozen_before_hand_over_runs_nothing_late() {
-    let mut scene = processes(servers(1)).await;
-    scene
-        .add("entry-1", "other", "zone-b", <_>::default())
-        .await
-        .expect("starts");
-    scene.until_joined().await;
+    let scene = processes_and_entry(1).await;
     scene.store.set_faults(Faults {
         slow_millis: 300,
         ..Faults::default()
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -23,6 +23,23 @@
     threads(Plan { binary, ..plan }).await
 }
 
+/// A scene of processes with this many servers of one service, and after them one more
+/// server of another service, whose node is an entry apart from them all.
+pub async fn processes_and_entry(count: usize) -> Scene {
+    let mut scene = processes(servers(count)).await;
+    add_entry(&mut scene).await;
+    scene.until_joined().await;
+    scene
+}
+
+/// Adds a server of another service.
+pub async fn add_entry(scene: &mut Scene) {
+    let added = scene
+        .add("entry-1", "other", "zone-b", <_>::default())
+        .await;
+    added.expect("it starts");
+}
+
 /// A scene with this many servers of one service.
 pub fn servers(count: usize) -> Plan {
     Plan {
