fix(health): doubt the upstream only for what is a sign of it

Cause: three requests in a row that allowed too little time, or that the application itself answered with 503, made the upstream doubtful for every customer. Found by reading; the test failures_of_one_caller_make_no_doubt failed first in both cases (probes were sent). Ruled out: not counting silence or refusals at all, which would leave silent and fail-fast upstreams trusted. Now a refusal counts when faster than half the mean time, a silence when longer than four times it. After: both cases pass, as do the other tests on measuring.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -197,6 +197,12 @@
         }
     }
 
+    /// Mean time of a request in the upstream.
+    #[must_use]
+    pub fn service_time(&self) -> Duration {
+        self.service_time.mean()
+    }
+
     /// A refusal as not run that says when the queue will have drained.
     #[must_use]
     pub fn refusal(&self, now: Instant, reason: Reason) -> Refusal {
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -1,6 +1,6 @@
 //! Whether the upstream beside this node is to be trusted with requests.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::configs::health::Settings;
 
@@ -55,6 +55,27 @@
         }
     }
 
+    /// What a refusal by the upstream shows, which came after `took`.
+    ///
+    /// Failure: one customer asks for what the application itself refuses. Symptom: the
+    /// upstream turns doubtful for everybody. Only a refusal faster than work could be is
+    /// a sign of the upstream and not of the request.
+    #[must_use]
+    pub fn refused(&self, took: Duration, mean: Duration) -> Option<Verdict> {
+        let fast = took < mean.mul_f64(self.settings.fast_failure);
+        fast.then_some(Verdict::Failed)
+    }
+
+    /// What no answer shows, after `waited`.
+    ///
+    /// Failure: one customer allows its requests no time. Symptom: as above. Only a
+    /// silence long beside the usual time is a sign of the upstream.
+    #[must_use]
+    pub fn silent(&self, waited: Duration, mean: Duration) -> Option<Verdict> {
+        let long = waited >= mean.mul_f64(self.settings.patience);
+        long.then_some(Verdict::Failed)
+    }
+
     /// Whether requests may be handed over.
     #[must_use]
     pub const fn is_ready(&self) -> bool {
--- a/crates/node/src/configs/guard.rs
+++ b/crates/node/src/configs/guard.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Settings of [`crate::guard`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Time to open a connection to the upstream.
@@ -16,8 +16,6 @@
     pub idle_connections_for: Duration,
     /// Idle connections to the upstream kept open.
     pub idle_connections_most: usize,
-    /// A refusal by the upstream counts as a fast failure below this share of its mean service time.
-    pub fast_failure: f64,
     /// Announcements between their listener and the guard.
     pub announcements_ring: usize,
 }
@@ -28,7 +26,6 @@
             connect_within: Duration::from_millis(500),
             idle_connections_for: Duration::from_secs(2),
             idle_connections_most: 64,
-            fast_failure: 0.5,
             announcements_ring: 16,
         }
     }
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -212,10 +212,10 @@
     head: &Head,
     request: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
-    let now = Instant::now();
-    let address = guard.check_hand_over(now, head)?;
+    let handed_at = Instant::now();
+    let address = guard.check_hand_over(handed_at, head)?;
     let mut request = request;
-    let in_left = head.deadline.saturating_duration_since(now);
+    let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, address, in_left);
     let span = Span::enter_with_local_parent("upstream");
     let handed = guard.client.request(request).in_span(span);
@@ -224,13 +224,9 @@
     let response = match answered {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(guard.failed(now, &error)),
-        Err(_) => {
-            guard.judge(now, Verdict::Failed);
-            let refusal = guard.unknown(now, Reason::Deadline);
-            return Err(refusal);
-        }
+        Err(_) => return Err(guard.silent(now, in_left)),
     };
-    guard.answered(now, slot.id, response.status());
+    guard.answered(now, slot.id, response.status(), now - handed_at);
     let (mut parts, body) = response.into_parts();
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_own(&mut parts.headers);
@@ -363,7 +359,7 @@
 
     /// The upstream gave no answer: what that proves.
     fn failed(&self, now: Instant, error: &hyper_util::client::legacy::Error) -> Refusal {
-        self.judge(now, Verdict::Failed);
+        self.judge(now, Some(Verdict::Failed));
         if error.is_connect() {
             return self.not_run(Reason::Unreachable);
         }
@@ -371,27 +367,40 @@
         self.unknown(now, Reason::LinkLost)
     }
 
-    /// The upstream began to answer.
-    fn answered(&self, now: Instant, id: Id, status: StatusCode) {
+    /// The upstream did not answer by the deadline.
+    fn silent(&self, now: Instant, waited: Duration) -> Refusal {
+        let verdict = {
+            let state = self.state.lock();
+            state.health.silent(waited, state.admission.service_time())
+        };
+        self.judge(now, verdict);
+        self.unknown(now, Reason::Deadline)
+    }
+
+    /// The upstream began to answer, after `took`.
+    fn answered(&self, now: Instant, id: Id, status: StatusCode, took: Duration) {
         let shed = matches!(
             status,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
         );
-        let begun = if shed { Begun::Shed } else { Begun::Served };
-        self.state.lock().admission.answered(now, id, begun);
-        let failed = matches!(
-            status,
-            StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE
-        );
-        let verdict = if failed {
-            Verdict::Failed
-        } else {
-            Verdict::Answered
+        let refused = shed || status == StatusCode::BAD_GATEWAY;
+        let verdict = {
+            let mut state = self.state.lock();
+            let mean = state.admission.service_time();
+            let begun = if shed { Begun::Shed } else { Begun::Served };
+            state.admission.answered(now, id, begun);
+            if refused {
+                state.health.refused(took, mean)
+            } else {
+                Some(Verdict::Answered)
+            }
         };
         self.judge(now, verdict);
     }
 
-    fn judge(&self, now: Instant, verdict: Verdict) {
+    /// Takes in what a request showed of the upstream, if anything.
+    fn judge(&self, now: Instant, verdict: Option<Verdict>) {
+        let Some(verdict) = verdict else { return };
         let mut state = self.state.lock();
         let was_ready = state.health.is_ready();
         state.health.note(now, verdict);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -209,7 +209,7 @@
             "admission.limit_decrease",
             settings.admission.limit_decrease,
         ),
-        share("guard.fast_failure", settings.guard.fast_failure),
+        share("health.fast_failure", settings.health.fast_failure),
         at_least_one("admission.limit_least", settings.admission.limit_least),
         at_least_one("claim.writes_per_second", settings.claim.writes_per_second),
         at_least_one("claim.writes_burst", settings.claim.writes_burst),
--- a/crates/node/tests/measuring.rs
+++ b/crates/node/tests/measuring.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Account, all_behave, get, mixed_load, processes, servers};
+use common::{Account, all_behave, bare_post, get, mixed_load, processes, servers, within};
 use mintridge_standin::scene::Scene;
 use mintridge_standin::upstream::Manner;
+use rstest::rstest;
 
 /// The share of the preset that is in force by default.
 const SHARE: f64 = 0.005;
@@ -53,6 +54,30 @@
     }
 }
 
+/// Callers that allow too little time, or ask for what fails slowly, end their own
+/// requests; the upstream stays trusted, and others are served without a gap.
+#[rstest]
+#[case::impatient(Manner::Serve, 50_000, 10)]
+#[case::slow_failure(Manner::FailSlowly, 20_000, 5_000)]
+#[tokio::test]
+async fn failures_of_one_caller_make_no_doubt(
+    #[case] manner: Manner,
+    #[case] service_micros: u64,
+    #[case] allowed_millis: u64,
+) {
+    let scene = processes(servers(1)).await;
+    scene.behave(0, |behaviour| {
+        behaviour.manner = manner;
+        behaviour.service_micros = service_micros;
+    });
+    for n in 0..10 {
+        let call = within(allowed_millis, bare_post(&format!("failing-{n}")));
+        let told = scene.call(0, &call).await;
+        assert!(!told.is_success() && !told.is_not_run(), "{told:?}");
+    }
+    assert_eq!(probes(&scene), 0, "no doubt, no probe");
+}
+
 /// Upstreams that failed answer again: probes find out, within the budget, and callers
 /// are served again without a restart.
 #[tokio::test]
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -52,6 +52,8 @@
     Shed,
     /// Refuses every one at once with status 503.
     FailFast,
+    /// Runs them and then answers with status 503.
+    FailSlowly,
     /// Runs them and never answers.
     Silent,
     /// Breaks answers off after half of their bytes.
@@ -232,6 +234,9 @@
         .path()
         .strip_prefix(BYTES)
         .and_then(|length| length.parse().ok());
+    if behaviour.manner == Manner::FailSlowly {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "failing slowly\n");
+    }
     if request.uri().path() == DEEPER {
         return deeper();
     }
