fix(control): bring a store that came back from before up to date

Cause: nodes ignore revisions they have passed, so after a store is restored from a backup an operator's change could be accepted and never be in force. A holder that reads less than it knows now puts its document back, by a swap bound to the revision it read, so no change in between is undone. Test: store_from_before_is_brought_up_to_date, for an older value, nothing and garbage.

--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -1,10 +1,11 @@
 //! What a few nodes of each zone do with the store, for all the others.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mintridge_core::membership::Record;
-use mintridge_core::preset::InForce;
+use mintridge_core::preset::Revision;
 use mintridge_store::client::Error;
 use mintridge_store::{keys, presets, wire};
 
@@ -77,25 +78,56 @@
 async fn read_in_force(control: &Rc<Control>) {
     let asked_at = Instant::now();
     control.context.metrics.store_call("read");
-    match control.store.get(keys::IN_FORCE).await {
-        Ok(found) => {
-            if let Some(found) = found {
-                take_document(control, &found.value);
-            }
-            control.heard(asked_at);
+    let found = match control.store.get(keys::IN_FORCE).await {
+        Ok(found) => found,
+        Err(error) => {
+            log::info!(error:% = error; "store not read");
+            return;
         }
-        Err(error) => log::info!(error:% = error; "store not read"),
-    }
+    };
+    let (stored, mod_revision) = match &found {
+        Some(found) => (take_document(control, &found.value), found.mod_revision),
+        None => (None, 0),
+    };
+    control.heard(asked_at);
+    bring_up_to_date(control, stored, mod_revision).await;
 }
 
-fn take_document(control: &Control, value: &[u8]) {
-    let parsed: Result<InForce, Error> = presets::parse_in_force(value);
-    match parsed {
-        Ok(document) => control.offer(document),
+/// Takes in a document, and returns its revision if it is one.
+fn take_document(control: &Control, value: &[u8]) -> Option<Revision> {
+    match presets::parse_in_force(value) {
+        Ok(document) => {
+            let revision = document.revision;
+            control.offer(document);
+            Some(revision)
+        }
         Err(error) => {
             control.context.metrics.bad_input("store-value");
             log::warn!(error:% = error; "the preset in force stays");
+            None
+        }
+    }
+}
+
+/// Puts back what is in force into a store that holds something older, or nothing of use.
+///
+/// Failure: the store comes back from before. Symptom: an operator's change is accepted
+/// under a revision that nodes have passed, and they ignore it. The swap is bound to what
+/// was read, so it undoes no change that came in between, and a store that merely answers
+/// from before refuses it.
+async fn bring_up_to_date(control: &Rc<Control>, stored: Option<Revision>, mod_revision: i64) {
+    let current = Arc::clone(control.state.borrow().register.current());
+    if stored.unwrap_or_default() >= current.revision {
+        return;
+    }
+    control.context.metrics.store_call("restore");
+    match presets::restore(&control.store, &current, mod_revision).await {
+        Ok(true) => {
+            let revision = current.revision.0;
+            log::warn!(revision = revision; "the store held an older preset; put back");
         }
+        Ok(false) => log::debug!("the store holds something newer than it answered"),
+        Err(error) => log::info!(error:% = error; "older preset in the store stays"),
     }
 }
 
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -7,7 +7,7 @@
 
 use common::{Account, mixed_load, processes, servers};
 use mintridge_core::preset::{InForce, Preset, Revision};
-use mintridge_standin::scene::{Scene, author};
+use mintridge_standin::scene::{Scene, author, wait_for};
 use mintridge_standin::store::Faults;
 use mintridge_store::keys::IN_FORCE;
 use mintridge_store::presets::{self, Refused};
@@ -239,6 +239,50 @@
     }
 }
 
+/// The store comes back with what it held before, with nothing, or with garbage. The nodes
+/// put back what is in force, so that the operator's next change is a later one: accepted,
+/// and in force everywhere.
+#[rstest]
+#[case::older(Some(1))]
+#[case::empty(None)]
+#[case::garbage(Some(0))]
+#[tokio::test]
+async fn store_from_before_is_brought_up_to_date(#[case] revision: Option<u64>) {
+    let scene = processes(servers(3)).await;
+    scene
+        .put_in_force(preset(0.2), "ana")
+        .await
+        .expect("accepted");
+    let old = scene.store.value(IN_FORCE).expect("written");
+    let latest = scene
+        .put_in_force(preset(0.3), "ben")
+        .await
+        .expect("accepted");
+    until_revision(&scene, latest.revision.0).await;
+    match revision {
+        Some(0) => scene.store.overwrite(IN_FORCE, b"{ not a preset"),
+        Some(_) => scene.store.overwrite(IN_FORCE, &old),
+        None => scene.store.remove(IN_FORCE),
+    }
+    wait_for("the store is up to date", || {
+        let value = scene.store.value(IN_FORCE).unwrap_or_default();
+        let held: Option<InForce> = serde_json::from_slice(&value).ok();
+        held.is_some_and(|held| held.revision == latest.revision)
+    })
+    .await;
+    let next = scene
+        .put_in_force(preset(0.1), "carl")
+        .await
+        .expect("accepted");
+    assert!(next.revision > latest.revision);
+    until_revision(&scene, next.revision.0).await;
+    scene
+        .until("carl's", |status| {
+            &*status.view.in_force.changed_by == "carl"
+        })
+        .await;
+}
+
 /// A node is frozen while two changes are made, and wakes while the store is out: its
 /// peers bring it to the latest.
 #[tokio::test]
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -130,6 +130,13 @@
         let _ = self.events.send(changed);
     }
 
+    /// Deletes a key from outside the API.
+    pub fn remove(&self, key: &str) {
+        let data = &mut self.inner.lock().data;
+        data.keys.remove(key.as_bytes());
+        data.revision += 1;
+    }
+
     /// Value of a key.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
--- a/crates/store/src/presets.rs
+++ b/crates/store/src/presets.rs
@@ -197,6 +197,19 @@
     swap(store, txn, next).await
 }
 
+/// Puts a document back, provided that the store still holds what was read; false if not.
+///
+/// # Errors
+/// If the call fails.
+pub async fn restore(store: &Client, document: &InForce, mod_revision: i64) -> Result<bool, Error> {
+    let txn = wire::Txn {
+        compare: vec![unchanged(keys::IN_FORCE, mod_revision)],
+        success: vec![put_in_force(document)?],
+        failure: vec![],
+    };
+    Ok(store.txn(&txn).await?.succeeded)
+}
+
 /// Deletes a preset that is not in force.
 ///
 /// # Errors
