fix(entry): never say not run of a request that an earlier attempt may have run

Cause: a repeatable request that ran on one server and was then refused by the next, or found none left, was answered with the last refusal alone, as not run. Found by reading the path of a retry as a newcomer; not_run_stays_true_after_a_first_attempt_that_ran failed first in both cases (told 503 not-run, unreachable and no-upstream, with one run). Ruled out: giving up retries of answered requests, which the policy for failing servers needs. Now any attempt that may have run makes the final refusal unknown, and an answer in hand is passed on when there is no other server.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -104,6 +104,13 @@
         self.services.contains_key(service)
     }
 
+    /// Whether there is a server that is not among `tried`.
+    #[must_use]
+    pub fn has_untried(&self, service: &str, tried: &[Arc<str>]) -> bool {
+        let mut candidates = self.services.get(service).into_iter().flatten();
+        candidates.any(|candidate| !tried.contains(&candidate.upstream.server))
+    }
+
     /// Chooses a server that is not among `tried`, and counts the request as placed.
     pub fn pick(&mut self, now: Instant, service: &str, tried: &[Arc<str>]) -> Option<Arc<str>> {
         let candidates = self.services.get_mut(service)?;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -84,7 +84,10 @@
     parts: Parts,
     source: Source,
     tried: Vec<Arc<str>>,
+    /// Whether the request may hold its claim.
     claimed: bool,
+    /// Whether any attempt so far may have run.
+    may_have_run: bool,
 }
 
 /// Serves callers until the node closes their listener.
@@ -161,52 +164,44 @@
         source: Source::new(body, settings.replay_most),
         tried: Vec::new(),
         claimed: false,
+        may_have_run: false,
     };
     travel(&entry, journey).await
 }
 
 /// Tries servers until one answers or no further attempt may be made.
 async fn travel(entry: &Arc<Entry>, mut journey: Journey) -> Response<Body> {
-    let mut last = None;
     loop {
-        let now = Instant::now();
-        let service = &journey.request.head.service;
-        let picked = entry.placement.lock().pick(now, service, &journey.tried);
-        let Some(server) = picked else {
-            let none = Refusal::not_run(Reason::NoUpstream, now + NO_UPSTREAM_RETRY);
-            return entry.give_up(&journey, last.unwrap_or(none));
-        };
-        journey.tried.push(Arc::clone(&server));
-        let mut placed = Placed {
-            entry: Arc::clone(entry),
-            service: Arc::clone(service),
-            server,
-            ending: Ending::Answered,
+        let Some(mut placed) = entry.place(&mut journey) else {
+            let retry_at = Instant::now() + NO_UPSTREAM_RETRY;
+            let none = Refusal::not_run(Reason::NoUpstream, retry_at);
+            return entry.give_up(&journey, none);
         };
-        let (refusal, progress, claimed) = match attempt(entry, &journey, &mut placed).await {
-            Attempt::Answered(response) if !is_overloaded(&response) => {
-                return entry.pass_on(response, placed, &journey);
-            }
+        match attempt(entry, &journey, &mut placed).await {
             Attempt::Answered(response) => {
+                if !is_overloaded(&response) {
+                    return entry.pass_on(response, placed, &journey);
+                }
                 placed.ending = Ending::Avoid;
                 if !entry.may_retry(&journey, Progress::MayHaveRun) {
                     return entry.pass_on(response, placed, &journey);
                 }
-                continue;
+                journey.may_have_run = true;
             }
             Attempt::Refused {
                 refusal,
                 progress,
                 claimed,
-            } => (refusal, progress, claimed),
-        };
-        drop(placed);
-        journey.claimed |= claimed;
-        let certain = progress != Progress::MayHaveRun;
-        if certain && !refusal.reason.is_local() || !entry.may_retry(&journey, progress) {
-            return entry.give_up(&journey, refusal);
+            } => {
+                let may_have_run = progress == Progress::MayHaveRun;
+                journey.claimed |= claimed;
+                journey.may_have_run |= may_have_run;
+                let elsewhere = may_have_run || refusal.reason.is_local();
+                if !elsewhere || !entry.may_retry(&journey, progress) {
+                    return entry.give_up(&journey, refusal);
+                }
+            }
         }
-        last = Some(refusal);
     }
 }
 
@@ -262,8 +257,28 @@
         }
     }
 
+    /// Chooses a server that was not tried yet, and counts the request there.
+    fn place(self: &Arc<Self>, journey: &mut Journey) -> Option<Placed> {
+        let service = &journey.request.head.service;
+        let mut placement = self.placement.lock();
+        let server = placement.pick(Instant::now(), service, &journey.tried)?;
+        drop(placement);
+        journey.tried.push(Arc::clone(&server));
+        Some(Placed {
+            entry: Arc::clone(self),
+            service: Arc::clone(service),
+            server,
+            ending: Ending::Answered,
+        })
+    }
+
+    /// Whether another server may be tried; an answer in hand is not given up for none.
     fn may_retry(&self, journey: &Journey, progress: Progress) -> bool {
         let request = &journey.request;
+        let service = &request.head.service;
+        if !self.placement.lock().has_untried(service, &journey.tried) {
+            return false;
+        }
         let attempts = u32::try_from(journey.tried.len()).unwrap_or(u32::MAX);
         let deadline = request.head.deadline;
         let allowed = self.with_budget(&request.head.service, |budget| {
@@ -311,8 +326,17 @@
     ///
     /// Only a request that was certainly refused by every server it went to gives its
     /// claim back: no server will hand it over any more.
+    ///
+    /// Failure: a repeatable request runs on one server, breaks, and is refused by the
+    /// next. Symptom: its caller is told of the last refusal alone, "not run", which is
+    /// false. What any attempt may have done decides.
     fn give_up(&self, journey: &Journey, refusal: Refusal) -> Response<Body> {
         let head = &journey.request.head;
+        let refusal = if journey.may_have_run {
+            Refusal::unknown(refusal.reason, refusal.retry_at)
+        } else {
+            refusal
+        };
         if let Some(claim) = &head.claim
             && journey.claimed
             && refusal.outcome == Outcome::NotRun
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -273,3 +273,26 @@
     assert!(told.is_success(), "{told:?}");
     assert_eq!(runs(&scene, &["first", "second"]), 1);
 }
+
+/// A repeatable request runs on a first server, which fails it, and is tried on a second,
+/// which refuses it before it runs, or there is none left. The caller is told the
+/// upstream's own answer or that it may have run; never that it did not.
+#[rstest]
+#[case::second_refuses(true)]
+#[case::none_left(false)]
+#[tokio::test]
+async fn not_run_stays_true_after_a_first_attempt_that_ran(#[case] second_refuses: bool) {
+    let scene = processes(servers(2)).await;
+    common::all_behave(&scene, Manner::FailSlowly);
+    if second_refuses {
+        scene.end_upstream(1);
+    }
+    let mut ran = 0;
+    for n in 0..12 {
+        let id = format!("id-{n}");
+        let told = scene.call(0, &common::get(&id)).await;
+        ran += scene.runs(&id);
+        assert!(!told.is_not_run() || scene.runs(&id) == 0, "{id}: {told:?}");
+    }
+    assert!(ran > 0, "some ran");
+}
