fix(guard): pass the customer on to the upstream

Cause: headers of mintridge from outside are dropped, the customer's with them, so a deeper call had nobody to name and fairness ended at the first level.

--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -13,7 +13,8 @@
 use fastrace::future::FutureExt as _;
 use http_body_util::Empty;
 use hyper::header::HOST;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::http::uri::Scheme;
+use hyper::{Request, Response, StatusCode, Uri, Version};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -216,7 +217,7 @@
     let address = guard.check_hand_over(handed_at, head)?;
     let mut request = request;
     let in_left = head.deadline.saturating_duration_since(handed_at);
-    guard.prepare(&mut request, address, in_left);
+    guard.prepare(&mut request, address, head, in_left);
     let span = Span::enter_with_local_parent("upstream");
     let handed = guard.client.request(request).in_span(span);
     let answered = tokio::time::timeout_at(head.deadline.into(), handed).await;
@@ -331,29 +332,31 @@
         }
     }
 
-    fn prepare(&self, request: &mut Request<Body>, address: SocketAddr, left: Duration) {
+    /// Turns a peer's request into the upstream's: its address, its host, and what a
+    /// deeper call needs to pass on.
+    fn prepare(
+        &self,
+        request: &mut Request<Body>,
+        address: SocketAddr,
+        head: &Head,
+        left: Duration,
+    ) {
         let host = request.uri().authority().map(ToString::to_string);
-        let path = request.uri().path_and_query().cloned();
         let mut uri = request.uri().clone().into_parts();
-        uri.scheme = Some(hyper::http::uri::Scheme::HTTP);
+        uri.scheme = Some(Scheme::HTTP);
         uri.authority = address.to_string().parse().ok();
-        uri.path_and_query = path;
         if let Ok(uri) = Uri::from_parts(uri) {
             *request.uri_mut() = uri;
         }
-        *request.version_mut() = hyper::Version::HTTP_11;
+        *request.version_mut() = Version::HTTP_11;
         let fields = request.headers_mut();
         headers::strip_own(fields);
         if let Some(host) = host.and_then(|host| host.parse().ok()) {
             fields.entry(HOST).or_insert(host);
         }
-        let timeout = &self.context.settings.callers.timeout_header;
-        if let (Ok(name), Ok(left)) = (
-            hyper::header::HeaderName::try_from(timeout.as_str()),
-            hyper::header::HeaderValue::try_from(left.as_millis().to_string()),
-        ) {
-            fields.insert(name, left);
-        }
+        let names = &self.context.settings.callers;
+        headers::set(fields, &names.customer_header, &head.customer);
+        headers::set(fields, &names.timeout_header, &left.as_millis().to_string());
         traces::inject(fields);
     }
 
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -152,6 +152,13 @@
     }
 }
 
+/// Sets a header whose name comes from the settings; one that is no name is left out.
+pub fn set(headers: &mut HeaderMap, name: &str, value: &str) {
+    if let Ok(name) = HeaderName::try_from(name) {
+        insert(headers, name, value);
+    }
+}
+
 fn insert(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     if let Ok(value) = HeaderValue::try_from(value) {
         headers.insert(name, value);
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -24,6 +24,8 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Header that names the upstream that answered.
 pub const SERVER: &str = "x-server";
+const CUSTOMER: &str = "mintridge-customer";
+const TIMEOUT: &str = "mintridge-timeout-ms";
 /// Trace context of a request.
 pub const TRACEPARENT: &str = "traceparent";
 /// Header by which an answer tells the trace context that reached the upstream.
@@ -121,6 +123,10 @@
     pub server: String,
     /// The caller's id of the request.
     pub id: String,
+    /// Customer named to the upstream.
+    pub customer: String,
+    /// Milliseconds left, as told to the upstream.
+    pub left_millis: String,
     /// Bytes of the request body.
     pub body_bytes: u64,
     /// BLAKE3 digest of the request body, in hexadecimal.
@@ -254,6 +260,8 @@
 }
 
 async fn result(upstream: &Upstream, request: Request<Body>, id: String) -> Response<Body> {
+    let customer = header(&request, CUSTOMER);
+    let left_millis = header(&request, TIMEOUT);
     let mut digest = blake3::Hasher::new();
     let mut body_bytes = 0;
     let mut body = request.into_body();
@@ -269,6 +277,8 @@
     let result = Result {
         server: upstream.name.to_string(),
         id,
+        customer,
+        left_millis,
         body_bytes,
         body_digest: digest.finalize().to_hex().to_string(),
     };
