fix(store): an answer of 5xx does not prove that a write had no effect

Cause: every status but success was taken as proof that nothing was changed; a store whose members lost each other answers 503 to a write that takes effect. The operator was told "nothing changed" of a preset that was in force, and a claimed request was refused. Only 4xx proves it now; 5xx is settled by reading the mark back like a lost reply.

--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -186,15 +186,15 @@
     assert_eq!(scene.runs("first"), 1);
 }
 
-/// The claim takes effect in the store and the reply is lost: the mark read back settles
-/// it, and the request runs once.
+/// The claim takes effect in the store, and the reply is lost or says that the store is
+/// not available: the mark read back settles it, and the request runs once.
+#[rstest]
+#[case::lost(Faults { lose_replies: 1, ..Faults::default() })]
+#[case::denied(Faults { deny_writes: 1, ..Faults::default() })]
 #[tokio::test]
-async fn store_reply_lost_runs_once() {
+async fn store_reply_lost_runs_once(#[case] faults: Faults) {
     let scene = processes(servers(3)).await;
-    scene.store.set_faults(Faults {
-        lose_replies: 1,
-        ..Faults::default()
-    });
+    scene.store.set_faults(faults);
     let told = scene.call(0, &post("first", "key")).await;
     assert!(told.is_success(), "{told:?}");
     let told = scene.call(1, &post("second", "key")).await;
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -146,19 +146,19 @@
         .await;
 }
 
-/// The write takes effect and its reply is lost: the command reads its own mark back and
-/// says truly that it took.
+/// The write takes effect, and its reply is lost or says that the store is not available:
+/// the command reads its own mark back and says truly that it took.
+#[rstest]
+#[case::lost(Faults { lose_replies: 1, ..Faults::default() })]
+#[case::denied(Faults { deny_writes: 1, ..Faults::default() })]
 #[tokio::test]
-async fn use_with_a_lost_reply_says_that_it_took() {
+async fn use_with_a_lost_reply_says_that_it_took(#[case] faults: Faults) {
     let scene = processes(servers(2)).await;
     let store = scene.operator();
     presets::put(&store, "day", preset(0.2), None, &author("ana"))
         .await
         .expect("accepted");
-    scene.store.set_faults(Faults {
-        lose_replies: 1,
-        ..Faults::default()
-    });
+    scene.store.set_faults(faults);
     let in_force = presets::activate(&store, "day", &author("ana-2"))
         .await
         .expect("it took");
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -36,6 +36,9 @@
     pub slow_millis: u64,
     /// So many next writes take effect and get no reply.
     pub lose_replies: u32,
+    /// So many next writes take effect and are answered with status 503, as by a store
+    /// whose own members lost each other.
+    pub deny_writes: u32,
     /// So many next writes take effect only after `late_millis`, and get no reply.
     pub late_writes: u32,
     /// See `late_writes`.
@@ -403,6 +406,9 @@
         return std::future::pending().await;
     }
     let reply = store.write(txn);
+    if take_one(&store, |faults| &mut faults.deny_writes) {
+        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "request timed out\n");
+    }
     if take_one(&store, |faults| &mut faults.lose_replies) {
         return std::future::pending().await;
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -34,7 +34,7 @@
         /// Address of the store.
         address: SocketAddr,
     },
-    /// The store answered that it did not do it.
+    /// The store answered with another status than success.
     #[error("the store refused with status {0}")]
     Refused(StatusCode),
     /// The reply is not what the API promises; a write may have taken effect.
@@ -52,9 +52,16 @@
 
 impl Error {
     /// Whether a write that failed so certainly had no effect.
+    ///
+    /// A store whose members lost each other answers 503 or 504 to writes that may yet
+    /// take effect; only a refusal for the caller's own fault proves that none did.
     #[must_use]
-    pub const fn proves_no_effect(&self) -> bool {
-        matches!(self, Self::Unreachable { .. } | Self::Refused(_))
+    pub fn proves_no_effect(&self) -> bool {
+        match self {
+            Self::Unreachable { .. } => true,
+            Self::Refused(status) => status.is_client_error(),
+            Self::Lost { .. } | Self::Malformed(_) | Self::Value { .. } => false,
+        }
     }
 }
 
