fix(link): check a new link before a request is risked on it

Cause: two tests failed in the third of repeated runs of the suite, beside other work on the machine. One showed that a connection that is taken and cut at once passed as open, so the request on it ended as unknown where nothing was sent; a new link now answers a cheap request first, one round trip for each new link. The other was the scene's: it waited for the members to be known and not for the entry to have taken them in; it now waits for what the entry shows, which is renewed with every change. Assertions are unchanged.

--- a/crates/node/src/configs/link.rs
+++ b/crates/node/src/configs/link.rs
@@ -30,7 +30,7 @@
         Self {
             connect_within: Duration::from_millis(300),
             check_after_idle: Duration::from_secs(1),
-            check_within: Duration::from_millis(100),
+            check_within: Duration::from_millis(250),
             ping_every: Duration::from_millis(500),
             ping_within: Duration::from_millis(700),
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -95,7 +95,7 @@
     let entry = Arc::new(Entry::new(Arc::clone(&context)));
     entry.take_view(&context.latest.view.borrow().clone());
     tokio::spawn(follow_view(Arc::clone(&entry)));
-    tokio::spawn(publish(Arc::clone(&entry)));
+    tokio::spawn(publish_often(Arc::clone(&entry)));
     let limits = server::Limits {
         connections: context.settings.callers.connections_most,
         ..server::Limits::default()
@@ -115,13 +115,13 @@
     while view.changed().await.is_ok() {
         let current = Arc::clone(&view.borrow_and_update());
         entry.take_view(&current);
+        entry.publish();
     }
 }
 
-/// Shows operators what this entry knows of the upstreams.
-async fn publish(entry: Arc<Entry>) {
+async fn publish_often(entry: Arc<Entry>) {
     loop {
-        entry.context.latest.seen.send_replace(entry.seen());
+        entry.publish();
         tokio::time::sleep(PUBLISH_EVERY).await;
     }
 }
@@ -361,6 +361,11 @@
         problem::response(Instant::now(), refusal, server, number)
     }
 
+    /// Shows operators what this entry knows of the upstreams.
+    fn publish(&self) {
+        self.context.latest.seen.send_replace(self.seen());
+    }
+
     fn seen(&self) -> Vec<Seen> {
         let placement = self.placement.lock();
         placement
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -101,12 +101,12 @@
         Arc::clone(self.slots.lock().entry(address).or_default())
     }
 
-    /// A link that is open and was heard lately, or a new one.
+    /// A link that was heard lately, or a new one.
     ///
-    /// Failure: something between two nodes loses track of an idle connection.
-    /// Symptom: the next request on it hangs, and an unrepeatable one ends as unknown.
-    /// A link that was silent for a while answers a cheap request first; if it does
-    /// not, it is replaced and nothing was risked.
+    /// Failure: something between two nodes loses track of an idle connection, or takes a
+    /// new one and cuts it. Symptom: the request sent on it hangs or breaks, and an
+    /// unrepeatable one ends as unknown. A link that was not heard lately, a new one
+    /// included, answers a cheap request first; if it does not, nothing was risked.
     async fn ready(&self, slot: &Slot, address: SocketAddr) -> Result<Sender, Error> {
         let mut open = slot.open.lock().await;
         if let Some(link) = open.as_mut()
@@ -116,7 +116,10 @@
             return Ok(link.sender.clone());
         }
         *open = None;
-        let sender = self.connect(address).await?;
+        let mut sender = self.connect(address).await?;
+        if !self.answers(&mut sender).await {
+            return Err(Error::NeverSent);
+        }
         *open = Some(Open {
             sender: sender.clone(),
             heard_at: Instant::now(),
@@ -129,22 +132,24 @@
         if now < link.heard_at + self.settings.check_after_idle {
             return true;
         }
-        let Ok(request) = Request::builder()
-            .method(Method::GET)
-            .uri(format!("http://peer{CHECK_PATH}"))
-            .body(reply::empty())
-        else {
-            return false;
-        };
-        let check = link.sender.send_request(request);
-        let answered = tokio::time::timeout(self.settings.check_within, check).await;
-        let alive = matches!(answered, Ok(Ok(_)));
+        let alive = self.answers(&mut link.sender).await;
         if alive {
             link.heard_at = now;
         }
         alive
     }
 
+    async fn answers(&self, sender: &mut Sender) -> bool {
+        let request = Request::builder()
+            .method(Method::GET)
+            .uri(format!("http://peer{CHECK_PATH}"))
+            .body(reply::empty());
+        let Ok(request) = request else { return false };
+        let check = sender.send_request(request);
+        let answered = tokio::time::timeout(self.settings.check_within, check).await;
+        matches!(answered, Ok(Ok(_)))
+    }
+
     async fn heard(&self, slot: &Slot) {
         if let Some(link) = slot.open.lock().await.as_mut() {
             link.heard_at = Instant::now();
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -261,7 +261,7 @@
         Ok(())
     }
 
-    /// Waits until every node knows every server and its upstream.
+    /// Waits until every node knows every server, and its entry every upstream.
     ///
     /// # Panics
     /// If that does not come true for very long.
@@ -269,7 +269,8 @@
         let count = self.servers.len();
         self.until("every node knows every server", |status| {
             let members = status.view.members.iter();
-            members.filter(|record| record.upstream.is_some()).count() == count
+            let announced = members.filter(|record| record.upstream.is_some());
+            announced.count() == count && status.seen.len() == count
         })
         .await;
     }
