--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -4,7 +4,7 @@
 //! leaving server gets no new request" true on every node, also on one that has not
 //! heard of it yet: its request is refused as not run and placed elsewhere.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::configs::gate::Settings;
 use crate::outcome::Reason;
@@ -147,10 +147,4 @@
     pub const fn is_leaving(&self) -> bool {
         self.stopping || self.drained_by_upstream || self.drained_by_preset
     }
-
-    /// How long a pause may be before it is noticed.
-    #[must_use]
-    pub const fn pause_noticed(&self) -> Duration {
-        self.settings.pause_noticed
-    }
 }
--- a/crates/node/schema/peer.capnp
+++ b/crates/node/schema/peer.capnp
@@ -1,6 +1,6 @@
 @0xd4c6a3f1b2e09785;
-# Exchanges between nodes. The Rust in src/control/peer_capnp.rs is generated from this
-# file and committed; docs/DEVELOPERS notes in CONTRIBUTING.md say how.
+# Exchanges between nodes. The Rust in src/peer_capnp.rs is generated from this
+# file and committed; CONTRIBUTING.md says how.
 
 struct Upstream {
   service @0 :Text;
