refactor(guard): keep the slot of a request in a file of its own

guard.rs (506 lines) held the path of a request, the state, and the waiting for a slot. The last is now guard/slot.rs, and what the guard tells of its upstream reads the announcement once instead of twice.

--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -2,6 +2,7 @@
 
 mod follow;
 mod probing;
+mod slot;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,7 +19,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use mintridge_core::admission::{Action, Admission, Answer as Begun, Decision};
+use mintridge_core::admission::{Action, Admission, Answer as Begun};
 use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
 use mintridge_core::gate::Gate;
 use mintridge_core::health::{Health, Verdict};
@@ -26,13 +27,14 @@
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::preset::Preset;
 use mintridge_core::probe;
-use mintridge_core::request::{Arrival, Id};
+use mintridge_core::request::Id;
 use mintridge_http::handler::{Answer, Function};
 use mintridge_http::{Body, problem, reply, server};
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use self::slot::{Slot, admit};
 use crate::announcement::Announcement;
 use crate::body::Held;
 use crate::claims::Job;
@@ -60,40 +62,6 @@
     next_id: u64,
 }
 
-/// A slot of the upstream, given back when dropped.
-struct Slot {
-    guard: Arc<Guard>,
-    id: Id,
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.guard.state.lock().admission.finish(self.id);
-        self.guard.pump();
-    }
-}
-
-/// A place in the queue, given up when its caller goes away.
-struct Place {
-    guard: Arc<Guard>,
-    id: Id,
-    settled: bool,
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        if self.settled {
-            return;
-        }
-        let mut state = self.guard.state.lock();
-        state.waiters.remove(&self.id);
-        state.admission.withdraw(self.id);
-        state.admission.finish(self.id);
-        drop(state);
-        self.guard.pump();
-    }
-}
-
 /// Serves peers until the node closes their listener.
 pub async fn run(
     context: Arc<Context>,
@@ -149,63 +117,6 @@
     }
 }
 
-/// What admission said at once.
-enum Entered {
-    Admitted(Slot),
-    Queued(Place, oneshot::Receiver<Result<(), Refusal>>),
-}
-
-/// Waits for a slot.
-async fn admit(guard: &Arc<Guard>, head: &Head) -> Result<Slot, Refusal> {
-    let (mut place, admitted) = match enter(guard, head)? {
-        Entered::Admitted(slot) => return Ok(slot),
-        Entered::Queued(place, admitted) => (place, admitted),
-    };
-    guard.pump();
-    guard.queued.notify_one();
-    let Ok(settled) = admitted.await else {
-        return Err(guard.not_run(Reason::Busy));
-    };
-    place.settled = true;
-    settled?;
-    Ok(Slot {
-        guard: Arc::clone(guard),
-        id: place.id,
-    })
-}
-
-fn enter(guard: &Arc<Guard>, head: &Head) -> Result<Entered, Refusal> {
-    let now = Instant::now();
-    let weight = guard.context.in_force().preset.weight(&head.customer);
-    let mut state = guard.state.lock();
-    if let Some(reason) = state.closed(now, &head.service) {
-        return Err(state.admission.refusal(now, reason));
-    }
-    let id = Id(state.next_id);
-    state.next_id += 1;
-    let arrival = Arrival {
-        id,
-        customer: Arc::clone(&head.customer),
-        deadline: head.deadline,
-    };
-    let guard = Arc::clone(guard);
-    match state.admission.arrive(now, arrival, weight) {
-        Decision::Admit => Ok(Entered::Admitted(Slot { guard, id })),
-        Decision::Refuse(refusal) => Err(refusal),
-        Decision::Queue => {
-            let (sender, admitted) = oneshot::channel();
-            state.waiters.insert(id, sender);
-            drop(state);
-            let place = Place {
-                guard,
-                id,
-                settled: false,
-            };
-            Ok(Entered::Queued(place, admitted))
-        }
-    }
-}
-
 /// Hands the request to the upstream; an error is what the caller is told instead.
 async fn hand_over(
     guard: &Arc<Guard>,
@@ -457,17 +368,15 @@
     fn publish(&self) {
         let now = Instant::now();
         let mut state = self.state.lock();
-        let service = state.announcement.as_ref().map(|a| Arc::clone(&a.service));
         let closed = state.gate.check(now);
         let announced = closed != Some(Reason::Unannounced);
         let leaving = state.gate.is_leaving();
-        let upstream = service
-            .filter(|_| announced)
-            .map(|service| membership::Upstream {
-                service,
-                slots: state.announcement.as_ref().map_or(1, |a| a.slots),
-                leaving,
-            });
+        let announcement = state.announcement.as_ref().filter(|_| announced);
+        let upstream = announcement.map(|announcement| membership::Upstream {
+            service: Arc::clone(&announcement.service),
+            slots: announcement.slots,
+            leaving,
+        });
         let guarded = Guarded {
             load: state.admission.report(),
             closed,
