--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -14,3 +14,18 @@
     /// Mean time of a request in the upstream, in microseconds.
     pub service_micros: u32,
 }
+
+/// Load as the upstream itself tells it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Upstream {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait in it.
+    pub waiting: u32,
+    /// Requests it works on at most.
+    pub slots: u32,
+    /// How long work takes on its host at this moment, in percent of the usual; `None` if
+    /// it does not tell.
+    pub slowness_percent: Option<u32>,
+}
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -53,11 +53,21 @@
     Unreachable,
     /// The request is malformed or misses a required header.
     BadRequest,
+    /// The upstream itself said that it did not run the request.
+    Shed,
+    /// Another instance of the upstream stands at the address.
+    Misdirected,
+    /// What came back is not the answer to this request.
+    ForeignAnswer,
+    /// No routing table is known yet.
+    Unconfigured,
+    /// The routing table has no route for the request.
+    NoRoute,
 }
 
 impl Reason {
     /// Every reason, for metrics with a bounded label set.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 17] = [
         Self::Busy,
         Self::Deadline,
         Self::Leaving,
@@ -70,6 +80,11 @@
         Self::LinkLost,
         Self::Unreachable,
         Self::BadRequest,
+        Self::Shed,
+        Self::Misdirected,
+        Self::ForeignAnswer,
+        Self::Unconfigured,
+        Self::NoRoute,
     ];
 
     /// The form used in headers, problem details and metrics.
@@ -88,6 +103,11 @@
             Self::LinkLost => "link-lost",
             Self::Unreachable => "unreachable",
             Self::BadRequest => "bad-request",
+            Self::Shed => "shed",
+            Self::Misdirected => "misdirected",
+            Self::ForeignAnswer => "foreign-answer",
+            Self::Unconfigured => "unconfigured",
+            Self::NoRoute => "no-route",
         }
     }
 
@@ -109,6 +129,8 @@
                 | Self::Unannounced
                 | Self::Stale
                 | Self::Unreachable
+                | Self::Shed
+                | Self::Misdirected
         )
     }
 }
@@ -145,6 +167,14 @@
         }
     }
 
+    /// Whether no upstream saw anything of the request, so that placing it on another
+    /// server repeats no work.
+    #[must_use]
+    pub const fn spared_upstreams(&self) -> bool {
+        let reached = matches!(self.reason, Reason::Shed | Reason::Misdirected);
+        matches!(self.outcome, Outcome::NotRun) && !reached
+    }
+
     /// The HTTP status that carries this refusal.
     ///
     /// 429 is kept for a customer that fills its own part of the queue; 409 follows
@@ -154,6 +184,7 @@
         match (self.outcome, self.reason) {
             (Outcome::NotRun, Reason::Busy) => 429,
             (Outcome::NotRun, Reason::BadRequest) => 400,
+            (Outcome::NotRun, Reason::NoRoute) => 404,
             (Outcome::NotRun, _) => 503,
             (Outcome::Unknown, Reason::Duplicate) => 409,
             (Outcome::Unknown, Reason::Deadline) => 504,
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -36,11 +36,24 @@
     pub request: String,
 }
 
+/// How exactly `Retry-After` tells when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Precision {
+    /// In whole seconds, as HTTP has it, rounded up: asking earlier would be too early.
+    Seconds,
+    /// In thousandths of a second, for nodes and for callers known to understand it.
+    Millis,
+}
+
 /// The response that tells a caller of a refusal.
-///
-/// `Retry-After` holds whole seconds, rounded up: asking earlier would be too early.
 #[must_use]
-pub fn response(now: Instant, refusal: &Refusal, server: &str, request: &str) -> Response<Body> {
+pub fn response(
+    now: Instant,
+    refusal: &Refusal,
+    server: &str,
+    request: &str,
+    precision: Precision,
+) -> Response<Body> {
     let status = StatusCode::from_u16(refusal.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let problem = Problem {
         kind: format!("urn:mintridge:refusal:{}", refusal.reason.as_str()),
@@ -62,7 +75,7 @@
         headers.insert(PROXY_STATUS, proxy);
     }
     let left = refusal.retry_at.saturating_duration_since(now);
-    headers.insert(RETRY_AFTER, whole_seconds(left));
+    headers.insert(RETRY_AFTER, retry_after(left, precision));
     response
 }
 
@@ -82,7 +95,8 @@
         .get(RETRY_AFTER)
         .and_then(|value| value.to_str().ok())
         .and_then(|text| text.parse().ok())
-        .map_or(now, |seconds| now + Duration::from_secs(seconds));
+        .and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
+        .map_or(now, |left| now + left);
     Some(Refusal {
         outcome,
         reason,
@@ -104,18 +118,30 @@
         Reason::Deadline => "connection_timeout",
         Reason::Unreachable => "connection_refused",
         Reason::LinkLost => "connection_terminated",
+        Reason::ForeignAnswer => "http_protocol_error",
         Reason::BadRequest => "http_request_error",
-        Reason::NoUpstream => "destination_not_found",
+        Reason::NoUpstream | Reason::NoRoute => "destination_not_found",
         Reason::Duplicate => "http_request_denied",
         Reason::Leaving
         | Reason::Doubtful
         | Reason::Unannounced
+        | Reason::Shed
+        | Reason::Misdirected
+        | Reason::Unconfigured
         | Reason::Stale
         | Reason::StoreUnavailable => "destination_unavailable",
     }
 }
 
-fn whole_seconds(left: Duration) -> HeaderValue {
-    let rounded = left.as_secs() + u64::from(left.subsec_nanos() > 0);
-    HeaderValue::from(rounded.max(1))
+fn retry_after(left: Duration, precision: Precision) -> HeaderValue {
+    match precision {
+        Precision::Seconds => {
+            let rounded = left.as_secs() + u64::from(left.subsec_nanos() > 0);
+            HeaderValue::from(rounded.max(1))
+        }
+        Precision::Millis => {
+            let written = format!("{:.3}", left.as_secs_f64());
+            HeaderValue::try_from(written).unwrap_or(HeaderValue::from_static("1"))
+        }
+    }
 }
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -69,12 +69,24 @@
     T: DeserializeOwned,
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    Ok(serde_json::from_slice(&read_all(body, most).await?)?)
+}
+
+/// Reads a body of at most `most` bytes.
+///
+/// # Errors
+/// If the body breaks off or is too large.
+pub async fn read_all<B>(body: B, most: usize) -> Result<Bytes, BadBody>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let collected = Limited::new(body, most)
         .collect()
         .await
         .map_err(|_| BadBody::Unread { most })?;
-    Ok(serde_json::from_slice(&collected.to_bytes())?)
+    Ok(collected.to_bytes())
 }
 
 /// Turns a body of hyper's client into gotham's.
--- a/crates/node/schema/peer.capnp
+++ b/crates/node/schema/peer.capnp
@@ -31,12 +31,15 @@
 }
 
 # One side of an exchange: the sender's record and news, a digest of its table, and the
-# revision of its preset with the document, in JSON, if the other's is known to be older.
+# revision of its preset and the version of its routing table, each with the document if
+# the other's is known to be older.
 struct Exchange {
   news @0 :List(Record);
   digest @1 :UInt64;
   revision @2 :UInt64;
   inForce @3 :Data;
+  routesVersion @4 :UInt64;
+  routes @5 :Data;
 }
 
 interface Peer {
--- a/crates/node/src/announcement.rs
+++ b/crates/node/src/announcement.rs
@@ -1,6 +1,7 @@
 //! What an upstream tells the node beside it, again and again while it lives.
 
-use std::net::SocketAddr;
+use std::error::Error;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
 use hyper::{Method, Request, Response, StatusCode};
@@ -9,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
+use crate::adapter::Malformed;
 use crate::context::Context;
 
 /// Path on which announcements are taken.
@@ -42,6 +44,66 @@
     /// Whether it takes requests.
     #[serde(default)]
     pub state: State,
+    /// This start of the upstream; the next start has another one.
+    #[serde(default)]
+    pub instance: Arc<str>,
+    /// Rises with each announcement of an instance.
+    #[serde(default)]
+    pub sequence: u64,
+}
+
+/// What an upstream told the node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It is there.
+    Announced(Announcement),
+    /// It takes nothing new and ends soon.
+    Left {
+        /// The instance that ends.
+        instance: Arc<str>,
+    },
+}
+
+/// A message of the upstream as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Incoming<'a> {
+    /// Method of the call.
+    pub method: &'a Method,
+    /// Path of the call.
+    pub path: &'a str,
+    /// Body of the call.
+    pub body: &'a [u8],
+}
+
+/// Reads a message in mintridge's own form.
+///
+/// # Errors
+/// If it is none.
+pub fn read(incoming: &Incoming<'_>) -> Result<Heard, Malformed> {
+    if incoming.method != Method::POST || incoming.path != PATH {
+        return Err(Malformed::Call);
+    }
+    Ok(Heard::Announced(serde_json::from_slice(incoming.body)?))
+}
+
+/// Acknowledges a message in mintridge's own form.
+#[must_use]
+pub fn acknowledge() -> Response<Body> {
+    reply::text(StatusCode::ACCEPTED, "taken\n")
+}
+
+impl Default for Announcement {
+    fn default() -> Self {
+        Self {
+            service: Arc::from(""),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            slots: 1,
+            health_path: default_health_path(),
+            state: State::Ready,
+            instance: Arc::from(""),
+            sequence: 0,
+        }
+    }
 }
 
 fn default_health_path() -> Arc<str> {
@@ -62,20 +124,30 @@
 }
 
 async fn answer(context: Arc<Context>, request: Request<Body>) -> Response<Body> {
-    if request.method() != Method::POST || request.uri().path() != PATH {
-        return reply::text(StatusCode::NOT_FOUND, "POST /announcement\n");
-    }
-    let announcement = match reply::read_json(request.into_body(), BODY_MOST).await {
-        Ok(announcement) => announcement,
-        Err(error) => {
-            context.metrics.bad_input("announcement");
-            log::warn!(error:% = error; "announcement not taken");
-            return reply::text(StatusCode::BAD_REQUEST, format!("{error}\n"));
-        }
+    let (parts, body) = request.into_parts();
+    let body = match reply::read_all(body, BODY_MOST).await {
+        Ok(body) => body,
+        Err(error) => return refuse(&context, StatusCode::PAYLOAD_TOO_LARGE, &error),
     };
-    if context.rings.announcements.try_send(announcement).is_err() {
+    let incoming = Incoming {
+        method: &parts.method,
+        path: parts.uri.path(),
+        body: &body,
+    };
+    let heard = match (context.adapter.heard)(&incoming) {
+        Ok(heard) => heard,
+        Err(error @ Malformed::Call) => return refuse(&context, StatusCode::NOT_FOUND, &error),
+        Err(error) => return refuse(&context, StatusCode::BAD_REQUEST, &error),
+    };
+    if context.rings.announcements.try_send(heard).is_err() {
         context.metrics.ring_full("announcements");
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "announce again\n");
     }
-    reply::text(StatusCode::ACCEPTED, "taken\n")
+    (context.adapter.acknowledge)()
+}
+
+fn refuse(context: &Context, status: StatusCode, error: &dyn Error) -> Response<Body> {
+    context.metrics.bad_input("announcement");
+    log::warn!(error:% = error; "announcement not taken");
+    reply::text(status, format!("{error}\n"))
 }
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -7,12 +7,14 @@
 use hyper::http::request::Parts;
 use hyper::{Method, header};
 use mintridge_core::claim::{Claim, Key, Mark};
+use mintridge_core::outcome::Reason;
+use mintridge_core::route::{Kind, Table, Version};
 
 use crate::configs::callers::Settings;
 use crate::headers::Head;
 
 /// Customer of requests that name none.
-const ANONYMOUS: &str = "anonymous";
+pub const ANONYMOUS: &str = "anonymous";
 /// Longest name of a service or customer, and longest idempotency key, in bytes.
 const TEXT_MOST: usize = 256;
 
@@ -21,9 +23,27 @@
 pub struct Request {
     /// What the node beside the upstream is told.
     pub head: Head,
-    /// Whether running it twice does no harm: its method is idempotent, and its caller
-    /// did not ask for at most one run by sending a key.
-    pub repeatable: bool,
+    /// Upstreams to which it may be handed.
+    pub attempts: u32,
+    /// Version of the routing table that placed it; 0 without one.
+    pub routes: Version,
+}
+
+/// What decides which service takes a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Routing<'a> {
+    /// The request names its service.
+    Named {
+        /// Upstreams to which a request may be handed.
+        attempts: u32,
+    },
+    /// Operators' routing table.
+    Table {
+        /// The table.
+        table: &'a Table,
+        /// Count of the requests of this node, by which splits are dealt.
+        count: u64,
+    },
 }
 
 /// Why a request cannot be worked on.
@@ -41,6 +61,52 @@
     /// Two different idempotency keys were sent.
     #[error("more than one idempotency key was sent")]
     Keys,
+    /// The caller's own id of the request is missing.
+    #[error("the id of the request is missing")]
+    RequestId,
+    /// The routing table has no route for host and path.
+    #[error("no route matches host and path")]
+    NoRoute,
+}
+
+impl Malformed {
+    /// The reason that the caller is told.
+    #[must_use]
+    pub const fn reason(self) -> Reason {
+        match self {
+            Self::NoRoute => Reason::NoRoute,
+            Self::Service | Self::Timeout | Self::Text | Self::Keys | Self::RequestId => {
+                Reason::BadRequest
+            }
+        }
+    }
+}
+
+/// The caller's own id of the request, or the number that this node gave it.
+///
+/// # Errors
+/// If the settings ask for an id and there is none.
+pub fn request_id(
+    settings: &Settings,
+    number: &Arc<str>,
+    headers: &HeaderMap,
+) -> Result<Arc<str>, Malformed> {
+    let Some(name) = &settings.request_header else {
+        return Ok(Arc::clone(number));
+    };
+    let id = text(headers, name)?.ok_or(Malformed::RequestId)?;
+    Ok(Arc::from(id))
+}
+
+/// How the chosen route treats a request.
+struct Treatment {
+    service: Arc<str>,
+    repeatable: bool,
+    timeout: Duration,
+    target: Option<Duration>,
+    priority: u8,
+    attempts: u32,
+    routes: Version,
 }
 
 /// Reads the request; `number` identifies it within the fleet.
@@ -52,28 +118,74 @@
     now: Instant,
     number: Arc<str>,
     parts: &Parts,
+    routing: Routing<'_>,
 ) -> Result<Request, Malformed> {
-    let service = service(settings, parts)?;
+    let treatment = treatment(settings, parts, routing)?;
+    let service = treatment.service;
     let customer = text(&parts.headers, &settings.customer_header)?.unwrap_or(ANONYMOUS);
     let customer: Arc<str> = Arc::from(customer);
     let key = key(settings, &parts.headers)?.filter(|_| !parts.method.is_safe());
-    let repeatable = key.is_none() && is_idempotent(&parts.method);
     let claim = key.map(|key| Claim {
         key: digest(&service, &customer, key),
         mark: Mark(Arc::clone(&number)),
     });
+    let deadline = now + allowed(settings, &parts.headers)?.min(treatment.timeout);
+    let target = treatment.target.map_or(deadline, |target| now + target);
     Ok(Request {
         head: Head {
             service,
             customer,
-            deadline: now + allowed(settings, &parts.headers)?,
+            deadline,
             request: number,
+            repeatable: claim.is_none() && treatment.repeatable,
             claim,
+            priority: treatment.priority,
+            target: target.min(deadline),
         },
-        repeatable,
+        attempts: treatment.attempts,
+        routes: treatment.routes,
     })
 }
 
+fn treatment(
+    settings: &Settings,
+    parts: &Parts,
+    routing: Routing<'_>,
+) -> Result<Treatment, Malformed> {
+    match routing {
+        Routing::Named { attempts } => Ok(Treatment {
+            service: service(settings, parts)?,
+            repeatable: is_idempotent(&parts.method),
+            timeout: settings.timeout_most,
+            target: None,
+            priority: 0,
+            attempts,
+            routes: Version::default(),
+        }),
+        Routing::Table { table, count } => {
+            let host = host(parts).ok_or(Malformed::NoRoute)?;
+            let route = table.find(host, parts.uri.path());
+            let route = route.ok_or(Malformed::NoRoute)?;
+            let service = route.service(count).ok_or(Malformed::NoRoute)?;
+            Ok(Treatment {
+                service: Arc::clone(service),
+                repeatable: route.kind == Kind::Idempotent,
+                timeout: route.timeout,
+                target: Some(route.target_latency),
+                priority: route.priority,
+                attempts: route.attempts,
+                routes: table.version,
+            })
+        }
+    }
+}
+
+/// The host that the request names, without its port.
+fn host(parts: &Parts) -> Option<&str> {
+    let host = parts.headers.get(header::HOST)?.to_str().ok()?;
+    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+}
+
 /// Idempotent methods by RFC 9110, section 9.2.2.
 fn is_idempotent(method: &Method) -> bool {
     method.is_safe() || matches!(*method, Method::PUT | Method::DELETE)
@@ -83,12 +195,7 @@
     if let Some(named) = text(&parts.headers, &settings.service_header)? {
         return Ok(Arc::from(named));
     }
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok())
-        .map(|host| host.rsplit_once(':').map_or(host, |(name, _)| name));
-    match host {
+    match host(parts) {
         Some(host) if !host.is_empty() && host.len() <= TEXT_MOST => Ok(Arc::from(host)),
         _ => Err(Malformed::Service),
     }
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -136,7 +136,7 @@
             failure: claims.iter().map(range).collect(),
         };
         self.context.metrics.store_call("claim");
-        match self.store.txn(&txn).await {
+        match self.store.etcd_txn(&txn).await {
             Ok(reply) if reply.succeeded => Written::Applied,
             Ok(reply) => Written::Conflict(holders(&reply)),
             Err(error) => {
@@ -157,7 +157,7 @@
             ..wire::Txn::default()
         };
         self.context.metrics.store_call("claim-read");
-        let reply = self.store.txn(&txn).await.ok()?;
+        let reply = self.store.etcd_txn(&txn).await.ok()?;
         Some(holders(&reply))
     }
 
@@ -174,7 +174,7 @@
             failure: vec![],
         };
         self.context.metrics.store_call("release");
-        if let Err(error) = self.store.txn(&txn).await {
+        if let Err(error) = self.store.etcd_txn(&txn).await {
             log::warn!(error:% = error; "claim not released: its key stays unknown");
         }
     }
@@ -192,10 +192,10 @@
         self.context.metrics.store_call("lease");
         let granted = self.store.grant(time_to_live).await.ok()?;
         self.lease = Some(Lease {
-            id: granted.id,
+            id: granted,
             use_until: now + settings.lease_used_for,
         });
-        Some(granted.id)
+        Some(granted)
     }
 }
 
--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -8,5 +8,7 @@
 pub mod listeners;
 pub mod logs;
 pub mod node;
+pub mod routes;
 pub mod store;
 pub mod traces;
+pub mod upstream;
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -16,6 +16,19 @@
     pub timeout_header: String,
     /// Header with the idempotency key of an unrepeatable request.
     pub key_header: String,
+    /// Header with the caller's own id of the request. It must be present if named here,
+    /// passes on unchanged, and must come back with the upstream's answer.
+    pub request_header: Option<String>,
+    /// Header that tells the upstream where a request began; set whatever was sent.
+    pub origin_header: Option<String>,
+    /// What that header holds: the service of the upstream on this host.
+    pub origin: String,
+    /// Tell callers when to come back in fractions of a second; HTTP itself knows whole
+    /// seconds only.
+    pub retry_after_fractions: bool,
+    /// Time for the head of a request to arrive, counted from the end of the one before.
+    #[serde(with = "humantime_serde")]
+    pub header_within: Duration,
     /// Time allowed to a request that does not say.
     #[serde(with = "humantime_serde")]
     pub timeout_default: Duration,
@@ -41,6 +54,11 @@
             customer_header: String::from("mintridge-customer"),
             timeout_header: String::from("mintridge-timeout-ms"),
             key_header: String::from("idempotency-key"),
+            request_header: None,
+            origin_header: None,
+            origin: String::new(),
+            retry_after_fractions: false,
+            header_within: Duration::from_secs(5),
             timeout_default: Duration::from_secs(10),
             timeout_most: Duration::from_mins(1),
             grace: Duration::from_millis(25),
--- a/crates/node/src/configs/control.rs
+++ b/crates/node/src/configs/control.rs
@@ -11,6 +11,9 @@
     /// How often a holder reads the preset in force beside its watch.
     #[serde(with = "humantime_serde")]
     pub store_read_every: Duration,
+    /// How long one watch of the store waits for a change.
+    #[serde(with = "humantime_serde")]
+    pub watch_for: Duration,
     /// How often a holder renews its entry among the seeds and reads the others.
     #[serde(with = "humantime_serde")]
     pub seeds_every: Duration,
@@ -34,6 +37,7 @@
     fn default() -> Self {
         Self {
             store_read_every: Duration::from_secs(2),
+            watch_for: Duration::from_millis(500),
             seeds_every: Duration::from_secs(5),
             seed_time_to_live: Duration::from_secs(20),
             isolated_after: Duration::from_secs(3),
--- a/crates/node/src/configs/listeners.rs
+++ b/crates/node/src/configs/listeners.rs
@@ -20,6 +20,8 @@
     pub announcements: SocketAddr,
     /// Operators: health, metrics, state.
     pub operators: SocketAddr,
+    /// New connections that wait to be accepted, on each listener.
+    pub backlog: i32,
 }
 
 impl Default for Settings {
@@ -32,6 +34,7 @@
             control: any_port,
             announcements: any_port,
             operators: any_port,
+            backlog: 1024,
         }
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,11 +8,13 @@
 use mintridge_core::membership::{Record, Upstream};
 use mintridge_core::outcome::Reason;
 use mintridge_core::preset::InForce;
+use mintridge_core::route::Document;
 use mintridge_http::server::Phase;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
-use crate::announcement::Announcement;
+use crate::adapter::Adapter;
+use crate::announcement::Heard;
 use crate::claims::Job;
 use crate::entry::Seen;
 use crate::metrics::Metrics;
@@ -83,7 +85,7 @@
 #[derive(Debug)]
 pub struct Rings {
     /// To the guard.
-    pub announcements: mpsc::Sender<Announcement>,
+    pub announcements: mpsc::Sender<Heard>,
     /// To the claims thread.
     pub claims: mpsc::Sender<Job>,
 }
@@ -94,6 +96,8 @@
 pub struct Latest {
     /// From control.
     pub view: watch::Sender<Arc<View>>,
+    /// From control: the routing table in force here; `None` until the first is known.
+    pub routes: watch::Sender<Option<Arc<Document>>>,
     /// From the guard: the upstream as others should see it.
     pub upstream: watch::Sender<Option<Upstream>>,
     /// From the guard, for operators.
@@ -111,6 +115,8 @@
 pub struct Context {
     /// The settings.
     pub settings: Settings,
+    /// How the node's surroundings speak.
+    pub adapter: Adapter,
     /// Where the node listens.
     pub addresses: Addresses,
     /// Start of this process, in milliseconds since the Unix epoch.
@@ -142,6 +148,15 @@
         *self.latest.stage.borrow() != Stage::Serving
     }
 
+    /// Whether callers may send requests here: a routing table is known if one is needed,
+    /// and no stop was asked for.
+    #[must_use]
+    pub fn accepts_callers(&self) -> bool {
+        let configured =
+            self.settings.routes.key.is_none() || self.latest.routes.borrow().is_some();
+        configured && !self.is_stopping()
+    }
+
     /// Phase of the callers' listener.
     #[must_use]
     pub fn callers_phase(&self) -> watch::Receiver<Phase> {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,6 +3,7 @@
 
 mod codec;
 mod exchange;
+mod followed;
 mod holder;
 mod peer;
 
@@ -13,6 +14,7 @@
 
 use mintridge_core::membership::{Record, Standing, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
+use mintridge_core::route::{self, Document};
 use mintridge_store::client::Client;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -32,6 +34,7 @@
 struct State {
     table: Table,
     register: Register,
+    routes: route::Register,
     heard_at: Option<Instant>,
     differing: u32,
     seed_lease: Option<i64>,
@@ -48,7 +51,8 @@
             tokio::task::spawn_local(exchange::rounds(Rc::clone(&control)));
             tokio::task::spawn_local(exchange::pushes(Rc::clone(&control)));
             tokio::task::spawn_local(holder::work(Rc::clone(&control)));
-            tokio::task::spawn_local(holder::watch(Rc::clone(&control)));
+            tokio::task::spawn_local(followed::preset(Rc::clone(&control)));
+            tokio::task::spawn_local(followed::routes(Rc::clone(&control)));
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
             control.until_ending().await;
             control.state.borrow_mut().table.leave();
@@ -74,6 +78,16 @@
     }
 }
 
+impl State {
+    /// What is in force here.
+    fn versions(&self) -> codec::Versions {
+        codec::Versions {
+            preset: self.register.current().revision,
+            routes: self.routes.version(),
+        }
+    }
+}
+
 impl Control {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
@@ -93,10 +107,15 @@
         };
         let seed = context.incarnation ^ u64::from(context.addresses.control.port());
         Self {
-            store: Client::new(settings.store.address, settings.store.timeout),
+            store: Client::with_dialect(
+                settings.store.address,
+                settings.store.timeout,
+                context.adapter.store,
+            ),
             state: RefCell::new(State {
                 table: Table::new(settings.membership.clone(), own, seed),
                 register: Register::default(),
+                routes: route::Register::default(),
                 heard_at: None,
                 differing: 0,
                 seed_lease: None,
@@ -150,6 +169,30 @@
         }
     }
 
+    /// Takes in a routing table, wherever it came from; a document that does not parse
+    /// leaves the one in force as it is.
+    fn offer_routes(&self, from: &'static str, source: Arc<[u8]>) {
+        let table = match (self.context.adapter.routes)(&source) {
+            Ok(table) => table,
+            Err(error) => {
+                self.context.metrics.bad_input("routes");
+                log::warn!(from = from, error:% = error; "routing table not taken");
+                return;
+            }
+        };
+        let version = table.version.0;
+        let document = Document { table, source };
+        let mut state = self.state.borrow_mut();
+        if state.routes.offer(document) == route::Offered::NotNewer {
+            return;
+        }
+        let current = state.routes.current().cloned();
+        drop(state);
+        log::info!(from = from, version = version; "routing table in force");
+        self.context.latest.routes.send_replace(current);
+        self.news.notify_one();
+    }
+
     /// Takes in records; true if any was news.
     fn merge(&self, now: Instant, records: Vec<Record>) -> bool {
         let mut state = self.state.borrow_mut();
@@ -169,6 +212,12 @@
         self.context.latest.refreshed.send_replace(asked_at);
     }
 
+    /// Whether this node uses the store itself: it is one of the few of its zone that do, or
+    /// it may be cut off from all others.
+    fn uses_store(&self, now: Instant) -> bool {
+        self.is_isolated(now) || self.state.borrow().table.is_holder()
+    }
+
     /// Whether no peer has been heard for a while.
     fn is_isolated(&self, now: Instant) -> bool {
         let limit: Duration = self.context.settings.control.isolated_after;
--- a/crates/node/src/control/codec.rs
+++ b/crates/node/src/control/codec.rs
@@ -3,8 +3,9 @@
 use std::net::{AddrParseError, SocketAddr};
 use std::sync::Arc;
 
-use mintridge_core::membership::{Record, Standing, Upstream, Version};
+use mintridge_core::membership::{self, Record, Standing, Upstream};
 use mintridge_core::preset::{InForce, Revision};
+use mintridge_core::route::Version;
 
 use crate::peer_capnp;
 
@@ -41,16 +42,39 @@
     pub news: Vec<Record>,
     /// Digest of its table.
     pub digest: u64,
-    /// Revision of its preset.
-    pub revision: Revision,
-    /// The document, if the other's is known to be older.
+    /// What it has in force.
+    pub versions: Versions,
+    /// Its preset, if the other's is known to be older.
     pub in_force: Option<InForce>,
+    /// Its routing table as operators wrote it, if the other's is known to be older.
+    pub routes: Option<Arc<[u8]>>,
+}
+
+/// What a node has in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Versions {
+    /// Revision of its preset.
+    pub preset: Revision,
+    /// Version of its routing table.
+    pub routes: Version,
+}
+
+impl Versions {
+    /// Whether something of this is older than the other's.
+    #[must_use]
+    pub fn is_behind(&self, other: &Self) -> bool {
+        self.preset < other.preset || self.routes < other.routes
+    }
 }
 
 /// Writes one side of an exchange.
 pub fn write_exchange(exchange: &Exchange, mut to: peer_capnp::exchange::Builder<'_>) {
     to.set_digest(exchange.digest);
-    to.set_revision(exchange.revision.0);
+    to.set_revision(exchange.versions.preset.0);
+    to.set_routes_version(exchange.versions.routes.0);
+    if let Some(document) = &exchange.routes {
+        to.set_routes(document);
+    }
     if let Some(document) = &exchange.in_force
         && let Ok(written) = serde_json::to_vec(document)
     {
@@ -68,11 +92,16 @@
     } else {
         Some(serde_json::from_slice(document)?)
     };
+    let routes = from.get_routes()?;
     Ok(Exchange {
         news: read_records(from.get_news()?)?,
         digest: from.get_digest(),
-        revision: Revision(from.get_revision()),
+        versions: Versions {
+            preset: Revision(from.get_revision()),
+            routes: Version(from.get_routes_version()),
+        },
         in_force,
+        routes: (!routes.is_empty()).then(|| Arc::from(routes)),
     })
 }
 
@@ -137,7 +166,7 @@
         peer_address: read_address(from.get_peer_address()?)?,
         control_address: read_address(from.get_control_address()?)?,
         operators_address: read_address(from.get_operators_address()?)?,
-        version: Version {
+        version: membership::Version {
             incarnation: from.get_incarnation(),
             change: from.get_change(),
         },
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use mintridge_core::membership::Record;
-use mintridge_core::preset::Revision;
 use tokio::net::TcpStream;
 
+use super::codec::Versions;
 use super::{Control, codec, peer};
 use crate::peer_capnp::peer as peer_rpc;
 
@@ -128,10 +129,10 @@
         }
     };
     control.state.borrow_mut().heard_at = Some(Instant::now());
-    let (digest, revision) = (theirs.digest, theirs.revision);
+    let (digest, versions) = (theirs.digest, theirs.versions);
     take_in(control, Instant::now(), theirs);
     control.heard(asked_at);
-    give_newer(control, address, revision).await;
+    give_newer(control, address, versions).await;
     compare(control, address, digest).await;
     Ok(())
 }
@@ -149,10 +150,10 @@
     Ok(codec::read_exchange(theirs)?)
 }
 
-/// The peer is behind: it hears of our preset without waiting for the next round.
-async fn give_newer(control: &Rc<Control>, address: SocketAddr, theirs: Revision) {
-    let ours = control.state.borrow().register.current().revision;
-    if theirs >= ours {
+/// The peer is behind: it hears of what is in force here without waiting for the next round.
+async fn give_newer(control: &Rc<Control>, address: SocketAddr, theirs: Versions) {
+    let ours = control.state.borrow().versions();
+    if !theirs.is_behind(&ours) {
         return;
     }
     let within = control.context.settings.membership.answer_within;
@@ -165,7 +166,7 @@
         Ok::<(), Error>(())
     };
     if !matches!(tokio::time::timeout(within, given).await, Ok(Ok(()))) {
-        log::debug!(peer:% = address; "newer preset not given");
+        log::debug!(peer:% = address; "newer documents not given");
     }
 }
 
@@ -238,19 +239,27 @@
     Ok(client)
 }
 
-/// What this node says in an exchange; the preset only if the peer's is known older.
-pub fn compose(control: &Control, theirs: Option<Revision>) -> codec::Exchange {
+/// What this node says in an exchange; documents only if the peer's are known older.
+pub fn compose(control: &Control, theirs: Option<Versions>) -> codec::Exchange {
     let mut state = control.state.borrow_mut();
-    let current = state.register.current();
-    let revision = current.revision;
+    let versions = state.versions();
     let in_force = theirs
-        .filter(|theirs| *theirs < revision)
-        .map(|_| current.as_ref().clone());
+        .filter(|theirs| theirs.preset < versions.preset)
+        .map(|_| state.register.current().as_ref().clone());
+    let routes = theirs
+        .filter(|theirs| theirs.routes < versions.routes)
+        .and_then(|_| {
+            state
+                .routes
+                .current()
+                .map(|document| Arc::clone(&document.source))
+        });
     codec::Exchange {
         news: state.table.take_news(),
         digest: state.table.digest(),
-        revision,
+        versions,
         in_force,
+        routes,
     }
 }
 
@@ -259,5 +268,8 @@
     if let Some(document) = theirs.in_force {
         control.offer(document);
     }
+    if let Some(source) = theirs.routes {
+        control.offer_routes("peer", source);
+    }
     control.merge(now, theirs.news);
 }
--- /dev/null
+++ b/crates/node/src/control/followed.rs
@@ -0,0 +1,156 @@
+//! Documents of operators that are followed in the store: the preset in force and the
+//! routing table.
+//!
+//! The few nodes that use the store watch each document and read it beside the watch; all
+//! others learn of a change from them by exchange.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::preset::Revision;
+use mintridge_store::client::Error;
+use mintridge_store::operation::{Change, Item};
+use mintridge_store::{keys, presets};
+
+use super::Control;
+
+/// How often a node looks whether it has begun to use the store.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Pause after a failed call: several fit into the time in which a change must be in force.
+const AGAIN_AFTER: Duration = Duration::from_millis(300);
+
+/// What is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Preset,
+    Routes,
+}
+
+/// Follows the preset in force.
+pub async fn preset(control: Rc<Control>) {
+    follow(control, Kind::Preset, keys::IN_FORCE).await;
+}
+
+/// Follows the routing table, if the settings name its key.
+pub async fn routes(control: Rc<Control>) {
+    let key = control.context.settings.routes.key.clone();
+    if let Some(key) = key {
+        follow(control, Kind::Routes, &key).await;
+    }
+}
+
+async fn follow(control: Rc<Control>, kind: Kind, key: &str) {
+    let mut lost = false;
+    loop {
+        if !control.uses_store(Instant::now()) {
+            tokio::time::sleep(LOOK_EVERY).await;
+            continue;
+        }
+        let ended = read_and_watch(&control, kind, key, &mut lost).await;
+        let Err(error) = ended else { continue };
+        if !matches!(error, Error::Compacted | Error::Cut) {
+            if !lost {
+                log::warn!(key = key, error:% = error; "store lost");
+            }
+            lost = true;
+        }
+        tokio::time::sleep(AGAIN_AFTER).await;
+    }
+}
+
+/// Reads the document, then watches it until the next read is due.
+///
+/// Failure: a watch falls silent without breaking. Symptom: a change is in force nowhere.
+/// Each watch is short, and the key is read beside it at a rate that does not follow the
+/// size of the fleet.
+async fn read_and_watch(
+    control: &Rc<Control>,
+    kind: Kind,
+    key: &str,
+    lost: &mut bool,
+) -> Result<(), Error> {
+    let settings = &control.context.settings.control;
+    let asked_at = Instant::now();
+    control.context.metrics.store_call("read");
+    let (found, mut read_at) = control.store.read(key).await?;
+    if std::mem::take(lost) {
+        log::info!(key = key, revision = read_at; "store regained");
+    }
+    control.heard(asked_at);
+    take_read(control, kind, found).await;
+    let read_again_at = asked_at + settings.store_read_every;
+    while Instant::now() < read_again_at && control.uses_store(Instant::now()) {
+        control.context.metrics.store_call("watch");
+        let wait = match kind {
+            Kind::Preset => read_again_at.saturating_duration_since(Instant::now()),
+            Kind::Routes => settings.watch_for,
+        };
+        let changes = control.store.changes(key, read_at, wait).await?;
+        read_at = changes.read_at.max(read_at);
+        for change in changes.changes {
+            if let Change::Written(item) = change
+                && item.key == key
+            {
+                take(control, kind, item.value);
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn take_read(control: &Rc<Control>, kind: Kind, found: Option<Item>) {
+    let revision = found.as_ref().map_or(0, |item| item.revision);
+    let stored = found.and_then(|item| take(control, kind, item.value));
+    if kind == Kind::Preset {
+        bring_up_to_date(control, stored, revision).await;
+    }
+}
+
+/// Takes in a document; returns the revision of a preset.
+fn take(control: &Control, kind: Kind, value: Vec<u8>) -> Option<Revision> {
+    match kind {
+        Kind::Preset => take_preset(control, &value),
+        Kind::Routes => {
+            control.offer_routes("store", Arc::from(value));
+            None
+        }
+    }
+}
+
+fn take_preset(control: &Control, value: &[u8]) -> Option<Revision> {
+    match presets::parse_in_force(value) {
+        Ok(document) => {
+            let revision = document.revision;
+            control.offer(document);
+            Some(revision)
+        }
+        Err(error) => {
+            control.context.metrics.bad_input("store-value");
+            log::warn!(error:% = error; "the preset in force stays");
+            None
+        }
+    }
+}
+
+/// Puts back what is in force into a store that holds something older, or nothing of use.
+///
+/// Failure: the store comes back from before. Symptom: an operator's change is accepted
+/// under a revision that nodes have passed, and they ignore it. The swap is bound to what
+/// was read, so it undoes no change that came in between, and a store that merely answers
+/// from before refuses it.
+async fn bring_up_to_date(control: &Rc<Control>, stored: Option<Revision>, store_revision: i64) {
+    let current = Arc::clone(control.state.borrow().register.current());
+    if stored.unwrap_or_default() >= current.revision {
+        return;
+    }
+    control.context.metrics.store_call("restore");
+    match presets::restore(&control.store, &current, store_revision).await {
+        Ok(true) => {
+            let revision = current.revision.0;
+            log::warn!(revision = revision; "the store held an older preset; put back");
+        }
+        Ok(false) => log::debug!("the store holds something newer than it answered"),
+        Err(error) => log::info!(error:% = error; "older preset in the store stays"),
+    }
+}
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -1,43 +1,41 @@
 //! What a few nodes of each zone do with the store, for all the others.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mintridge_core::membership::Record;
-use mintridge_core::preset::Revision;
 use mintridge_store::client::Error;
-use mintridge_store::{keys, presets, wire};
+use mintridge_store::keys;
+use mintridge_store::operation::{Item, Put, Swap};
 
 use super::{Control, exchange};
 
-/// How often this node looks whether it has become, or ceased to be, a holder.
-const LOOK_EVERY: Duration = Duration::from_millis(500);
-/// Pause before a broken watch is opened again.
-const WATCH_AGAIN: Duration = Duration::from_millis(500);
+/// How often this node looks whether something is due.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Pause before a failed call about seeds is made again. An entry that lapsed while the store
+/// was away must be back within two seconds of its return, which holds two such pauses, a
+/// call that times out and the calls that write the entry.
+const SEEDS_AGAIN: Duration = Duration::from_millis(500);
 
-/// Reads the preset in force and keeps the seeds, as long as this node holds.
+/// Keeps the seeds, as long as this node holds.
 ///
 /// A node that hears no peer reads the store too: it may be cut off from them alone.
 pub async fn work(control: Rc<Control>) {
     let settings = &control.context.settings.control;
-    let mut read_at = Instant::now();
     let mut seeds_at = Instant::now();
     loop {
         let now = Instant::now();
-        let holder = control.state.borrow().table.is_holder();
-        let wanted = holder || control.is_isolated(now);
-        if wanted && now >= read_at {
-            read_at = now + settings.store_read_every;
-            read_in_force(&control).await;
-        }
-        if wanted && now >= seeds_at {
-            seeds_at = now + settings.seeds_every;
-            find_others(&control).await;
-            if holder {
-                keep_seed(&control).await;
-            }
+        if control.uses_store(now) && now >= seeds_at {
+            let kept = keep_seeds(&control).await;
+            let isolated = control.is_isolated(Instant::now());
+            let pause = if kept && !isolated {
+                settings.seeds_every
+            } else {
+                SEEDS_AGAIN
+            };
+            seeds_at = Instant::now() + pause;
         }
+        let holder = control.state.borrow().table.is_holder();
         if !holder && control.state.borrow().seed_lease.is_some() {
             leave(&control).await;
         }
@@ -45,103 +43,34 @@
     }
 }
 
-/// Watches the preset in force, as long as this node holds.
-pub async fn watch(control: Rc<Control>) {
-    loop {
-        if control.state.borrow().table.is_holder() {
-            control.context.metrics.store_call("watch");
-            if let Err(error) = watch_once(&control).await {
-                log::debug!(error:% = error; "watch ended");
-            }
-        }
-        tokio::time::sleep(WATCH_AGAIN).await;
-    }
-}
-
-async fn watch_once(control: &Rc<Control>) -> Result<(), Error> {
-    let mut watch = control.store.watch(keys::IN_FORCE).await?;
-    while control.state.borrow().table.is_holder() {
-        let look_again = tokio::time::sleep(LOOK_EVERY);
-        let changes = tokio::select! {
-            changes = watch.next() => changes?,
-            () = look_again => continue,
-        };
-        for change in changes {
-            take_document(control, &change.value);
-        }
-    }
-    Ok(())
-}
-
-/// Failure: a watch falls silent without breaking. Symptom: a change is in force
-/// nowhere. The holders read the key as well, at a rate that does not follow the fleet.
-async fn read_in_force(control: &Rc<Control>) {
-    let asked_at = Instant::now();
-    control.context.metrics.store_call("read");
-    let found = match control.store.get(keys::IN_FORCE).await {
-        Ok(found) => found,
-        Err(error) => {
-            log::info!(error:% = error; "store not read");
-            return;
-        }
-    };
-    let (stored, mod_revision) = match &found {
-        Some(found) => (take_document(control, &found.value), found.mod_revision),
-        None => (None, 0),
-    };
-    control.heard(asked_at);
-    bring_up_to_date(control, stored, mod_revision).await;
-}
-
-/// Takes in a document, and returns its revision if it is one.
-fn take_document(control: &Control, value: &[u8]) -> Option<Revision> {
-    match presets::parse_in_force(value) {
-        Ok(document) => {
-            let revision = document.revision;
-            control.offer(document);
-            Some(revision)
-        }
-        Err(error) => {
-            control.context.metrics.bad_input("store-value");
-            log::warn!(error:% = error; "the preset in force stays");
-            None
-        }
-    }
-}
-
-/// Puts back what is in force into a store that holds something older, or nothing of use.
-///
-/// Failure: the store comes back from before. Symptom: an operator's change is accepted
-/// under a revision that nodes have passed, and they ignore it. The swap is bound to what
-/// was read, so it undoes no change that came in between, and a store that merely answers
-/// from before refuses it.
-async fn bring_up_to_date(control: &Rc<Control>, stored: Option<Revision>, mod_revision: i64) {
-    let current = Arc::clone(control.state.borrow().register.current());
-    if stored.unwrap_or_default() >= current.revision {
-        return;
-    }
-    control.context.metrics.store_call("restore");
-    match presets::restore(&control.store, &current, mod_revision).await {
-        Ok(true) => {
-            let revision = current.revision.0;
-            log::warn!(revision = revision; "the store held an older preset; put back");
-        }
-        Ok(false) => log::debug!("the store holds something newer than it answered"),
-        Err(error) => log::info!(error:% = error; "older preset in the store stays"),
+/// Finds others and renews this node's entry; false if the store failed.
+async fn keep_seeds(control: &Rc<Control>) -> bool {
+    let listed = find_others(control).await;
+    let holder = control.state.borrow().table.is_holder();
+    if !holder {
+        return listed;
     }
+    keep_seed(control).await && listed
 }
 
 /// Reads the seeds and joins those not known yet, which also merges two fleets that
 /// found themselves apart.
-async fn find_others(control: &Rc<Control>) {
+///
+/// Failure: the store takes entries away without ending their leases. Symptom: a node
+/// renews its lease and can no longer be found. Its own entry must be in the list.
+async fn find_others(control: &Rc<Control>) -> bool {
     control.context.metrics.store_call("seeds");
     let found = match control.store.list(keys::SEEDS).await {
         Ok(found) => found,
         Err(error) => {
             log::info!(error:% = error; "seeds not read");
-            return;
+            return false;
         }
     };
+    let own_key = keys::seed(control.context.server());
+    if !found.iter().any(|item| item.key == own_key) {
+        control.state.borrow_mut().seed_lease = None;
+    }
     for record in found.iter().filter_map(|found| parse_seed(control, found)) {
         if knows(control, &record) {
             continue;
@@ -150,13 +79,14 @@
             log::debug!(server = &*record.server, error:% = error; "seed not joined");
         }
     }
+    true
 }
 
-fn parse_seed(control: &Control, found: &wire::KeyValue) -> Option<Record> {
+fn parse_seed(control: &Control, found: &Item) -> Option<Record> {
     let parsed = serde_json::from_slice(&found.value);
     if parsed.is_err() {
         control.context.metrics.bad_input("store-value");
-        log::warn!(key:% = String::from_utf8_lossy(&found.key); "seed does not parse");
+        log::warn!(key = &*found.key; "seed does not parse");
     }
     parsed.ok()
 }
@@ -167,19 +97,29 @@
     known.any(|known| known.server == record.server)
 }
 
-/// Writes or renews this node's entry among the seeds.
-async fn keep_seed(control: &Rc<Control>) {
+/// Writes or renews this node's entry among the seeds; false if the store failed.
+async fn keep_seed(control: &Rc<Control>) -> bool {
     let lease = control.state.borrow().seed_lease;
     if let Some(lease) = lease {
         control.context.metrics.store_call("lease");
         match control.store.keep_alive(lease).await {
-            Ok(true) | Err(_) => return,
+            Ok(true) => return true,
             Ok(false) => control.state.borrow_mut().seed_lease = None,
+            Err(error) => {
+                log::info!(error:% = error; "seed not renewed");
+                return false;
+            }
         }
     }
     match write_seed(control).await {
-        Ok(lease) => control.state.borrow_mut().seed_lease = Some(lease),
-        Err(error) => log::info!(error:% = error; "seed not written"),
+        Ok(lease) => {
+            control.state.borrow_mut().seed_lease = Some(lease);
+            true
+        }
+        Err(error) => {
+            log::info!(error:% = error; "seed not written");
+            false
+        }
     }
 }
 
@@ -188,18 +128,18 @@
     let time_to_live = control.context.settings.control.seed_time_to_live;
     control.context.metrics.store_call("lease");
     let lease = control.store.grant(time_to_live).await?;
-    let put = wire::Put {
-        key: keys::seed(&own.server).into(),
+    let put = Put {
+        key: keys::seed(&own.server),
         value: serde_json::to_vec(&own)?,
-        lease: lease.id,
+        lease,
     };
-    let txn = wire::Txn {
-        success: vec![wire::Operation::Put(put)],
-        ..wire::Txn::default()
+    let swap = Swap {
+        puts: vec![put],
+        ..Swap::default()
     };
     control.context.metrics.store_call("seed");
-    control.store.txn(&txn).await?;
-    Ok(lease.id)
+    control.store.swap(&swap).await?;
+    Ok(lease)
 }
 
 /// Takes this node's entry out of the seeds.
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -83,9 +83,9 @@
         let now = Instant::now();
         let theirs = codec::read_exchange(params.get()?.get_ours()?)
             .inspect_err(|_| self.control.context.metrics.bad_input("control"))?;
-        let revision = theirs.revision;
+        let versions = theirs.versions;
         exchange::take_in(&self.control, now, theirs);
-        let ours = exchange::compose(&self.control, Some(revision));
+        let ours = exchange::compose(&self.control, Some(versions));
         codec::write_exchange(&ours, results.get().init_theirs());
         Ok(())
     }
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -12,7 +12,7 @@
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
 
-use crate::announcement::Announcement;
+use crate::announcement::Heard;
 use crate::claims::Job;
 use crate::context::Context;
 use crate::{announcement, claims, control, entry, guard, operators};
@@ -34,7 +34,7 @@
     /// For operators.
     pub operators: Socket,
     /// Receiving end of the ring to the guard.
-    pub announced: mpsc::Receiver<Announcement>,
+    pub announced: mpsc::Receiver<Heard>,
     /// Receiving end of the ring to the claims thread.
     pub jobs: mpsc::Receiver<Job>,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,20 +13,21 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Outcome, Reason, Refusal};
 use mintridge_core::placement::{Ending, Placement};
 use mintridge_core::retry::{self, Progress};
 use mintridge_http::handler::{Answer, Function};
-use mintridge_http::{Body, problem, reply, server};
+use mintridge_http::problem::{self, Precision};
+use mintridge_http::{Body, reply, server};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
 use self::attempt::{Attempt, attempt};
 use self::candidates::candidates;
-use crate::arrival;
+use crate::arrival::{self, Routing};
 use crate::body::Held;
 use crate::claims::Job;
 use crate::context::{Context, View};
@@ -88,6 +89,10 @@
     claimed: bool,
     /// Whether any attempt so far may have run.
     may_have_run: bool,
+    /// Attempts that reached an upstream.
+    handed: u32,
+    /// A failure that an upstream answered, told if no further attempt does better.
+    failure: Option<(Response<Incoming>, Placed)>,
 }
 
 /// Serves callers until the node closes their listener.
@@ -98,6 +103,7 @@
     tokio::spawn(publish_often(Arc::clone(&entry)));
     let limits = server::Limits {
         connections: context.settings.callers.connections_most,
+        header_within: context.settings.callers.header_within,
         ..server::Limits::default()
     };
     let handler = Function::new(entry, |entry, request| -> Answer {
@@ -149,14 +155,27 @@
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let settings = &entry.context.settings.callers;
-    let read = match arrival::read(settings, now, Arc::clone(&number), &parts) {
-        Ok(read) => read,
-        Err(error) => {
-            entry.context.metrics.bad_input("caller-request");
-            log::info!(request = &*number, error:% = error; "request not taken");
-            let refusal = Refusal::not_run(Reason::BadRequest, now);
+    let number = match arrival::request_id(settings, &number, &parts.headers) {
+        Ok(id) => id,
+        Err(error) => return entry.refuse_malformed(now, error, &number),
+    };
+    let routes = entry.context.latest.routes.borrow().clone();
+    let routing = match &routes {
+        Some(document) => Routing::Table {
+            table: &document.table,
+            count: entry.next_number.load(Ordering::Relaxed),
+        },
+        None if entry.context.settings.routes.key.is_some() => {
+            let refusal = Refusal::not_run(Reason::Unconfigured, now + NO_UPSTREAM_RETRY);
             return entry.refuse(&refusal, &number);
         }
+        None => Routing::Named {
+            attempts: entry.context.settings.retry.attempts,
+        },
+    };
+    let read = match arrival::read(settings, now, Arc::clone(&number), &parts, routing) {
+        Ok(read) => read,
+        Err(error) => return entry.refuse_malformed(now, error, &number),
     };
     let journey = Journey {
         request: read,
@@ -165,6 +184,8 @@
         tried: Vec::new(),
         claimed: false,
         may_have_run: false,
+        handed: 0,
+        failure: None,
     };
     travel(&entry, journey).await
 }
@@ -175,11 +196,12 @@
         let Some(mut placed) = entry.place(&mut journey) else {
             let retry_at = Instant::now() + NO_UPSTREAM_RETRY;
             let none = Refusal::not_run(Reason::NoUpstream, retry_at);
-            return entry.give_up(&journey, none);
+            return entry.give_up(journey, none);
         };
         match attempt(entry, &journey, &mut placed).await {
             Attempt::Answered(response) => {
-                if !is_overloaded(&response) {
+                journey.handed += 1;
+                if !entry.is_failure(&response) {
                     return entry.pass_on(response, placed, &journey);
                 }
                 placed.ending = Ending::Avoid;
@@ -187,6 +209,7 @@
                     return entry.pass_on(response, placed, &journey);
                 }
                 journey.may_have_run = true;
+                journey.failure = Some((response, placed));
             }
             Attempt::Refused {
                 refusal,
@@ -196,26 +219,21 @@
                 let may_have_run = progress == Progress::MayHaveRun;
                 journey.claimed |= claimed;
                 journey.may_have_run |= may_have_run;
-                let elsewhere = may_have_run || refusal.reason.is_local();
-                if !elsewhere || !entry.may_retry(&journey, progress) {
-                    return entry.give_up(&journey, refusal);
+                let again = if refusal.spared_upstreams() {
+                    refusal.reason.is_local() && entry.may_place_again(&journey)
+                } else {
+                    journey.handed += 1;
+                    let elsewhere = may_have_run || refusal.reason.is_local();
+                    elsewhere && entry.may_retry(&journey, progress)
+                };
+                if !again {
+                    return entry.give_up(journey, refusal);
                 }
             }
         }
     }
 }
 
-/// Whether an upstream's answer says that it cannot serve at the moment.
-///
-/// One that says when to come back was refused deeper down, or by its own choice: it is
-/// passed on, so that a refusal at depth is not tried again at every level above.
-fn is_overloaded(response: &Response<Incoming>) -> bool {
-    let status = response.status();
-    let unavailable =
-        status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::BAD_GATEWAY;
-    unavailable && !response.headers().contains_key(RETRY_AFTER)
-}
-
 impl Entry {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
@@ -230,6 +248,39 @@
         }
     }
 
+    /// Whether an upstream's answer says that it cannot serve this time.
+    ///
+    /// One that says when to come back was refused deeper down, or by its own choice: it is
+    /// passed on, so that a refusal at depth is not tried again at every level above.
+    fn is_failure(&self, response: &Response<Incoming>) -> bool {
+        let status = response.status().as_u16();
+        let listed = self.context.settings.retry.on_statuses.contains(&status);
+        listed && !response.headers().contains_key(RETRY_AFTER)
+    }
+
+    fn refuse_malformed(
+        &self,
+        now: Instant,
+        error: arrival::Malformed,
+        number: &str,
+    ) -> Response<Body> {
+        self.context.metrics.bad_input("caller-request");
+        log::info!(request = number, error:% = error; "request not taken");
+        self.refuse(&Refusal::not_run(error.reason(), now), number)
+    }
+
+    /// Whether a request that no upstream has seen may go to another server.
+    fn may_place_again(&self, journey: &Journey) -> bool {
+        let head = &journey.request.head;
+        let placements = u32::try_from(journey.tried.len()).unwrap_or(u32::MAX);
+        let now = Instant::now();
+        retry::may_place_again(&self.context.settings.retry, now, head.deadline, placements)
+            && self
+                .placement
+                .lock()
+                .has_untried(&head.service, &journey.tried)
+    }
+
     /// Number of a request within the fleet: server, its start, and a count.
     fn number(&self) -> Arc<str> {
         let count = self.next_number.fetch_add(1, Ordering::Relaxed);
@@ -279,15 +330,17 @@
         if !self.placement.lock().has_untried(service, &journey.tried) {
             return false;
         }
-        let attempts = u32::try_from(journey.tried.len()).unwrap_or(u32::MAX);
+        if journey.handed >= request.attempts {
+            return false;
+        }
         let deadline = request.head.deadline;
         let allowed = self.with_budget(&request.head.service, |budget| {
             budget.may_retry(
                 Instant::now(),
                 deadline,
-                attempts,
+                journey.handed,
                 progress,
-                request.repeatable,
+                request.head.repeatable,
             )
         });
         if allowed {
@@ -330,7 +383,10 @@
     /// Failure: a repeatable request runs on one server, breaks, and is refused by the
     /// next. Symptom: its caller is told of the last refusal alone, "not run", which is
     /// false. What any attempt may have done decides.
-    fn give_up(&self, journey: &Journey, refusal: Refusal) -> Response<Body> {
+    fn give_up(&self, mut journey: Journey, refusal: Refusal) -> Response<Body> {
+        if let Some((response, placed)) = journey.failure.take() {
+            return self.pass_on(response, placed, &journey);
+        }
         let head = &journey.request.head;
         let refusal = if journey.may_have_run {
             Refusal::unknown(refusal.reason, refusal.retry_at)
@@ -358,7 +414,13 @@
         );
         self.context.metrics.refusal(refusal);
         let server = self.context.server();
-        problem::response(Instant::now(), refusal, server, number)
+        let fractions = self.context.settings.callers.retry_after_fractions;
+        let precision = if fractions {
+            Precision::Millis
+        } else {
+            Precision::Seconds
+        };
+        problem::response(Instant::now(), refusal, server, number, precision)
     }
 
     /// Shows operators what this entry knows of the upstreams.
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -12,6 +12,7 @@
 use mintridge_http::{Body, problem};
 
 use super::{Entry, Journey, Placed};
+use crate::context::Context;
 use crate::{headers, link, traces};
 
 /// How one attempt ended.
@@ -35,7 +36,7 @@
     let request = journey
         .source
         .replay()
-        .and_then(|body| build(now, journey, Body::new(body)));
+        .and_then(|body| build(&entry.context, now, journey, Body::new(body)));
     let (Some(address), Some(request)) = (address, request) else {
         placed.ending = Ending::Avoid;
         return never_sent(now, Reason::NoUpstream);
@@ -63,7 +64,7 @@
     }
 }
 
-fn build(now: Instant, journey: &Journey, body: Body) -> Option<Request<Body>> {
+fn build(context: &Context, now: Instant, journey: &Journey, body: Body) -> Option<Request<Body>> {
     let mut request = Request::new(body);
     *request.method_mut() = journey.parts.method.clone();
     *request.uri_mut() = peer_uri(&journey.parts)?;
@@ -71,6 +72,10 @@
     fields.clone_from(&journey.parts.headers);
     headers::strip_hop_by_hop(fields);
     headers::strip_own(fields);
+    let callers = &context.settings.callers;
+    if let Some(name) = &callers.origin_header {
+        headers::set(fields, name, &callers.origin);
+    }
     headers::write(now, &journey.request.head, fields);
     traces::inject(fields);
     Some(request)
@@ -109,7 +114,7 @@
         return Attempt::Answered(response);
     };
     placed.ending = match refusal.reason {
-        Reason::Busy | Reason::Deadline | Reason::Duplicate => Ending::Full,
+        Reason::Busy | Reason::Deadline | Reason::Duplicate | Reason::Shed => Ending::Full,
         _ => Ending::Avoid,
     };
     Attempt::Refused {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -14,41 +14,44 @@
 use fastrace::future::FutureExt as _;
 use http_body_util::Empty;
 use hyper::header::HOST;
-use hyper::http::uri::Scheme;
 use hyper::{Request, Response, StatusCode, Uri, Version};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioExecutor;
 use mintridge_core::admission::{Action, Admission, Answer as Begun};
 use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
 use mintridge_core::gate::Gate;
 use mintridge_core::health::{Health, Verdict};
+use mintridge_core::instance;
 use mintridge_core::membership;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::preset::Preset;
 use mintridge_core::probe;
 use mintridge_core::request::Id;
 use mintridge_http::handler::{Answer, Function};
-use mintridge_http::{Body, problem, reply, server};
+use mintridge_http::problem::{self, Precision};
+use mintridge_http::{Body, reply, server};
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use self::slot::{Slot, admit};
-use crate::announcement::Announcement;
+use crate::announcement::{Announcement, Heard};
+use crate::arrival::ANONYMOUS;
 use crate::body::Held;
 use crate::claims::Job;
 use crate::context::{Context, Guarded};
 use crate::headers::{self, Head};
 use crate::link::CHECK_PATH;
 use crate::traces;
+use crate::upstream::{self, Received, Upstream};
 
 /// Everything the guard's requests share.
 struct Guard {
     context: Arc<Context>,
     state: Mutex<State>,
     queued: Notify,
-    client: Client<HttpConnector, Body>,
+    upstream: Upstream,
     prober: Client<HttpConnector, Empty<Bytes>>,
 }
 
@@ -58,6 +61,7 @@
     health: Health,
     budget: probe::Budget,
     announcement: Option<Announcement>,
+    instance: instance::Register,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
 }
@@ -66,7 +70,7 @@
 pub async fn run(
     context: Arc<Context>,
     listener: TcpListener,
-    announcements: mpsc::Receiver<Announcement>,
+    announcements: mpsc::Receiver<Heard>,
 ) {
     let guard = Arc::new(Guard::new(Arc::clone(&context)));
     follow::start(&guard, announcements);
@@ -128,23 +132,27 @@
     let address = guard.check_hand_over(handed_at, head)?;
     let mut request = request;
     let in_left = head.deadline.saturating_duration_since(handed_at);
-    guard.prepare(&mut request, address, head, in_left);
+    guard.prepare(&mut request, head, in_left);
     let span = Span::enter_with_local_parent("upstream");
-    let handed = guard.client.request(request).in_span(span);
+    let handed = guard.upstream.send(address, request).in_span(span);
     let answered = tokio::time::timeout_at(head.deadline.into(), handed).await;
     let now = Instant::now();
-    let response = match answered {
-        Ok(Ok(response)) => response,
+    let (mut parts, body) = match answered {
+        Ok(Ok(Received::Answer(parts, body))) => (parts, body),
+        Ok(Ok(Received::NotRun {
+            instance,
+            misdirected,
+            ..
+        })) => return Err(guard.not_executed(now, slot.id, instance.as_ref(), misdirected)),
         Ok(Err(error)) => return Err(guard.failed(now, &error)),
         Err(_) => return Err(guard.silent(now, in_left)),
     };
-    guard.answered(now, slot.id, response.status(), now - handed_at);
-    let (mut parts, body) = response.into_parts();
+    guard.answered(now, slot.id, parts.status, now - handed_at);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_own(&mut parts.headers);
     headers::write_load(&guard.state.lock().admission.report(), &mut parts.headers);
     let idle = guard.context.settings.callers.body_idle;
-    let body = Held::new(reply::from_incoming(body), slot, idle);
+    let body = Held::new(body, slot, idle);
     Ok(Response::from_parts(parts, Body::new(body)))
 }
 
@@ -156,14 +164,6 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(settings.guard.connect_within));
-        let client = Client::builder(TokioExecutor::new())
-            .timer(TokioTimer::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(settings.guard.idle_connections_for)
-            .pool_max_idle_per_host(settings.guard.idle_connections_most)
-            // A request that may have reached the upstream is never sent again from here.
-            .retry_canceled_requests(false)
-            .build(connector.clone());
         let prober = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .build(connector);
@@ -174,11 +174,12 @@
                 health: Health::new(settings.health.clone()),
                 budget: probe::Budget::new(settings.probe.clone(), share, now),
                 announcement: None,
+                instance: instance::Register::default(),
                 waiters: HashMap::new(),
                 next_id: 0,
             }),
             queued: Notify::new(),
-            client,
+            upstream: Upstream::new(settings, context.adapter.load),
             prober,
             context,
         }
@@ -237,27 +238,27 @@
         if let Some(reason) = state.gate.check_hand_over(now) {
             return Err(state.admission.refusal(now, reason));
         }
+        let names_instance = self
+            .context
+            .settings
+            .upstream
+            .expected_instance_header
+            .is_some();
+        if names_instance && state.instance.current().is_none() {
+            return Err(state.admission.refusal(now, Reason::Unannounced));
+        }
         match &state.announcement {
             Some(announcement) => Ok(announcement.address),
             None => Err(state.admission.refusal(now, Reason::Unannounced)),
         }
     }
 
-    /// Turns a peer's request into the upstream's: its address, its host, and what a
+    /// Turns a peer's request into the upstream's: its path alone, its host, and what a
     /// deeper call needs to pass on.
-    fn prepare(
-        &self,
-        request: &mut Request<Body>,
-        address: SocketAddr,
-        head: &Head,
-        left: Duration,
-    ) {
+    fn prepare(&self, request: &mut Request<Body>, head: &Head, left: Duration) {
         let host = request.uri().authority().map(ToString::to_string);
-        let mut uri = request.uri().clone().into_parts();
-        uri.scheme = Some(Scheme::HTTP);
-        uri.authority = address.to_string().parse().ok();
-        if let Ok(uri) = Uri::from_parts(uri) {
-            *request.uri_mut() = uri;
+        if let Some(path) = request.uri().path_and_query().cloned() {
+            *request.uri_mut() = Uri::from(path);
         }
         *request.version_mut() = Version::HTTP_11;
         let fields = request.headers_mut();
@@ -266,19 +267,53 @@
             fields.entry(HOST).or_insert(host);
         }
         let names = &self.context.settings.callers;
-        headers::set(fields, &names.customer_header, &head.customer);
+        if &*head.customer != ANONYMOUS {
+            headers::set(fields, &names.customer_header, &head.customer);
+        }
+        let expected = &self.context.settings.upstream.expected_instance_header;
+        let instance = self.state.lock().instance.current().cloned();
+        if let (Some(name), Some(instance)) = (expected, instance) {
+            headers::set(fields, name, &instance);
+        }
         headers::set(fields, &names.timeout_header, &left.as_millis().to_string());
         traces::inject(fields);
     }
 
     /// The upstream gave no answer: what that proves.
-    fn failed(&self, now: Instant, error: &hyper_util::client::legacy::Error) -> Refusal {
+    fn failed(&self, now: Instant, error: &upstream::Error) -> Refusal {
         self.judge(now, Some(Verdict::Failed));
-        if error.is_connect() {
-            return self.not_run(Reason::Unreachable);
+        log::info!(error:% = error; "no answer of the upstream");
+        match error {
+            upstream::Error::NeverSent => self.not_run(Reason::Unreachable),
+            upstream::Error::Broken(_) => self.unknown(now, Reason::LinkLost),
+            upstream::Error::Foreign => self.unknown(now, Reason::ForeignAnswer),
+        }
+    }
+
+    /// The upstream said itself that it did not run the request.
+    fn not_executed(
+        &self,
+        now: Instant,
+        id: Id,
+        found: Option<&Arc<str>>,
+        misdirected: bool,
+    ) -> Refusal {
+        let mut state = self.state.lock();
+        if !misdirected {
+            state.admission.answered(now, id, Begun::Shed);
+            return state.admission.refusal(now, Reason::Shed);
         }
-        log::info!(error:% = error; "upstream broke off before its answer");
-        self.unknown(now, Reason::LinkLost)
+        let expected = state.instance.current().cloned();
+        if let Some(found) = found {
+            state.instance.found(found);
+        }
+        state.announcement = None;
+        log::warn!(
+            expected:? = expected,
+            found:? = found;
+            "another instance of the upstream stands at its address"
+        );
+        state.admission.refusal(now, Reason::Misdirected)
     }
 
     /// The upstream did not answer by the deadline.
@@ -345,7 +380,8 @@
             reason = refusal.reason.as_str();
             "refused"
         );
-        let mut response = problem::response(Instant::now(), refusal, server, request);
+        let now = Instant::now();
+        let mut response = problem::response(now, refusal, server, request, Precision::Millis);
         let report = self.state.lock().admission.report();
         headers::write_load(&report, response.headers_mut());
         if claimed {
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -3,17 +3,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use mintridge_core::instance;
 use tokio::sync::mpsc;
 
 use super::Guard;
-use crate::announcement::{Announcement, State as Announced};
+use crate::announcement::{Announcement, Heard, State as Announced};
 use crate::context::Stage;
 
 /// How often the gate's timer runs and the state is shown to the other duties.
 pub const TICK: Duration = Duration::from_millis(100);
 
 /// Starts the tasks.
-pub fn start(guard: &Arc<Guard>, announcements: mpsc::Receiver<Announcement>) {
+pub fn start(guard: &Arc<Guard>, announcements: mpsc::Receiver<Heard>) {
     tokio::spawn(take_announcements(Arc::clone(guard), announcements));
     tokio::spawn(follow_view(Arc::clone(guard)));
     tokio::spawn(follow_stage(Arc::clone(guard)));
@@ -22,18 +23,56 @@
     tokio::spawn(tick(Arc::clone(guard)));
 }
 
-async fn take_announcements(guard: Arc<Guard>, mut ring: mpsc::Receiver<Announcement>) {
-    while let Some(announcement) = ring.recv().await {
+async fn take_announcements(guard: Arc<Guard>, mut ring: mpsc::Receiver<Heard>) {
+    while let Some(heard) = ring.recv().await {
+        match heard {
+            Heard::Announced(announcement) => guard.announced(announcement),
+            Heard::Left { instance } => guard.left(&instance),
+        }
+        guard.publish();
+        guard.pump();
+    }
+}
+
+impl Guard {
+    fn announced(&self, announcement: Announcement) {
         let now = Instant::now();
-        let mut state = guard.state.lock();
+        let mut state = self.state.lock();
+        let before = state.instance.current().cloned();
+        let verdict = state
+            .instance
+            .heard(&announcement.instance, announcement.sequence);
+        if verdict == instance::Verdict::Outdated {
+            log::info!(
+                instance = &*announcement.instance,
+                sequence = announcement.sequence;
+                "outdated announcement changes nothing"
+            );
+            return;
+        }
+        if before.as_ref() != Some(&announcement.instance) {
+            log::info!(
+                instance = &*announcement.instance,
+                service = &*announcement.service,
+                slots = announcement.slots;
+                "upstream announced itself"
+            );
+        }
         state
             .gate
             .announced(now, announcement.state == Announced::Draining);
         state.admission.set_slots(announcement.slots.max(1));
         state.announcement = Some(announcement);
-        drop(state);
-        guard.publish();
-        guard.pump();
+    }
+
+    fn left(&self, instance: &Arc<str>) {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let verdict = state.instance.left(instance);
+        log::info!(instance = &**instance, verdict:? = verdict; "upstream says goodbye");
+        if verdict == instance::Verdict::Current {
+            state.gate.announced(now, true);
+        }
     }
 }
 
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -17,6 +17,12 @@
 const LEFT: HeaderName = HeaderName::from_static("mintridge-left-us");
 /// Number of the request, given by the entry node.
 const REQUEST: HeaderName = HeaderName::from_static("mintridge-request");
+/// Rank of the request; 0 is the most urgent.
+const PRIORITY: HeaderName = HeaderName::from_static("mintridge-priority");
+/// Time left until the answer is worth less to the caller, in microseconds.
+const TARGET: HeaderName = HeaderName::from_static("mintridge-target-us");
+/// Present on a request that may run more than once.
+const REPEATABLE: HeaderName = HeaderName::from_static("mintridge-repeatable");
 /// Digest of service, customer and idempotency key, if a claim is needed.
 const CLAIM: HeaderName = HeaderName::from_static("mintridge-claim");
 /// Load of the upstream that answered, a [`Report`] in JSON.
@@ -49,6 +55,13 @@
     pub request: Arc<str>,
     /// The claim that must be granted before the request is handed over.
     pub claim: Option<Claim>,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The answer is worth less after this instant.
+    pub target: Instant,
+    /// Whether running it twice does no harm: its route or method is idempotent, and its
+    /// caller did not ask for at most one run by sending a key.
+    pub repeatable: bool,
 }
 
 /// A header between nodes is missing or malformed.
@@ -69,6 +82,12 @@
     if let Some(claim) = &head.claim {
         insert(headers, CLAIM, &claim.key.0);
     }
+    insert(headers, PRIORITY, &head.priority.to_string());
+    let target = head.target.saturating_duration_since(now);
+    insert(headers, TARGET, &target.as_micros().to_string());
+    if head.repeatable {
+        headers.insert(REPEATABLE, HeaderValue::from_static("yes"));
+    }
 }
 
 /// Reads the head from the headers of a request of a peer.
@@ -77,12 +96,7 @@
 /// If a header is missing or malformed.
 pub fn read(now: Instant, headers: &HeaderMap) -> Result<Head, Malformed> {
     let request: Arc<str> = Arc::from(required(headers, REQUEST)?);
-    let left = required(headers, LEFT)?
-        .parse()
-        .map_err(|_| Malformed { name: LEFT })?;
-    let deadline = now
-        .checked_add(Duration::from_micros(left))
-        .ok_or(Malformed { name: LEFT })?;
+    let deadline = instant(now, headers, LEFT)?;
     let claim = text(headers, CLAIM).map(|key| Claim {
         key: Key(Arc::from(key)),
         mark: Mark(Arc::clone(&request)),
@@ -93,9 +107,23 @@
         deadline,
         request,
         claim,
+        priority: required(headers, PRIORITY)?
+            .parse()
+            .map_err(|_| Malformed { name: PRIORITY })?,
+        target: instant(now, headers, TARGET)?,
+        repeatable: headers.contains_key(REPEATABLE),
     })
 }
 
+/// The instant that lies so many microseconds ahead.
+fn instant(now: Instant, headers: &HeaderMap, name: HeaderName) -> Result<Instant, Malformed> {
+    let micros = required(headers, name.clone())?
+        .parse()
+        .map_err(|_| Malformed { name: name.clone() })?;
+    now.checked_add(Duration::from_micros(micros))
+        .ok_or(Malformed { name })
+}
+
 /// Attaches a load report to a response to a peer.
 pub fn write_load(report: &Report, headers: &mut HeaderMap) {
     if let Ok(written) = serde_json::to_string(report) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! date; [`operators`] answers people and their tools. Decisions are made in
 //! `mintridge-core`; here are the sockets, threads and timers round it.
 
+pub mod adapter;
 pub mod announcement;
 pub mod arrival;
 pub mod body;
@@ -24,6 +25,7 @@
 pub mod control;
 pub mod duties;
 pub mod entry;
+mod flags;
 pub mod guard;
 pub mod headers;
 pub mod link;
@@ -31,9 +33,11 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod program;
 pub mod replay;
 pub mod settings;
 pub mod traces;
+pub mod upstream;
 
 #[allow(clippy::all, clippy::pedantic, missing_docs)]
 #[rustfmt::skip]
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,91 +1,10 @@
 //! `mintridge-node`: the process beside each upstream.
 
-mod flags;
-
 use std::process::ExitCode;
-use std::sync::Arc;
-
-use mintridge_node::context::Context;
-use mintridge_node::{logs, node, settings};
-use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Exit code for wrong arguments or settings.
-const EXIT_SETTINGS: u8 = 2;
-/// Exit code for a node that could not start.
-const EXIT_START: u8 = 3;
-/// Exit code after a second signal cut requests in progress.
-const EXIT_CUT: u8 = 4;
+use mintridge_node::adapter::Adapter;
+use mintridge_node::program;
 
 fn main() -> ExitCode {
-    let arguments = flags::MintridgeNode::from_env_or_exit();
-    let settings = match settings::load(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{}", error.current_context());
-            return ExitCode::from(EXIT_SETTINGS);
-        }
-    };
-    if arguments.check {
-        println!("{}: good", arguments.settings.display());
-        return ExitCode::SUCCESS;
-    }
-    logs::start(&settings.logs);
-    match node::start(settings) {
-        Ok(node) => run(node),
-        Err(error) => {
-            eprintln!("{error:?}");
-            ExitCode::from(EXIT_START)
-        }
-    }
-}
-
-/// Waits for a signal and stops as planned; a second signal ends at once.
-fn run(node: node::Node) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let Ok(runtime) = runtime else {
-        return ExitCode::from(EXIT_START);
-    };
-    let context = Arc::clone(node.context());
-    runtime.block_on(async {
-        let (Ok(mut terminate), Ok(mut interrupt)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-        ) else {
-            return ExitCode::from(EXIT_START);
-        };
-        next(&mut terminate, &mut interrupt).await;
-        let stopping = tokio::task::spawn_blocking(move || node.stop());
-        tokio::select! {
-            _ = stopping => ExitCode::SUCCESS,
-            () = next(&mut terminate, &mut interrupt) => cut(&context),
-        }
-    })
-}
-
-async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
-
-/// Ends the process, telling what is lost.
-fn cut(context: &Context) -> ! {
-    let load = context.latest.guarded.borrow().load;
-    let outstanding: u32 = context
-        .latest
-        .seen
-        .borrow()
-        .iter()
-        .map(|s| s.outstanding)
-        .sum();
-    log::error!(
-        upstream_in_flight = load.in_flight,
-        upstream_queued = load.queued,
-        callers_in_progress = outstanding;
-        "ended by a second signal; these requests were cut"
-    );
-    std::process::exit(i32::from(EXIT_CUT))
+    program::run(Adapter::default())
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,8 +7,10 @@
 use std::time::{Duration, Instant};
 
 use error_stack::{Report, ResultExt};
+use socket2::{Domain, Type};
 use tokio::sync::{mpsc, watch};
 
+use crate::adapter::Adapter;
 use crate::context::{Addresses, Context, Guarded, Latest, Rings, Stage, View, unix_millis};
 use crate::duties::{self, Duty, Inputs, Socket};
 use crate::metrics::Metrics;
@@ -45,8 +47,9 @@
 ///
 /// # Errors
 /// If an address cannot be listened on or a thread not started.
-pub fn start(settings: Settings) -> Result<Node, Report<Error>> {
+pub fn start(settings: Settings, adapter: Adapter) -> Result<Node, Report<Error>> {
     let listeners = &settings.listeners;
+    let listen = |address, purpose| listen(address, purpose, listeners.backlog);
     let callers = listen(listeners.callers, "callers")?;
     let peers = listen(listeners.peers, "peers")?;
     let control = listen(listeners.control, "control")?;
@@ -70,6 +73,7 @@
     }
     let context = Arc::new(Context {
         settings,
+        adapter,
         addresses,
         incarnation: unix_millis(),
         metrics: Metrics::default(),
@@ -101,6 +105,7 @@
 fn latest() -> Latest {
     Latest {
         view: watch::Sender::new(Arc::new(View::default())),
+        routes: watch::Sender::new(None),
         upstream: watch::Sender::new(None),
         guarded: watch::Sender::new(Guarded::default()),
         seen: watch::Sender::new(Vec::new()),
@@ -109,13 +114,23 @@
     }
 }
 
+/// Opens a listening socket.
+///
+/// Failure: many callers connect within a few milliseconds while the thread is busy.
+/// Symptom: with the standard library's queue of 128 the system drops opening packets, and
+/// those callers wait a second for the next one. The queue is as long as the settings say.
 fn listen(
     address: SocketAddr,
     purpose: &'static str,
+    backlog: i32,
 ) -> Result<(Socket, SocketAddr), Report<Error>> {
     let opened = || -> io::Result<(Socket, SocketAddr)> {
-        let socket = Socket::bind(address)?;
+        let socket = socket2::Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(backlog)?;
+        let socket = Socket::from(socket);
         let bound = socket.local_addr()?;
         Ok((socket, bound))
     };
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -16,6 +16,8 @@
 pub const HEALTH: &str = "/health";
 /// Path that answers 200 while the node lets requests through to its upstream.
 pub const READY: &str = "/ready";
+/// Path that answers 200 while callers may send requests to the node.
+pub const ACCEPTING: &str = "/accepting";
 /// Path of the counters in the Prometheus text format.
 pub const METRICS: &str = "/metrics";
 /// Path of the whole state, a [`Status`] in JSON.
@@ -53,9 +55,13 @@
     match request.uri().path() {
         HEALTH => reply::text(StatusCode::OK, "working\n"),
         READY => ready(context),
+        ACCEPTING => accepting(context),
         METRICS => metrics(context),
         STATE => reply::json(StatusCode::OK, &status(context)),
-        _ => reply::text(StatusCode::NOT_FOUND, "/health /ready /metrics /state\n"),
+        _ => reply::text(
+            StatusCode::NOT_FOUND,
+            "/health /ready /accepting /metrics /state\n",
+        ),
     }
 }
 
@@ -69,6 +75,13 @@
     }
 }
 
+fn accepting(context: &Context) -> Response<Body> {
+    if context.accepts_callers() {
+        return reply::text(StatusCode::OK, "accepting\n");
+    }
+    reply::text(StatusCode::SERVICE_UNAVAILABLE, "not accepting\n")
+}
+
 fn metrics(context: &Context) -> Response<Body> {
     match context.metrics.text() {
         Ok(text) => reply::text(StatusCode::OK, text),
--- a/crates/node/src/peer_capnp.rs
+++ b/crates/node/src/peer_capnp.rs
@@ -1178,11 +1178,23 @@
         pub fn has_in_force(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
+        #[inline]
+        pub fn get_routes_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_routes(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_routes(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1280,6 +1292,30 @@
         pub fn has_in_force(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
+        #[inline]
+        pub fn get_routes_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_routes_version(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_routes(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_routes(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(2).set_data(value);
+        }
+        #[inline]
+        pub fn init_routes(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(2).init_data(size)
+        }
+        #[inline]
+        pub fn has_routes(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1291,52 +1327,66 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(1, 253, 181, 95, 127, 25, 128, 149),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(133, 151, 224, 178, 241, 163, 198, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
             ::capnp::word(110, 103, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1374,6 +1424,23 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 115, 86, 101),
+            ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 111, 117, 116, 101, 115, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1381,6 +1448,8 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1394,9 +1463,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2,5,4];
         pub(crate) const TYPE_ID: u64 = 0x9580_197f_5fb5_fd01;
     }
 }
--- /dev/null
+++ b/crates/node/src/program.rs
@@ -0,0 +1,107 @@
+//! What the process does around the node: arguments, settings, logs, signals.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::adapter::Adapter;
+use crate::context::Context;
+use crate::{flags, logs, node, settings};
+
+/// Exit code for wrong arguments or settings.
+const EXIT_SETTINGS: u8 = 2;
+/// Exit code for a node that could not start.
+const EXIT_START: u8 = 3;
+/// Exit code after a second signal cut requests in progress.
+const EXIT_CUT: u8 = 4;
+
+/// Runs a node that understands its surroundings by this adapter, until it is stopped.
+#[must_use]
+pub fn run(adapter: Adapter) -> ExitCode {
+    let arguments = flags::MintridgeNode::from_env_or_exit();
+    let settings = match settings::load(&arguments.settings) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{}", error.current_context());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: good", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    logs::start(&settings.logs);
+    match node::start(settings, adapter) {
+        Ok(node) => until_stopped(node),
+        Err(error) => {
+            eprintln!("{error:?}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+/// Waits for a signal and stops as planned; a second signal ends at once.
+fn until_stopped(node: node::Node) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        return ExitCode::from(EXIT_START);
+    };
+    let context = Arc::clone(node.context());
+    runtime.block_on(async {
+        let (Ok(mut terminate), Ok(mut interrupt), Ok(hangup)) = (
+            signal(SignalKind::terminate()),
+            signal(SignalKind::interrupt()),
+            signal(SignalKind::hangup()),
+        ) else {
+            return ExitCode::from(EXIT_START);
+        };
+        tokio::spawn(reload(hangup, Arc::clone(&context)));
+        next(&mut terminate, &mut interrupt).await;
+        let stopping = tokio::task::spawn_blocking(move || node.stop());
+        tokio::select! {
+            _ = stopping => ExitCode::SUCCESS,
+            () = next(&mut terminate, &mut interrupt) => cut(&context),
+        }
+    })
+}
+
+/// Failure: operators change settings and signal it, and the default of the signal ends the
+/// process. Symptom: requests in progress are cut. The signal is taken and logged; settings
+/// are read at the start only.
+async fn reload(mut hangup: Signal, context: Arc<Context>) {
+    while hangup.recv().await.is_some() {
+        log::warn!(
+            server = &**context.server();
+            "told to reload: settings are read at the start only and stay as they are"
+        );
+    }
+}
+
+async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Ends the process, telling what is lost.
+fn cut(context: &Context) -> ! {
+    let load = context.latest.guarded.borrow().load;
+    let outstanding: u32 = context
+        .latest
+        .seen
+        .borrow()
+        .iter()
+        .map(|s| s.outstanding)
+        .sum();
+    log::error!(
+        upstream_in_flight = load.in_flight,
+        upstream_queued = load.queued,
+        callers_in_progress = outstanding;
+        "ended by a second signal; these requests were cut"
+    );
+    std::process::exit(i32::from(EXIT_CUT))
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -41,6 +41,12 @@
     /// Calls to the upstream.
     #[serde(default)]
     pub guard: configs::guard::Settings,
+    /// What the upstream understands.
+    #[serde(default)]
+    pub upstream: configs::upstream::Settings,
+    /// The routing table.
+    #[serde(default)]
+    pub routes: configs::routes::Settings,
     /// Claims on idempotency keys: the thread.
     #[serde(default)]
     pub claims: configs::claims::Settings,
@@ -91,6 +97,8 @@
             callers: configs::callers::Settings::default(),
             link: configs::link::Settings::default(),
             guard: configs::guard::Settings::default(),
+            upstream: configs::upstream::Settings::default(),
+            routes: configs::routes::Settings::default(),
             claims: configs::claims::Settings::default(),
             control: configs::control::Settings::default(),
             logs: configs::logs::Settings::default(),
--- /dev/null
+++ b/crates/node/src/upstream.rs
@@ -0,0 +1,350 @@
+//! Calls to the upstream beside the node, over connections kept open.
+//!
+//! What comes back is sorted by what it proves: the answer to this very request, a
+//! statement that the request did not run, or nothing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{
+    ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING,
+};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use mintridge_core::load::Upstream as Load;
+use mintridge_http::{Body, reply};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+
+use crate::configs;
+
+/// Idle connections are given up this long before the upstream says it closes them: a
+/// request must not meet the close on its way.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Why no answer came.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be opened, or none of the request was written.
+    #[error("the upstream cannot be reached; nothing was sent")]
+    NeverSent,
+    /// The connection broke, or the answer was cut short.
+    #[error("the upstream broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The answer belongs to another request, or bears no mark of the upstream.
+    #[error("what came back is not the upstream's answer to this request")]
+    Foreign,
+}
+
+/// What came back.
+pub enum Received {
+    /// The upstream's answer to this request.
+    Answer(Parts, Body),
+    /// The upstream says that the request did not run.
+    NotRun {
+        /// The instance that says so, if it names itself.
+        instance: Option<Arc<str>>,
+        /// Whether it is another instance than the one asked for.
+        misdirected: bool,
+        /// Its load, if it tells.
+        load: Option<Load>,
+    },
+}
+
+/// Connections to the upstream.
+pub struct Upstream {
+    names: configs::upstream::Settings,
+    request_header: Option<String>,
+    connect_within: Duration,
+    idle_for: Duration,
+    idle_most: usize,
+    read_load: fn(&str) -> Option<Load>,
+    idle: Arc<Mutex<Vec<Idle>>>,
+}
+
+type Sender = http1::SendRequest<Body>;
+
+/// A connection without a request.
+struct Idle {
+    address: SocketAddr,
+    sender: Sender,
+    unused_after: Instant,
+}
+
+/// A connection with a request, to be kept if its answer ends well.
+struct Busy {
+    idle: Arc<Mutex<Vec<Idle>>>,
+    idle_most: usize,
+    connection: Idle,
+}
+
+impl Busy {
+    fn keep(self) {
+        let mut idle = self.idle.lock();
+        if idle.len() < self.idle_most && !self.connection.sender.is_closed() {
+            idle.push(self.connection);
+        }
+    }
+}
+
+impl Upstream {
+    /// No connection yet.
+    #[must_use]
+    pub fn new(settings: &crate::settings::Settings, read_load: fn(&str) -> Option<Load>) -> Self {
+        Self {
+            names: settings.upstream.clone(),
+            request_header: settings.callers.request_header.clone(),
+            connect_within: settings.guard.connect_within,
+            idle_for: settings.guard.idle_connections_for,
+            idle_most: settings.guard.idle_connections_most,
+            read_load,
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// Dropping the future closes the connection, by which the upstream learns that
+    /// nobody waits any more.
+    ///
+    /// # Errors
+    /// If no answer to this request came.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Body>,
+    ) -> Result<Received, Error> {
+        let asked = Asked::of(self.request_header.as_deref(), request.headers());
+        let mut connection = self.connection(address).await?;
+        let sent = connection.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| {
+            if error.take_message().is_some() {
+                Error::NeverSent
+            } else {
+                Error::Broken(error.into_error())
+            }
+        })?;
+        connection.unused_after = self.unused_after(response.headers());
+        let busy = Busy {
+            idle: Arc::clone(&self.idle),
+            idle_most: self.idle_most,
+            connection,
+        };
+        self.sort(&asked, response, busy).await
+    }
+
+    /// The load that an answer tells.
+    #[must_use]
+    pub fn load(&self, headers: &HeaderMap) -> Option<Load> {
+        let written = named(headers, self.names.load_header.as_deref())?;
+        (self.read_load)(written)
+    }
+
+    /// The instance that an answer names.
+    #[must_use]
+    pub fn instance(&self, headers: &HeaderMap) -> Option<Arc<str>> {
+        named(headers, self.names.instance_header.as_deref()).map(Arc::from)
+    }
+
+    async fn connection(&self, address: SocketAddr) -> Result<Idle, Error> {
+        if let Some(kept) = self.take_idle(address) {
+            return Ok(kept);
+        }
+        let connecting = async {
+            let stream = TcpStream::connect(address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            http1::handshake(TokioIo::new(stream)).await.ok()
+        };
+        let connected = tokio::time::timeout(self.connect_within, connecting).await;
+        let (sender, connection) = connected.ok().flatten().ok_or(Error::NeverSent)?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(upstream:% = address, error:% = error; "connection ended");
+            }
+        });
+        Ok(Idle {
+            address,
+            sender,
+            unused_after: Instant::now() + self.idle_for,
+        })
+    }
+
+    /// The connection used last, so that those not needed grow old and are given up.
+    fn take_idle(&self, address: SocketAddr) -> Option<Idle> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        idle.retain(|kept| {
+            kept.address == address && now < kept.unused_after && !kept.sender.is_closed()
+        });
+        let ready = idle.iter().rposition(|kept| kept.sender.is_ready())?;
+        Some(idle.remove(ready))
+    }
+
+    fn unused_after(&self, headers: &HeaderMap) -> Instant {
+        let now = Instant::now();
+        let told = named(headers, Some("keep-alive")).and_then(keep_alive_timeout);
+        let told = told.map_or(self.idle_for, |told| told.saturating_sub(KEEP_ALIVE_MARGIN));
+        now + told.min(self.idle_for)
+    }
+
+    /// Tells an answer to this request from everything else.
+    ///
+    /// Failure: an upstream sends a second answer, or bytes that belong to no request, and
+    /// they arrive where the next answer is due. Symptom: a caller gets somebody else's
+    /// answer. The answer must bring back the id of its request and, if it is one of
+    /// success, the upstream's mark; otherwise its connection is closed with all that
+    /// may still come on it.
+    async fn sort(
+        &self,
+        asked: &Asked,
+        response: Response<Incoming>,
+        busy: Busy,
+    ) -> Result<Received, Error> {
+        let (mut parts, body) = response.into_parts();
+        if !asked.is_answered_by(&parts.headers) {
+            return Err(Error::Foreign);
+        }
+        let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST
+            && self.names.expected_instance_header.is_some();
+        if misdirected || named(&parts.headers, self.names.not_run_header.as_deref()).is_some() {
+            let not_run = Received::NotRun {
+                instance: self.instance(&parts.headers),
+                misdirected,
+                load: self.load(&parts.headers),
+            };
+            if body.collect().await.is_ok() {
+                busy.keep();
+            }
+            return Ok(not_run);
+        }
+        let signed = self.names.signature_header.is_none()
+            || named(&parts.headers, self.names.signature_header.as_deref()).is_some();
+        if parts.status.is_success() && !signed || !asked.allows_encoding(&parts.headers) {
+            return Err(Error::Foreign);
+        }
+        let body = self.hold(body, busy).await?;
+        if body.whole {
+            parts.headers.remove(TRANSFER_ENCODING);
+            parts.headers.remove(CONTENT_LENGTH);
+        }
+        Ok(Received::Answer(parts, body.body))
+    }
+
+    /// Waits for the whole body if it is short.
+    async fn hold(&self, mut body: Incoming, busy: Busy) -> Result<HeldBody, Error> {
+        let mut arrived = BytesMut::new();
+        while let Some(frame) = self.next_to_hold(&mut body, arrived.len()).await {
+            match frame {
+                Next::Frame(frame) => {
+                    if let Ok(data) = frame?.into_data() {
+                        arrived.extend_from_slice(&data);
+                    }
+                }
+                Next::TooLong => return Ok(HeldBody::rest(arrived.freeze(), body, busy)),
+            }
+        }
+        busy.keep();
+        Ok(HeldBody {
+            body: reply::full(arrived.freeze()),
+            whole: true,
+        })
+    }
+
+    async fn next_to_hold(&self, body: &mut Incoming, held: usize) -> Option<Next> {
+        let announced = hyper::body::Body::size_hint(body).lower();
+        let left = usize::try_from(announced).unwrap_or(usize::MAX);
+        if held.saturating_add(left) > self.names.answer_held_most {
+            return Some(Next::TooLong);
+        }
+        body.frame().await.map(Next::Frame)
+    }
+}
+
+enum Next {
+    Frame(Result<Frame<Bytes>, hyper::Error>),
+    TooLong,
+}
+
+struct HeldBody {
+    body: Body,
+    whole: bool,
+}
+
+impl HeldBody {
+    /// A long body passes on as it comes; its connection is kept once it has ended.
+    fn rest(begun: Bytes, body: Incoming, busy: Busy) -> Self {
+        let first = (!begun.is_empty()).then_some(begun);
+        let state = (first, body, Some(busy));
+        let frames = futures_util::stream::unfold(state, |(first, mut body, mut busy)| async {
+            if let Some(begun) = first {
+                return Some((Ok(Frame::data(begun)), (None, body, busy)));
+            }
+            let Some(frame) = body.frame().await else {
+                if let Some(busy) = busy.take() {
+                    busy.keep();
+                }
+                return None;
+            };
+            if frame.is_err() {
+                busy = None;
+            }
+            Some((frame.map_err(std::io::Error::other), (None, body, busy)))
+        });
+        Self {
+            body: Body::new(StreamBody::new(frames)),
+            whole: false,
+        }
+    }
+}
+
+/// What an answer has to fit.
+struct Asked {
+    id: Option<(String, Bytes)>,
+    encodings: bool,
+}
+
+impl Asked {
+    fn of(request_header: Option<&str>, headers: &HeaderMap) -> Self {
+        let id = request_header.and_then(|name| {
+            let value = headers.get(name)?;
+            Some((name.to_owned(), Bytes::copy_from_slice(value.as_bytes())))
+        });
+        Self {
+            id,
+            encodings: headers.contains_key(ACCEPT_ENCODING),
+        }
+    }
+
+    fn is_answered_by(&self, headers: &HeaderMap) -> bool {
+        let Some((name, id)) = &self.id else {
+            return true;
+        };
+        headers
+            .get(name.as_str())
+            .is_some_and(|echoed| echoed.as_bytes() == id)
+    }
+
+    /// An encoding that nobody asked for is not the upstream's doing.
+    fn allows_encoding(&self, headers: &HeaderMap) -> bool {
+        self.encodings || self.id.is_none() || !headers.contains_key(CONTENT_ENCODING)
+    }
+}
+
+fn named<'a>(headers: &'a HeaderMap, name: Option<&str>) -> Option<&'a str> {
+    headers.get(name?)?.to_str().ok()
+}
+
+/// The timeout of a `Keep-Alive` field.
+fn keep_alive_timeout(field: &str) -> Option<Duration> {
+    field
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.parse().ok())
+        .map(Duration::from_secs)
+}
--- a/crates/standin/src/bin/upstream.rs
+++ b/crates/standin/src/bin/upstream.rs
@@ -55,6 +55,7 @@
         slots: u32::try_from(behaviour.slots).unwrap_or(u32::MAX),
         health_path: Arc::from(upstream::HEALTH),
         state: State::Ready,
+        ..Announcement::default()
     };
     let (Ok(listener), Ok(mut terminate)) = (
         TcpListener::bind(arguments.listen).await,
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -17,6 +17,7 @@
 use mintridge_bench::caller::{Call, Caller, Told};
 use mintridge_core::preset::{InForce, Preset};
 use mintridge_http::server::Phase;
+use mintridge_node::adapter::Adapter;
 use mintridge_node::announcement::{Announcement, State};
 use mintridge_node::context::Addresses;
 use mintridge_node::node::{self, Node};
@@ -211,6 +212,7 @@
             slots,
             health_path: Arc::from(upstream::HEALTH),
             state: State::Ready,
+            ..Announcement::default()
         }));
         self.servers.push(Server {
             name: Arc::from(name),
@@ -251,9 +253,11 @@
         settings.store.address = self.store_address;
         (self.adjust)(&mut settings);
         adjust(&mut settings);
-        let running = match &self.binary {
-            Some(binary) => Running::Process(Process::start(binary, &settings)?),
-            None => Running::Threads(node::start(settings).map_err(Error::Node)?),
+        let running = if let Some(binary) = &self.binary {
+            Running::Process(Process::start(binary, &settings)?)
+        } else {
+            let started = node::start(settings, Adapter::default());
+            Running::Threads(started.map_err(Error::Node)?)
         };
         let to = running.addresses().announcements;
         tokio::spawn(announcer::run(to, server.announcement.subscribe()));
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -168,6 +168,18 @@
         });
     }
 
+    /// Values written from the revision on at which a watch is to begin.
+    fn missed(&self, asked: &wire::WatchCreate) -> Vec<wire::KeyValue> {
+        let inner = self.inner.lock();
+        if asked.start_revision == 0 || inner.faults.silent_watches {
+            return vec![];
+        }
+        let keys = inner.data.keys.values();
+        keys.filter(|kv| covers(asked, &kv.key) && kv.mod_revision >= asked.start_revision)
+            .cloned()
+            .collect()
+    }
+
     fn write(&self, txn: wire::Txn) -> wire::TxnReply {
         let mut inner = self.inner.lock();
         inner.data.lapse(Instant::now());
@@ -447,10 +459,12 @@
         Ok(asked) => asked,
         Err(error) => return bad(&error),
     };
+    let asked = asked.create_request;
     let watching = Watching {
-        key: asked.create_request.key,
         events: store.events.subscribe(),
         cut: store.cut.subscribe(),
+        missed: store.missed(&asked),
+        asked,
         created: false,
     };
     let items = stream::unfold(watching, |mut watching| async move {
@@ -464,7 +478,9 @@
 }
 
 struct Watching {
-    key: Vec<u8>,
+    asked: wire::WatchCreate,
+    /// Changes made before the watch was opened that it asks for.
+    missed: Vec<wire::KeyValue>,
     events: broadcast::Receiver<wire::KeyValue>,
     cut: watch::Receiver<u64>,
     created: bool,
@@ -479,21 +495,42 @@
                 events: vec![],
             });
         }
+        if !self.missed.is_empty() {
+            let missed = std::mem::take(&mut self.missed);
+            return Some(wire::WatchReply {
+                created: false,
+                events: missed.into_iter().map(written).collect(),
+            });
+        }
         loop {
             let kv = tokio::select! {
                 event = self.events.recv() => event.ok()?,
                 _ = self.cut.changed() => return None,
             };
-            if kv.key == self.key {
+            if covers(&self.asked, &kv.key) {
                 return Some(wire::WatchReply {
                     created: false,
-                    events: vec![wire::Event { kv }],
+                    events: vec![written(kv)],
                 });
             }
         }
     }
 }
 
+fn written(kv: wire::KeyValue) -> wire::Event {
+    wire::Event {
+        kind: wire::EventKind::Put,
+        kv,
+    }
+}
+
+fn covers(asked: &wire::WatchCreate, key: &[u8]) -> bool {
+    if asked.range_end.is_empty() {
+        return key == asked.key;
+    }
+    (asked.key.as_slice()..asked.range_end.as_slice()).contains(&key)
+}
+
 fn bad(error: &reply::BadBody) -> Response<Body> {
     reply::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
 }
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -13,8 +13,9 @@
 use hyper::{Method, Request, Response, StatusCode};
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_http::handler::{Answer, Function};
+use mintridge_http::problem::{self, Precision};
 use mintridge_http::server::{Ended, Limits, Phase, Protocol, serve};
-use mintridge_http::{Body, problem, reply};
+use mintridge_http::{Body, reply};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
@@ -289,7 +290,7 @@
 fn deeper() -> Response<Body> {
     let now = Instant::now();
     let refusal = Refusal::not_run(Reason::Busy, now);
-    let mut response = problem::response(now, &refusal, "deeper", "deeper");
+    let mut response = problem::response(now, &refusal, "deeper", "deeper", Precision::Seconds);
     response.headers_mut().remove(hyper::header::RETRY_AFTER);
     response
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -4,16 +4,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client as HttpClient;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use crate::wire;
+use crate::dialect::{Answer, Call, Dialect};
+use crate::operation::{Changes, Item, Operation, Reply, Swap};
+use crate::{etcd, wire};
 
 /// Largest reply taken, in bytes: the store's values are at most a megabyte, and a
 /// list of seeds is far smaller.
@@ -34,9 +34,24 @@
         /// Address of the store.
         address: SocketAddr,
     },
-    /// The store answered with another status than success.
+    /// The store answered with another status than success; a write may have taken effect.
     #[error("the store refused with status {0}")]
     Refused(StatusCode),
+    /// The store refused the call and did nothing.
+    #[error("the store refused with status {0} and did nothing")]
+    NotDone(StatusCode),
+    /// The lease that a write was to hang on has ended; nothing was written.
+    #[error("the lease has ended")]
+    LeaseEnded,
+    /// The store no longer has the history from which a watch was to go on.
+    #[error("the store has dropped the history asked for")]
+    Compacted,
+    /// A watch was cut by the store.
+    #[error("the watch was cut")]
+    Cut,
+    /// The reply is of another kind than the call asks for.
+    #[error("the store's reply is of another kind")]
+    Mismatch,
     /// The reply is not what the API promises; a write may have taken effect.
     #[error("the store's reply does not parse: {0}")]
     Malformed(#[from] serde_json::Error),
@@ -52,15 +67,17 @@
 
 impl Error {
     /// Whether a write that failed so certainly had no effect.
-    ///
-    /// A store whose members lost each other answers 503 or 504 to writes that may yet
-    /// take effect; only a refusal for the caller's own fault proves that none did.
     #[must_use]
-    pub fn proves_no_effect(&self) -> bool {
+    pub const fn proves_no_effect(&self) -> bool {
         match self {
-            Self::Unreachable { .. } => true,
-            Self::Refused(status) => status.is_client_error(),
-            Self::Lost { .. } | Self::Malformed(_) | Self::Value { .. } => false,
+            Self::Unreachable { .. } | Self::NotDone(_) | Self::LeaseEnded => true,
+            Self::Refused(_)
+            | Self::Lost { .. }
+            | Self::Compacted
+            | Self::Cut
+            | Self::Mismatch
+            | Self::Malformed(_)
+            | Self::Value { .. } => false,
         }
     }
 }
@@ -70,13 +87,20 @@
 pub struct Client {
     address: SocketAddr,
     timeout: Duration,
+    dialect: Dialect,
     http: HttpClient<HttpConnector, Full<Bytes>>,
 }
 
 impl Client {
-    /// A client whose calls give up after `timeout`.
+    /// A client in etcd's dialect whose calls give up after `timeout`.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self::with_dialect(address, timeout, etcd::DIALECT)
+    }
+
+    /// A client in any dialect.
+    #[must_use]
+    pub fn with_dialect(address: SocketAddr, timeout: Duration, dialect: Dialect) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
@@ -89,132 +113,224 @@
         Self {
             address,
             timeout,
+            dialect,
             http,
         }
     }
 
-    /// Reads one key.
+    /// Reads one key, and the revision at which it was read.
     ///
     /// # Errors
     /// If the call fails.
-    pub async fn get(&self, key: &str) -> Result<Option<wire::KeyValue>, Error> {
-        let range = wire::Range {
-            key: key.into(),
-            ..wire::Range::default()
+    pub async fn read(&self, key: &str) -> Result<(Option<Item>, i64), Error> {
+        let operation = Operation::Get {
+            key: key.to_owned(),
         };
-        let reply: wire::RangeReply = self.call(wire::RANGE, &range).await?;
-        Ok(reply.kvs.into_iter().next())
+        match self.run(&operation, self.timeout).await? {
+            Reply::Page(page) => Ok((page.items.into_iter().next(), page.read_at)),
+            _ => Err(Error::Mismatch),
+        }
     }
 
-    /// Reads all keys that begin with `prefix`.
+    /// Reads one key.
     ///
     /// # Errors
     /// If the call fails.
-    pub async fn list(&self, prefix: &str) -> Result<Vec<wire::KeyValue>, Error> {
-        let range = wire::Range {
-            key: prefix.into(),
-            range_end: wire::prefix_end(prefix.as_bytes()),
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, Error> {
+        Ok(self.read(key).await?.0)
+    }
+
+    /// Reads all keys that begin with `prefix`, page by page; pages are no snapshot.
+    ///
+    /// # Errors
+    /// If a call fails.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
+        let mut items: Vec<Item> = Vec::new();
+        loop {
+            let operation = Operation::List {
+                prefix: prefix.to_owned(),
+                after: items
+                    .last()
+                    .map_or_else(String::new, |item| item.key.clone()),
+            };
+            let Reply::Page(page) = self.run(&operation, self.timeout).await? else {
+                return Err(Error::Mismatch);
+            };
+            let more = page.more && !page.items.is_empty();
+            items.extend(page.items);
+            if !more {
+                return Ok(items);
+            }
+        }
+    }
+
+    /// Waits for changes later than `after` of keys that begin with `prefix`; none if
+    /// `wait` ends first.
+    ///
+    /// # Errors
+    /// If the watch breaks or its history is gone.
+    pub async fn changes(
+        &self,
+        prefix: &str,
+        after: i64,
+        wait: Duration,
+    ) -> Result<Changes, Error> {
+        let operation = Operation::Changes {
+            prefix: prefix.to_owned(),
+            after,
+            wait,
         };
-        let reply: wire::RangeReply = self.call(wire::RANGE, &range).await?;
-        Ok(reply.kvs)
+        if !self.dialect.endless_watch {
+            return match self.run(&operation, wait + self.timeout).await? {
+                Reply::Changes(changes) => Ok(changes),
+                _ => Err(Error::Mismatch),
+            };
+        }
+        match tokio::time::timeout(wait, self.run(&operation, wait + self.timeout)).await {
+            Ok(Ok(Reply::Changes(changes))) => Ok(changes),
+            Ok(Ok(_)) => Err(Error::Mismatch),
+            Ok(Err(error)) => Err(error),
+            Err(_) => Ok(Changes {
+                changes: vec![],
+                read_at: after,
+            }),
+        }
+    }
+
+    /// Writes under conditions; false if one does not hold.
+    ///
+    /// # Errors
+    /// If the call fails; see [`Error::proves_no_effect`].
+    pub async fn swap(&self, swap: &Swap) -> Result<bool, Error> {
+        let operation = Operation::Swap(swap.clone());
+        match self.run(&operation, self.timeout).await? {
+            Reply::Swapped(made) => Ok(made),
+            _ => Err(Error::Mismatch),
+        }
     }
 
-    /// Runs a transaction.
+    /// Runs a transaction of etcd, which may read where a condition fails.
     ///
     /// # Errors
     /// If the call fails; see [`Error::proves_no_effect`].
-    pub async fn txn(&self, txn: &wire::Txn) -> Result<wire::TxnReply, Error> {
-        self.call(wire::TXN, txn).await
+    pub async fn etcd_txn(&self, txn: &wire::Txn) -> Result<wire::TxnReply, Error> {
+        let call = Call {
+            method: Method::POST,
+            path: wire::TXN.to_owned(),
+            body: serde_json::to_vec(txn)?,
+        };
+        let read = |answer: Answer<'_>| {
+            if !answer.status.is_success() {
+                return Err(etcd::refused(answer.status));
+            }
+            if !answer.complete {
+                return Ok(None);
+            }
+            Ok(Some(serde_json::from_slice(answer.body)?))
+        };
+        self.exchange(call, self.timeout, read).await
     }
 
     /// Grants a lease.
     ///
     /// # Errors
     /// If the call fails.
-    pub async fn grant(&self, time_to_live: Duration) -> Result<wire::Lease, Error> {
-        let asked = wire::Lease {
-            id: 0,
-            ttl: i64::try_from(time_to_live.as_secs()).unwrap_or(i64::MAX),
-        };
-        self.call(wire::GRANT, &asked).await
+    pub async fn grant(&self, time_to_live: Duration) -> Result<i64, Error> {
+        match self
+            .run(&Operation::Grant { time_to_live }, self.timeout)
+            .await?
+        {
+            Reply::Granted { lease } => Ok(lease),
+            _ => Err(Error::Mismatch),
+        }
     }
 
     /// Renews a lease; false if it lapsed.
     ///
     /// # Errors
     /// If the call fails.
-    pub async fn keep_alive(&self, id: i64) -> Result<bool, Error> {
-        let lease = wire::Lease { id, ttl: 0 };
-        let reply: wire::Streamed<wire::Lease> = self.call(wire::KEEP_ALIVE, &lease).await?;
-        Ok(reply.result.ttl > 0)
+    pub async fn keep_alive(&self, lease: i64) -> Result<bool, Error> {
+        match self.run(&Operation::Renew { lease }, self.timeout).await? {
+            Reply::Renewed(alive) => Ok(alive),
+            _ => Err(Error::Mismatch),
+        }
     }
 
     /// Ends a lease and deletes its keys.
     ///
     /// # Errors
     /// If the call fails.
-    pub async fn revoke(&self, id: i64) -> Result<(), Error> {
-        let lease = wire::Lease { id, ttl: 0 };
-        let _: wire::RangeReply = self.call(wire::REVOKE, &lease).await?;
-        Ok(())
+    pub async fn revoke(&self, lease: i64) -> Result<(), Error> {
+        match self.run(&Operation::Revoke { lease }, self.timeout).await? {
+            Reply::Revoked => Ok(()),
+            _ => Err(Error::Mismatch),
+        }
     }
 
-    /// Watches one key from now on.
-    ///
-    /// # Errors
-    /// If the watch cannot be opened.
-    pub async fn watch(&self, key: &str) -> Result<Watch, Error> {
-        let watch = wire::Watch {
-            create_request: wire::WatchCreate {
-                key: key.into(),
-                start_revision: 0,
-            },
-        };
-        let body = self.send(wire::WATCH, &watch).await?;
-        Ok(Watch {
-            address: self.address,
-            body,
-            unread: BytesMut::new(),
-        })
+    async fn run(&self, operation: &Operation, within: Duration) -> Result<Reply, Error> {
+        let call = (self.dialect.call)(operation)?;
+        let read = |answer: Answer<'_>| (self.dialect.reply)(operation, answer);
+        self.exchange(call, within, read).await
     }
 
-    async fn call<T: DeserializeOwned>(
+    /// Sends a call and hands what arrives of the answer to `read` until it has enough.
+    async fn exchange<T>(
         &self,
-        path: &str,
-        request: &impl Serialize,
+        call: Call,
+        within: Duration,
+        read: impl Fn(Answer<'_>) -> Result<Option<T>, Error>,
     ) -> Result<T, Error> {
-        let give_up_at = Instant::now() + self.timeout;
-        let body = self.send(path, request).await?;
-        let collected = Limited::new(body, REPLY_MOST).collect();
-        let collected = tokio::time::timeout_at(give_up_at.into(), collected)
+        let give_up_at = Instant::now() + within;
+        let response = tokio::time::timeout_at(give_up_at.into(), self.send(call))
             .await
-            .map_err(|_| self.lost())?
-            .map_err(|_| self.lost())?;
-        Ok(serde_json::from_slice(&collected.to_bytes())?)
+            .map_err(|_| self.lost())??;
+        let status = response.status();
+        let mut body = response.into_body();
+        let mut arrived = BytesMut::new();
+        loop {
+            let frame = tokio::time::timeout_at(give_up_at.into(), body.frame())
+                .await
+                .map_err(|_| self.lost())?;
+            let complete = frame.is_none();
+            match frame {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        arrived.extend_from_slice(&data);
+                    }
+                }
+                Some(Err(_)) => return Err(self.lost()),
+                None => {}
+            }
+            if arrived.len() > REPLY_MOST {
+                return Err(self.lost());
+            }
+            let answer = Answer {
+                status,
+                body: &arrived,
+                complete,
+            };
+            match read(answer)? {
+                Some(reply) => return Ok(reply),
+                None if complete => return Err(Error::Cut),
+                None => {}
+            }
+        }
     }
 
-    async fn send(&self, path: &str, request: &impl Serialize) -> Result<Incoming, Error> {
-        let written = serde_json::to_vec(request)?;
+    async fn send(&self, call: Call) -> Result<Response<Incoming>, Error> {
         let request = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{}{path}", self.address))
+            .method(call.method)
+            .uri(format!("http://{}{}", self.address, call.path))
             .header(hyper::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(written)))
+            .body(Full::new(Bytes::from(call.body)))
             .map_err(|_| self.unreachable())?;
-        let response = tokio::time::timeout(self.timeout, self.http.request(request))
-            .await
-            .map_err(|_| self.lost())?
-            .map_err(|error| {
-                if error.is_connect() {
-                    self.unreachable()
-                } else {
-                    self.lost()
-                }
-            })?;
-        if response.status().is_success() {
-            return Ok(response.into_body());
-        }
-        Err(Error::Refused(response.status()))
+        self.http.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                self.unreachable()
+            } else {
+                self.lost()
+            }
+        })
     }
 
     const fn lost(&self) -> Error {
@@ -229,50 +345,3 @@
         }
     }
 }
-
-/// An open watch.
-#[derive(Debug)]
-pub struct Watch {
-    address: SocketAddr,
-    body: Incoming,
-    unread: BytesMut,
-}
-
-impl Watch {
-    /// The next changes; an item may hold none.
-    ///
-    /// # Errors
-    /// If the stream breaks or holds something else.
-    pub async fn next(&mut self) -> Result<Vec<wire::KeyValue>, Error> {
-        loop {
-            if let Some(item) = self.take_item()? {
-                let events = item.result.events.into_iter();
-                return Ok(events.map(|event| event.kv).collect());
-            }
-            let lost = Error::Lost {
-                address: self.address,
-            };
-            let Some(Ok(frame)) = self.body.frame().await else {
-                return Err(lost);
-            };
-            if let Ok(data) = frame.into_data() {
-                self.unread.extend_from_slice(&data);
-            }
-            if self.unread.len() > REPLY_MOST {
-                return Err(lost);
-            }
-        }
-    }
-
-    fn take_item(&mut self) -> Result<Option<wire::Streamed<wire::WatchReply>>, Error> {
-        let mut items = serde_json::Deserializer::from_slice(&self.unread).into_iter();
-        let item = match items.next() {
-            Some(Ok(item)) => item,
-            Some(Err(error)) if !error.is_eof() => return Err(Error::Malformed(error)),
-            Some(Err(_)) | None => return Ok(None),
-        };
-        let read = items.byte_offset();
-        let _ = self.unread.split_to(read);
-        Ok(Some(item))
-    }
-}
--- /dev/null
+++ b/crates/store/src/etcd.rs
@@ -0,0 +1,186 @@
+//! The dialect of etcd's v3 JSON API.
+
+use std::time::Duration;
+
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::client::Error;
+use crate::dialect::{Answer, Call, Dialect};
+use crate::operation::{Change, Changes, Item, Operation, Page, Reply, Swap, Unchanged};
+use crate::wire;
+
+/// etcd's v3 JSON API.
+pub const DIALECT: Dialect = Dialect {
+    call,
+    reply,
+    endless_watch: true,
+};
+
+fn call(operation: &Operation) -> Result<Call, Error> {
+    match operation {
+        Operation::Get { key } => {
+            let range = wire::Range {
+                key: key.as_bytes().to_vec(),
+                ..wire::Range::default()
+            };
+            post(wire::RANGE, &range)
+        }
+        Operation::List { prefix, .. } => {
+            let range = wire::Range {
+                key: prefix.as_bytes().to_vec(),
+                range_end: wire::prefix_end(prefix.as_bytes()),
+            };
+            post(wire::RANGE, &range)
+        }
+        Operation::Changes { prefix, after, .. } => {
+            let watch = wire::Watch {
+                create_request: wire::WatchCreate {
+                    key: prefix.as_bytes().to_vec(),
+                    range_end: wire::prefix_end(prefix.as_bytes()),
+                    start_revision: after + 1,
+                },
+            };
+            post(wire::WATCH, &watch)
+        }
+        Operation::Swap(swap) => post(wire::TXN, &transaction(swap)),
+        Operation::Grant { time_to_live } => post(wire::GRANT, &lease(0, *time_to_live)),
+        Operation::Renew { lease: id } => post(wire::KEEP_ALIVE, &lease(*id, Duration::ZERO)),
+        Operation::Revoke { lease: id } => post(wire::REVOKE, &lease(*id, Duration::ZERO)),
+    }
+}
+
+fn reply(operation: &Operation, answer: Answer<'_>) -> Result<Option<Reply>, Error> {
+    if !answer.status.is_success() {
+        return Err(refused(answer.status));
+    }
+    if let Operation::Changes { .. } = operation {
+        return read_watch(answer);
+    }
+    if !answer.complete {
+        return Ok(None);
+    }
+    let reply = match operation {
+        Operation::Get { .. } | Operation::List { .. } => {
+            let found: wire::RangeReply = parse(answer)?;
+            Reply::Page(Page {
+                items: found.kvs.into_iter().map(item).collect(),
+                more: false,
+                read_at: found.header.revision,
+            })
+        }
+        Operation::Swap(_) => {
+            let made: wire::TxnReply = parse(answer)?;
+            Reply::Swapped(made.succeeded)
+        }
+        Operation::Grant { .. } => {
+            let granted: wire::Lease = parse(answer)?;
+            Reply::Granted { lease: granted.id }
+        }
+        Operation::Renew { .. } => {
+            let renewed: wire::Streamed<wire::Lease> = parse(answer)?;
+            Reply::Renewed(renewed.result.ttl > 0)
+        }
+        Operation::Revoke { .. } | Operation::Changes { .. } => Reply::Revoked,
+    };
+    Ok(Some(reply))
+}
+
+/// A store whose members lost each other answers 503 or 504 to writes that may yet take
+/// effect; only a refusal for the caller's own fault proves that none did.
+#[must_use]
+pub fn refused(status: StatusCode) -> Error {
+    if status.is_client_error() {
+        Error::NotDone(status)
+    } else {
+        Error::Refused(status)
+    }
+}
+
+/// The first item of the stream that holds changes.
+fn read_watch(answer: Answer<'_>) -> Result<Option<Reply>, Error> {
+    let mut items = serde_json::Deserializer::from_slice(answer.body).into_iter();
+    loop {
+        let item: wire::Streamed<wire::WatchReply> = match items.next() {
+            Some(Ok(item)) => item,
+            Some(Err(error)) if !error.is_eof() => return Err(Error::Malformed(error)),
+            Some(Err(_)) | None if answer.complete => return Err(Error::Cut),
+            Some(Err(_)) | None => return Ok(None),
+        };
+        let changes: Vec<wire::Event> = item.result.events;
+        let Some(read_at) = changes.iter().map(|event| event.kv.mod_revision).max() else {
+            continue;
+        };
+        return Ok(Some(Reply::Changes(Changes {
+            changes: changes.into_iter().map(change).collect(),
+            read_at,
+        })));
+    }
+}
+
+fn change(event: wire::Event) -> Change {
+    let item = item(event.kv);
+    if event.kind == wire::EventKind::Delete {
+        Change::Deleted { key: item.key }
+    } else {
+        Change::Written(item)
+    }
+}
+
+fn item(found: wire::KeyValue) -> Item {
+    Item {
+        key: String::from_utf8_lossy(&found.key).into_owned(),
+        value: found.value,
+        revision: found.mod_revision,
+    }
+}
+
+fn transaction(swap: &Swap) -> wire::Txn {
+    let puts = swap.puts.iter().map(|put| {
+        wire::Operation::Put(wire::Put {
+            key: put.key.as_bytes().to_vec(),
+            value: put.value.clone(),
+            lease: put.lease,
+        })
+    });
+    let deletes = swap.deletes.iter().map(|key| {
+        wire::Operation::Delete(wire::Range {
+            key: key.as_bytes().to_vec(),
+            ..wire::Range::default()
+        })
+    });
+    wire::Txn {
+        compare: swap.expected.iter().map(unchanged).collect(),
+        success: puts.chain(deletes).collect(),
+        failure: vec![],
+    }
+}
+
+fn unchanged(condition: &Unchanged) -> wire::Compare {
+    wire::Compare {
+        key: condition.key.as_bytes().to_vec(),
+        target: wire::Target::Mod,
+        mod_revision: Some(condition.revision),
+        ..wire::Compare::default()
+    }
+}
+
+fn lease(id: i64, time_to_live: Duration) -> wire::Lease {
+    wire::Lease {
+        id,
+        ttl: i64::try_from(time_to_live.as_secs()).unwrap_or(i64::MAX),
+    }
+}
+
+fn post(path: &str, body: &impl Serialize) -> Result<Call, Error> {
+    Ok(Call {
+        method: Method::POST,
+        path: path.to_owned(),
+        body: serde_json::to_vec(body)?,
+    })
+}
+
+fn parse<T: DeserializeOwned>(answer: Answer<'_>) -> Result<T, Error> {
+    Ok(serde_json::from_slice(answer.body)?)
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,9 @@
 //! of presets, which the operators' command makes and nodes read.
 
 pub mod client;
+pub mod dialect;
+pub mod etcd;
 pub mod keys;
+pub mod operation;
 pub mod presets;
 pub mod wire;
--- a/crates/store/src/presets.rs
+++ b/crates/store/src/presets.rs
@@ -6,7 +6,8 @@
 use mintridge_core::preset::{InForce, Invalid, Preset};
 
 use crate::client::{Client, Error};
-use crate::{keys, wire};
+use crate::keys;
+use crate::operation::{Put, Swap, Unchanged};
 
 /// Tries of a change whose reply was lost and that is found not to have taken effect.
 const SETTLE_TRIES: u32 = 3;
@@ -81,7 +82,7 @@
     };
     Ok(Standing {
         in_force: parse(keys::IN_FORCE, &found.value)?,
-        mod_revision: found.mod_revision,
+        mod_revision: found.revision,
     })
 }
 
@@ -105,7 +106,7 @@
     Ok(Stored {
         name: Arc::from(name),
         preset: parse(&key, &found.value)?,
-        mod_revision: found.mod_revision,
+        mod_revision: found.revision,
     })
 }
 
@@ -118,12 +119,11 @@
     found
         .into_iter()
         .map(|found| {
-            let key = String::from_utf8_lossy(&found.key).into_owned();
-            let name = key.strip_prefix(keys::PRESETS).unwrap_or(&key);
+            let name = found.key.strip_prefix(keys::PRESETS);
             Ok(Stored {
-                name: Arc::from(name),
-                preset: parse(&key, &found.value)?,
-                mod_revision: found.mod_revision,
+                name: Arc::from(name.unwrap_or(&found.key)),
+                preset: parse(&found.key, &found.value)?,
+                mod_revision: found.revision,
             })
         })
         .collect()
@@ -146,23 +146,23 @@
     preset.check()?;
     let standing = in_force(store).await?;
     let key = keys::preset(name);
-    let found = store.get(&key).await?.map_or(0, |found| found.mod_revision);
+    let found = store.get(&key).await?.map_or(0, |found| found.revision);
     if expected.is_some_and(|expected| expected != found) {
         return Err(Refused::Edited(Arc::from(name)));
     }
     let written = serde_json::to_vec(&preset).map_err(Error::from)?;
-    let mut txn = wire::Txn {
-        compare: vec![unchanged(&key, found), unchanged_in_force(&standing)],
-        success: vec![put_operation(&key, written)],
-        failure: vec![],
+    let mut change = Swap {
+        expected: vec![unchanged(&key, found), unchanged_in_force(&standing)],
+        puts: vec![written_to(&key, written)],
+        deletes: vec![],
     };
     if standing.in_force.name.as_ref() != name {
-        settle_put(store, &txn, &key, found).await?;
+        settle_put(store, &change, &key, found).await?;
         return Ok(None);
     }
     let next = successor(&standing, name, preset, author);
-    txn.success.push(put_in_force(&next)?);
-    swap(store, txn, next).await.map(Some)
+    change.puts.push(put_in_force(&next)?);
+    swap(store, change, next).await.map(Some)
 }
 
 /// Puts a preset in force.
@@ -186,15 +186,15 @@
     author: &Author,
 ) -> Result<InForce, Refused> {
     let next = successor(standing, &stored.name, stored.preset.clone(), author);
-    let txn = wire::Txn {
-        compare: vec![
+    let change = Swap {
+        expected: vec![
             unchanged(&keys::preset(&stored.name), stored.mod_revision),
             unchanged_in_force(standing),
         ],
-        success: vec![put_in_force(&next)?],
-        failure: vec![],
+        puts: vec![put_in_force(&next)?],
+        deletes: vec![],
     };
-    swap(store, txn, next).await
+    swap(store, change, next).await
 }
 
 /// Puts a document back, provided that the store still holds what was read; false if not.
@@ -202,12 +202,12 @@
 /// # Errors
 /// If the call fails.
 pub async fn restore(store: &Client, document: &InForce, mod_revision: i64) -> Result<bool, Error> {
-    let txn = wire::Txn {
-        compare: vec![unchanged(keys::IN_FORCE, mod_revision)],
-        success: vec![put_in_force(document)?],
-        failure: vec![],
+    let change = Swap {
+        expected: vec![unchanged(keys::IN_FORCE, mod_revision)],
+        puts: vec![put_in_force(document)?],
+        deletes: vec![],
     };
-    Ok(store.txn(&txn).await?.succeeded)
+    store.swap(&change).await
 }
 
 /// Deletes a preset that is not in force.
@@ -221,19 +221,15 @@
         return Err(Refused::InUse(Arc::from(name)));
     }
     let key = keys::preset(name);
-    let range = wire::Range {
-        key: key.clone().into(),
-        ..wire::Range::default()
-    };
-    let txn = wire::Txn {
-        compare: vec![
+    let change = Swap {
+        expected: vec![
             unchanged(&key, stored.mod_revision),
             unchanged_in_force(&standing),
         ],
-        success: vec![wire::Operation::Delete(range)],
-        failure: vec![],
+        puts: vec![],
+        deletes: vec![key.clone()],
     };
-    settle_put(store, &txn, &key, stored.mod_revision).await
+    settle_put(store, &change, &key, stored.mod_revision).await
 }
 
 /// Makes the swap and finds out what became of it.
@@ -241,11 +237,11 @@
 /// Failure: the write takes effect and its reply is lost. Symptom: the operator is
 /// told that it failed, repeats it, and undoes what another operator did in between.
 /// The writer's mark in the value tells whose write stands there.
-async fn swap(store: &Client, txn: wire::Txn, next: InForce) -> Result<InForce, Refused> {
+async fn swap(store: &Client, change: Swap, next: InForce) -> Result<InForce, Refused> {
     let mut last = None;
     for _ in 0..SETTLE_TRIES {
-        match store.txn(&txn).await {
-            Ok(reply) if reply.succeeded => return Ok(next),
+        match store.swap(&change).await {
+            Ok(true) => return Ok(next),
             Ok(_) => return explain(store, next).await,
             Err(error) if error.proves_no_effect() && last.is_none() => {
                 return Err(Refused::NotChanged(error));
@@ -280,25 +276,18 @@
 }
 
 /// A write of one key without a mark: a lost reply is settled by its revision.
-async fn settle_put(
-    store: &Client,
-    txn: &wire::Txn,
-    key: &str,
-    before: i64,
-) -> Result<(), Refused> {
-    let error = match store.txn(txn).await {
-        Ok(reply) if reply.succeeded => return Ok(()),
-        Ok(_) => return Err(Refused::Edited(Arc::from(key))),
+async fn settle_put(store: &Client, change: &Swap, key: &str, before: i64) -> Result<(), Refused> {
+    let error = match store.swap(change).await {
+        Ok(true) => return Ok(()),
+        Ok(false) => return Err(Refused::Edited(Arc::from(key))),
         Err(error) if error.proves_no_effect() => return Err(Refused::NotChanged(error)),
         Err(error) => error,
     };
     let found = store.get(key).await.map_err(Refused::Unknown)?;
-    let (now, value) = found.map_or((0, vec![]), |found| (found.mod_revision, found.value));
-    let ours = txn.success.iter().any(|operation| match operation {
-        wire::Operation::Put(put) => put.key == key.as_bytes() && put.value == value,
-        wire::Operation::Delete(_) => now == 0,
-        wire::Operation::Range(_) => false,
-    });
+    let (now, value) = found.map_or((0, vec![]), |found| (found.revision, found.value));
+    let written = |put: &Put| put.key == key && put.value == value;
+    let deleted = now == 0 && change.deletes.iter().any(|deleted| deleted == key);
+    let ours = deleted || change.puts.iter().any(written);
     if now != before && ours {
         return Ok(());
     }
@@ -316,28 +305,26 @@
     }
 }
 
-fn put_in_force(next: &InForce) -> Result<wire::Operation, Error> {
-    Ok(put_operation(keys::IN_FORCE, serde_json::to_vec(next)?))
+fn put_in_force(next: &InForce) -> Result<Put, Error> {
+    Ok(written_to(keys::IN_FORCE, serde_json::to_vec(next)?))
 }
 
-fn put_operation(key: &str, value: Vec<u8>) -> wire::Operation {
-    wire::Operation::Put(wire::Put {
-        key: key.into(),
+fn written_to(key: &str, value: Vec<u8>) -> Put {
+    Put {
+        key: key.to_owned(),
         value,
         lease: 0,
-    })
+    }
 }
 
-fn unchanged_in_force(standing: &Standing) -> wire::Compare {
+fn unchanged_in_force(standing: &Standing) -> Unchanged {
     unchanged(keys::IN_FORCE, standing.mod_revision)
 }
 
-fn unchanged(key: &str, mod_revision: i64) -> wire::Compare {
-    wire::Compare {
-        key: key.into(),
-        target: wire::Target::Mod,
-        mod_revision: Some(mod_revision),
-        ..wire::Compare::default()
+fn unchanged(key: &str, revision: i64) -> Unchanged {
+    Unchanged {
+        key: key.to_owned(),
+        revision,
     }
 }
 
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -220,9 +220,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchCreate {
-    /// The key.
+    /// First key.
     #[serde_as(as = "Base64")]
     pub key: Vec<u8>,
+    /// End of the range, exclusive; empty for one key.
+    #[serde_as(as = "Base64")]
+    pub range_end: Vec<u8>,
     /// First revision told; 0 for only what comes after.
     #[serde_as(as = "DisplayFromStr")]
     pub start_revision: i64,
@@ -238,10 +241,24 @@
     pub events: Vec<Event>,
 }
 
+/// What happened to a watched key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum EventKind {
+    /// It was written.
+    #[default]
+    Put,
+    /// It was deleted.
+    Delete,
+}
+
 /// One change of a watched key.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Event {
+    /// What happened.
+    #[serde(rename = "type")]
+    pub kind: EventKind,
     /// The key with its new value.
     pub kv: KeyValue,
 }
