perf(http): work on pipelined requests together

A caller that left was not noticed either while bytes of later requests stood in the buffer.

Change: two server connections of hyper share a caller's socket, one reads requests, one writes answers in order. A caller that leaves ends all its requests at once; a planned stop answers what was read and marks the last answer.

Ruled out: a parser of our own; HTTP/2 towards callers (they speak HTTP/1.1).

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,6 +4,7 @@
 //! connections are driven here and the handlers are gotham's.
 
 pub mod handler;
+pub mod pipeline;
 pub mod problem;
 pub mod reply;
 pub mod server;
--- /dev/null
+++ b/crates/http/src/pipeline.rs
@@ -0,0 +1,398 @@
+//! HTTP/1.1 connections whose requests are worked on while earlier ones still run.
+//!
+//! A caller may send further requests before the first is answered. A server connection of
+//! hyper reads the next request only after it has written the last answer, so each request
+//! would wait for all before it. Here two server connections of hyper share one socket: one
+//! reads requests and is given an empty answer at once, which is thrown away; the other
+//! writes the true answers, in order, and takes its requests from a list of stubs.
+
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, Version};
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+
+use crate::server::Phase;
+use crate::{Body, reply};
+
+/// How long a closed connection is still read, so that what the caller has sent meanwhile
+/// does not reset the connection and take the last answer with it.
+const LINGER: Duration = Duration::from_millis(500);
+/// Bytes thrown away at once while a connection lingers.
+const SCRATCH: usize = 4096;
+
+/// A request that was read and must be answered, in this order.
+struct Pending {
+    stub: &'static [u8],
+    answer: oneshot::Receiver<Response<Body>>,
+}
+
+/// What the two sides of a connection share.
+struct Shared {
+    /// Requests read and not yet answered.
+    unanswered: AtomicUsize,
+    /// No further request is taken.
+    stopped: AtomicBool,
+    /// Stubs that the writing side has read, with their answers.
+    begun: Mutex<VecDeque<Pending>>,
+    phase: watch::Receiver<Phase>,
+}
+
+/// Serves one connection.
+///
+/// At most `most` requests are worked on at once; further ones wait in the socket. When the
+/// caller goes away, all its requests are dropped. In phase [`Phase::Leaving`] the
+/// connection ends with the last answer due; in [`Phase::Closing`] it also ends when idle.
+pub async fn serve<F, R>(
+    stream: TcpStream,
+    builder: &http1::Builder,
+    most: usize,
+    phase: watch::Receiver<Phase>,
+    respond: F,
+) where
+    F: Fn(Request<Body>) -> R,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let stream = Arc::new(stream);
+    let shared = Arc::new(Shared {
+        unanswered: AtomicUsize::new(0),
+        stopped: AtomicBool::new(false),
+        begun: Mutex::default(),
+        phase,
+    });
+    let (sender, pending) = mpsc::unbounded_channel();
+    let reading = read(&stream, builder, most, Arc::clone(&shared), sender, respond);
+    let writing = write(&stream, builder.clone(), shared, pending);
+    tokio::select! {
+        () = reading => {}
+        () = writing => {
+            let _ = tokio::time::timeout(LINGER, until_gone(&stream)).await;
+        }
+    }
+}
+
+/// Reads requests and works on them; returns when the caller has gone.
+async fn read<F, R>(
+    stream: &Arc<TcpStream>,
+    builder: &http1::Builder,
+    most: usize,
+    shared: Arc<Shared>,
+    sender: mpsc::UnboundedSender<Pending>,
+    respond: F,
+) where
+    F: Fn(Request<Body>) -> R,
+    R: Future<Output = Response<Body>> + Send + 'static,
+{
+    let mut phase = shared.phase.clone();
+    let working = Arc::new(Semaphore::new(most));
+    let tasks = Mutex::new(JoinSet::new());
+    let service = service_fn(|request: Request<Incoming>| {
+        let (request, taken) = track(request);
+        let stub = stub(&request);
+        let (answer, answered) = oneshot::channel();
+        let accepted = !shared.stopped.load(Ordering::Relaxed);
+        if accepted {
+            shared.unanswered.fetch_add(1, Ordering::Relaxed);
+            let pending = Pending {
+                stub,
+                answer: answered,
+            };
+            let _ = sender.send(pending);
+            let working = Arc::clone(&working);
+            let response = respond(request);
+            let mut tasks = tasks.lock();
+            while tasks.try_join_next().is_some() {}
+            tasks.spawn(async move {
+                let _permit = working.acquire_owned().await;
+                let _ = answer.send(response.await);
+            });
+        }
+        let working = Arc::clone(&working);
+        async move {
+            if !accepted {
+                return std::future::pending().await;
+            }
+            let _ = taken.await;
+            drop(working.acquire().await);
+            Ok::<_, Infallible>(Response::new(reply::empty()))
+        }
+    });
+    let io = ReadSide {
+        stream: Arc::clone(stream),
+        shared: Arc::clone(&shared),
+    };
+    let mut connection = pin!(builder.serve_connection(io, service));
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:% = error; "caller's connection broke");
+        return;
+    }
+    drop(sender);
+    until_gone(stream).await;
+}
+
+/// Writes answers in order; returns when all that were due are written.
+async fn write(
+    stream: &Arc<TcpStream>,
+    mut builder: http1::Builder,
+    shared: Arc<Shared>,
+    pending: mpsc::UnboundedReceiver<Pending>,
+) {
+    let io = WriteSide {
+        stream: Arc::clone(stream),
+        pending,
+        shared: Arc::clone(&shared),
+    };
+    let service = service_fn(move |_: Request<Incoming>| {
+        let shared = Arc::clone(&shared);
+        let next = shared.begun.lock().pop_front();
+        async move {
+            let answer = match next {
+                Some(pending) => pending.answer.await.ok(),
+                None => None,
+            };
+            let mut response = answer.ok_or(Dropped)?;
+            let last = shared.unanswered.fetch_sub(1, Ordering::Relaxed) == 1;
+            response.headers_mut().remove(CONNECTION);
+            if last && *shared.phase.borrow() != Phase::Open {
+                shared.stopped.store(true, Ordering::Relaxed);
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Dropped>(response)
+        }
+    });
+    let connection = builder.half_close(true).serve_connection(io, service);
+    if let Err(error) = connection.await {
+        log::debug!(error:% = error; "answer not written whole");
+    }
+}
+
+/// The request was dropped without an answer.
+#[derive(Debug, thiserror::Error)]
+#[error("the request was dropped without an answer")]
+struct Dropped;
+
+/// Waits until the phase is closing.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    let turned = phase
+        .wait_for(|phase| matches!(phase, Phase::Closing { .. }))
+        .await
+        .is_ok();
+    if !turned {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Reads and throws away until the caller closes its side.
+async fn until_gone(stream: &TcpStream) {
+    let mut scratch = [0_u8; SCRATCH];
+    while stream.readable().await.is_ok() {
+        match stream.try_read(&mut scratch) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// The request that the writing side reads in place of the true one: its method and version
+/// decide how an answer is written.
+fn stub(request: &Request<Body>) -> &'static [u8] {
+    match (request.method() == Method::HEAD, request.version()) {
+        (false, Version::HTTP_10) => b"GET / HTTP/1.0\r\n\r\n",
+        (true, Version::HTTP_10) => b"HEAD / HTTP/1.0\r\n\r\n",
+        (false, _) => b"GET / HTTP/1.1\r\n\r\n",
+        (true, _) => b"HEAD / HTTP/1.1\r\n\r\n",
+    }
+}
+
+/// A request body that tells when it has been read or dropped.
+struct Tracked {
+    body: Incoming,
+    taken: Option<oneshot::Sender<()>>,
+}
+
+fn track(request: Request<Incoming>) -> (Request<Body>, oneshot::Receiver<()>) {
+    let (taken, told) = oneshot::channel();
+    let request = request.map(|body| {
+        if body.is_end_stream() {
+            return reply::empty();
+        }
+        reply::from_incoming(Tracked {
+            body,
+            taken: Some(taken),
+        })
+    });
+    (request, told)
+}
+
+impl HttpBody for Tracked {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.taken = None;
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The socket as the reading side sees it: the empty answers written to it are thrown away.
+///
+/// What hyper answers by itself is not: the interim answer by which a caller is told to send
+/// its body, and the refusal of a request that it cannot read.
+struct ReadSide {
+    stream: Arc<TcpStream>,
+    shared: Arc<Shared>,
+}
+
+/// How the empty answers begin.
+const EMPTY_ANSWER: &[u8] = b"HTTP/1.1 200 ";
+const EMPTY_ANSWER_OLD: &[u8] = b"HTTP/1.0 200 ";
+
+impl Read for ReadSide {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut scratch = [0_u8; SCRATCH];
+        let room = buffer.remaining().min(SCRATCH);
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(&mut scratch[..room]) {
+                Ok(read) => {
+                    buffer.put_slice(&scratch[..read]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl Write for ReadSide {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let empty = bytes.starts_with(EMPTY_ANSWER) || bytes.starts_with(EMPTY_ANSWER_OLD);
+        let in_turn = self.shared.unanswered.load(Ordering::Relaxed) == 0;
+        let interim = bytes.starts_with(b"HTTP/1.1 100 ");
+        if interim || (!empty && in_turn) {
+            self.stream.try_write(bytes)?;
+        }
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// The socket as the writing side sees it: stubs are read in place of requests.
+struct WriteSide {
+    stream: Arc<TcpStream>,
+    pending: mpsc::UnboundedReceiver<Pending>,
+    shared: Arc<Shared>,
+}
+
+impl Read for WriteSide {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(pending) = ready!(self.pending.poll_recv(cx)) {
+            buffer.put_slice(pending.stub);
+            self.shared.begun.lock().push_back(pending);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for WriteSide {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(buffers) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(shut)
+    }
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
@@ -16,15 +17,17 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
-use crate::Body;
+use crate::{Body, pipeline};
 
 /// Protocol spoken on a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Protocol {
-    /// HTTP/1.1, for callers, upstreams and operators.
+    /// HTTP/1.1, for upstreams and operators.
     Http1,
+    /// HTTP/1.1 with this many requests of one connection worked on at once, for callers.
+    Pipelined(usize),
     /// HTTP/2 with prior knowledge, between nodes.
     Http2,
 }
@@ -64,6 +67,8 @@
 pub enum Phase {
     /// Serve.
     Open,
+    /// Serve, and let callers know that they should go elsewhere.
+    Leaving,
     /// Take no more connections; finish the requests in progress until `give_up_at`.
     Closing {
         /// What is not finished by then is cut.
@@ -91,6 +96,7 @@
 {
     let handler = Arc::new(handler);
     let graceful = GracefulShutdown::new();
+    let (working, mut finished) = mpsc::channel::<Infallible>(1);
     let open = Arc::new(AtomicUsize::new(0));
     let give_up_at = loop {
         tokio::select! {
@@ -101,7 +107,19 @@
                         continue;
                     }
                     let counted = Counted::new(Arc::clone(&open));
-                    spawn(stream, peer, Arc::clone(&handler), protocol, &limits, &graceful, counted);
+                    let connection = Connection { stream, peer, counted };
+                    let handler = Arc::clone(&handler);
+                    if let Protocol::Pipelined(most) = protocol {
+                        let working = working.clone();
+                        let builder = http1(&limits);
+                        let phase = phase.clone();
+                        tokio::spawn(async move {
+                            pipelined(connection, handler, &builder, most, phase).await;
+                            drop(working);
+                        });
+                    } else {
+                        spawn(connection, handler, protocol, &limits, &graceful);
+                    }
                 }
                 Err(error) => {
                     log::warn!(error:% = error; "accept failed");
@@ -112,7 +130,12 @@
         }
     };
     drop(listener);
-    let finished = tokio::time::timeout_at(give_up_at.into(), graceful.shutdown()).await;
+    drop(working);
+    let all_finished = async {
+        graceful.shutdown().await;
+        finished.recv().await;
+    };
+    let finished = tokio::time::timeout_at(give_up_at.into(), all_finished).await;
     let cut = if finished.is_ok() {
         0
     } else {
@@ -132,7 +155,7 @@
 fn closes_at(phase: &watch::Receiver<Phase>) -> Instant {
     match *phase.borrow() {
         Phase::Closing { give_up_at } => give_up_at,
-        Phase::Open => Instant::now(),
+        Phase::Open | Phase::Leaving => Instant::now(),
     }
 }
 
@@ -152,24 +175,55 @@
     }
 }
 
-fn spawn<H>(
+/// An accepted connection.
+struct Connection {
     stream: TcpStream,
     peer: SocketAddr,
+    counted: Counted,
+}
+
+async fn pipelined<H>(
+    connection: Connection,
+    handler: Arc<H>,
+    builder: &hyper::server::conn::http1::Builder,
+    most: usize,
+    phase: watch::Receiver<Phase>,
+) where
+    H: NewHandler + 'static,
+{
+    let peer = connection.peer;
+    if let Err(error) = connection.stream.set_nodelay(true) {
+        log::debug!(error:% = error; "no-delay not set");
+    }
+    let respond = move |request| handle(Arc::clone(&handler), request, peer);
+    pipeline::serve(connection.stream, builder, most, phase, respond).await;
+    drop(connection.counted);
+}
+
+fn spawn<H>(
+    connection: Connection,
     handler: Arc<H>,
     protocol: Protocol,
     limits: &Limits,
     graceful: &GracefulShutdown,
-    counted: Counted,
 ) where
     H: NewHandler + 'static,
 {
+    let Connection {
+        stream,
+        peer,
+        counted,
+    } = connection;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "no-delay not set");
     }
-    let service = service_fn(move |request| handle(Arc::clone(&handler), request, peer));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answered = handle(Arc::clone(&handler), request, peer);
+        async move { Ok::<_, Infallible>(answered.await) }
+    });
     let io = TokioIo::new(stream);
     match protocol {
-        Protocol::Http1 => {
+        Protocol::Http1 | Protocol::Pipelined(_) => {
             let connection = http1(limits).serve_connection(io, service);
             let watched = graceful.watch(connection);
             tokio::spawn(async move {
@@ -214,21 +268,19 @@
     builder
 }
 
-async fn handle<H>(
-    handler: Arc<H>,
-    request: Request<Incoming>,
-    peer: SocketAddr,
-) -> Result<Response<Body>, Infallible>
+async fn handle<H, B>(handler: Arc<H>, request: Request<B>, peer: SocketAddr) -> Response<Body>
 where
     H: NewHandler + 'static,
+    B: hyper::body::Body<Data = Bytes> + Send + 'static,
+    B::Error: std::error::Error + Send + Sync,
 {
     let state = State::from_request(request, peer);
     let answered = call_handler(handler, AssertUnwindSafe(state)).await;
-    Ok(answered.unwrap_or_else(|error| {
+    answered.unwrap_or_else(|error| {
         log::error!(error:% = error; "handler could not be made");
         let status = hyper::StatusCode::INTERNAL_SERVER_ERROR;
         crate::reply::text(status, "handler could not be made\n")
-    }))
+    })
 }
 
 fn finish(ended: Result<(), hyper::Error>, peer: SocketAddr) {
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -43,6 +43,8 @@
     /// A body that does not move for this long is broken off.
     #[serde(with = "humantime_serde")]
     pub body_idle: Duration,
+    /// Requests of one connection worked on at once; further ones wait in the socket.
+    pub pipelined_most: usize,
     /// Connections of callers open at once.
     pub connections_most: usize,
 }
@@ -64,6 +66,7 @@
             grace: Duration::from_millis(25),
             replay_most: 256 * 1024,
             body_idle: Duration::from_secs(30),
+            pipelined_most: 32,
             connections_most: 4096,
         }
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -161,7 +161,8 @@
     #[must_use]
     pub fn callers_phase(&self) -> watch::Receiver<Phase> {
         self.phase(|stage| match stage {
-            Stage::Serving | Stage::Leaving => Phase::Open,
+            Stage::Serving => Phase::Open,
+            Stage::Leaving => Phase::Leaving,
             Stage::ClosingCallers { give_up_at } | Stage::ClosingPeers { give_up_at } => {
                 Phase::Closing { give_up_at }
             }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,7 +11,7 @@
 
 use fastrace::future::FutureExt as _;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use mintridge_core::load::Report;
@@ -109,8 +109,16 @@
     let handler = Function::new(entry, |entry, request| -> Answer {
         Box::pin(answer(entry, request))
     });
+    let pipelined = context.settings.callers.pipelined_most;
     let phase = context.callers_phase();
-    let ended = server::serve(listener, handler, server::Protocol::Http1, limits, phase).await;
+    let ended = server::serve(
+        listener,
+        handler,
+        server::Protocol::Pipelined(pipelined),
+        limits,
+        phase,
+    )
+    .await;
     if ended.cut > 0 {
         log::warn!(connections = ended.cut; "callers' requests were cut by the stop");
     }
@@ -136,14 +144,10 @@
     let now = Instant::now();
     let number = entry.number();
     let span = traces::root("entry", &entry.context, request.headers());
-    let mut response = serve(Arc::clone(&entry), now, number, request)
+    let response = serve(Arc::clone(&entry), now, number, request)
         .in_span(span)
         .await;
     entry.context.metrics.answered(now.elapsed(), &response);
-    if entry.context.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-    }
     response
 }
 
