perf(node): build the platform's node without recorded spans

Cause: the library of spans calibrates a counter against the clock before main begins, by waiting in a loop.

Change: recording spans is a feature of the node, on by default and off on the platform. Without it the same functions do nothing and a caller's traceparent passes on.

With charge the start cost tens of milliseconds.

--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -146,7 +146,9 @@
             .to_owned(),
         get("2"),
     ];
-    stream.write_all(requests.concat().as_bytes()).expect("sent");
+    stream
+        .write_all(requests.concat().as_bytes())
+        .expect("sent");
     let text = answers(&mut stream, 3);
     assert_eq!(bodies(&text), ["20:first", "1:second", "2:"]);
 }
@@ -173,7 +175,9 @@
     let mut stream = connect(&server);
     let requests = [get("60000"), get("60001"), get("60002")].concat();
     stream.write_all(requests.as_bytes()).expect("sent");
-    until("all run", || server.seen.running.load(Ordering::SeqCst) == 3);
+    until("all run", || {
+        server.seen.running.load(Ordering::SeqCst) == 3
+    });
     drop(stream);
     until("all are dropped", || {
         server.seen.dropped.load(Ordering::SeqCst) == 3
@@ -190,7 +194,9 @@
     let mut stream = connect(&server);
     let requests = [get("100"), get("120")].concat();
     stream.write_all(requests.as_bytes()).expect("sent");
-    until("both run", || server.seen.running.load(Ordering::SeqCst) == 2);
+    until("both run", || {
+        server.seen.running.load(Ordering::SeqCst) == 2
+    });
     server.phase.send_replace(phase);
     let mut text = String::new();
     stream.read_to_string(&mut text).expect("closed in order");
@@ -205,7 +211,9 @@
 fn serve_refuses_garbage() {
     let server = start();
     let mut stream = connect(&server);
-    stream.write_all(b"no request at all\r\n\r\n").expect("sent");
+    stream
+        .write_all(b"no request at all\r\n\r\n")
+        .expect("sent");
     let mut text = String::new();
     let _ = stream.read_to_string(&mut text);
     assert!(text.starts_with("HTTP/1.1 400"), "{text}");
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -9,7 +9,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use fastrace::future::FutureExt as _;
 use hyper::body::Incoming;
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
@@ -144,9 +143,8 @@
     let now = Instant::now();
     let number = entry.number();
     let span = traces::root("entry", &entry.context, request.headers());
-    let response = serve(Arc::clone(&entry), now, number, request)
-        .in_span(span)
-        .await;
+    let served = serve(Arc::clone(&entry), now, number, request);
+    let response = traces::within(span, served).await;
     entry.context.metrics.answered(now.elapsed(), &response);
     response
 }
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -10,8 +10,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fastrace::Span;
-use fastrace::future::FutureExt as _;
 use http_body_util::Empty;
 use hyper::header::HOST;
 use hyper::{Request, Response, StatusCode, Uri, Version};
@@ -101,7 +99,7 @@
         }
     };
     let span = traces::child("guard", &guard.context, request.headers());
-    serve(guard, head, request).in_span(span).await
+    traces::within(span, serve(guard, head, request)).await
 }
 
 async fn serve(guard: Arc<Guard>, head: Head, request: Request<Body>) -> Response<Body> {
@@ -133,8 +131,10 @@
     let mut request = request;
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
-    let span = Span::enter_with_local_parent("upstream");
-    let handed = guard.upstream.send(address, request).in_span(span);
+    let handed = traces::within(
+        traces::hop("upstream"),
+        guard.upstream.send(address, request),
+    );
     let answered = tokio::time::timeout_at(head.deadline.into(), handed).await;
     let now = Instant::now();
     let (mut parts, body) = match answered {
--- a/crates/node/src/traces.rs
+++ b/crates/node/src/traces.rs
@@ -1,74 +1,16 @@
 //! Traces: a span for each hop, joined by W3C `traceparent`.
 //!
-//! Spans are recorded by the fastrace library and exported to the log under the target
-//! `trace`, one record a span, from where a collector takes them. A `traceparent` from
-//! outside passes through unchanged while sampling is off.
-
-use fastrace::Span;
-use fastrace::collector::{Config, Reporter, SpanContext, SpanRecord};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-
-use crate::context::Context;
-
-/// Carries the trace from hop to hop.
-const TRACEPARENT: HeaderName = HeaderName::from_static("traceparent");
-
-/// Starts the export of spans.
-pub fn start() {
-    fastrace::set_reporter(Exporter, Config::default());
-}
-
-/// Span of the first hop of this node: continues the caller's trace or begins one.
-pub fn root(name: &'static str, context: &Context, headers: &HeaderMap) -> Span {
-    if !context.settings.traces.sampled {
-        return Span::noop();
-    }
-    let parent = parent(headers).unwrap_or_else(SpanContext::random);
-    let server = context.server().to_string();
-    Span::root(name, parent).with_property(|| ("server", server))
-}
-
-/// Span of a hop that continues a trace begun by another node; none without one.
-pub fn child(name: &'static str, context: &Context, headers: &HeaderMap) -> Span {
-    if parent(headers).is_none() {
-        return Span::noop();
-    }
-    root(name, context, headers)
-}
-
-/// Writes the span in force into the headers of a request to the next hop.
-pub fn inject(headers: &mut HeaderMap) {
-    let Some(current) = SpanContext::current_local_parent() else {
-        return;
-    };
-    if let Ok(value) = HeaderValue::try_from(current.encode_w3c_traceparent()) {
-        headers.insert(TRACEPARENT, value);
-    }
-}
-
-fn parent(headers: &HeaderMap) -> Option<SpanContext> {
-    let text = headers.get(TRACEPARENT)?.to_str().ok()?;
-    SpanContext::decode_w3c_traceparent(text)
-}
-
-/// Writes spans to the log.
-struct Exporter;
-
-impl Reporter for Exporter {
-    fn report(&mut self, spans: Vec<SpanRecord>) {
-        for span in spans {
-            let server = span.properties.iter().find(|(key, _)| key == "server");
-            log::info!(
-                target: "trace",
-                trace:% = format!("{:032x}", span.trace_id.0),
-                span:% = format!("{:016x}", span.span_id.0),
-                parent:% = format!("{:016x}", span.parent_id.0),
-                begin_ns = span.begin_time_unix_ns,
-                duration_ns = span.duration_ns,
-                server:% = server.map_or("", |(_, value)| value);
-                "{}",
-                span.name
-            );
-        }
-    }
-}
+//! With the feature `traces` spans are recorded. Without it the same functions do nothing,
+//! and a `traceparent` of callers passes through unchanged: the library of spans compares
+//! two clocks before the program begins, which costs tens of milliseconds of processor time
+//! at each start, too much where a node has a fifth of a core.
+
+#[cfg(not(feature = "traces"))]
+mod absent;
+#[cfg(feature = "traces")]
+mod recorded;
+
+#[cfg(not(feature = "traces"))]
+pub use absent::{Span, child, hop, inject, root, start, within};
+#[cfg(feature = "traces")]
+pub use recorded::{Span, child, hop, inject, root, start, within};
