perf(placement): fresh load, late work refused at once and placed again, order by target

Nodes placed by reports a third of a second old onto hosts that had turned slow meanwhile, and the queue there was first in, first out, so that everybody came late.

Change: core::queue serves first what can still meet its target, by rank; core::attempts asks another server when one says that it could only answer late, at no upstream's cost; core::load prices a slow phase; core::audience tells nodes that sent lately of each change of load by datagram. A faulty upstream that sheds with room no longer lowers its limit.

Ruled out: deeper queues; telling all members (messages would follow the fleet).

--- a/crates/bench/src/policy/fake.rs
+++ b/crates/bench/src/policy/fake.rs
@@ -315,6 +315,9 @@
             id: Id(id as u64),
             customer: Arc::clone(&request.customer),
             deadline: request.arrived + DEADLINE,
+            target: request.arrived + DEADLINE,
+            priority: 0,
+            only_in_time: false,
         };
         match self.servers[server]
             .admission
@@ -366,7 +369,7 @@
     }
 
     fn reply(&mut self, server: usize, id: usize, ok: bool) {
-        let report = self.servers[server].admission.report();
+        let report = self.servers[server].admission.report(self.now);
         let report = [
             report.in_flight,
             report.queued,
@@ -390,6 +393,7 @@
             queued,
             limit,
             service_micros,
+            slowness_percent: 0,
         };
         let failing = self.condition == Condition::FailFast && server == 0;
         let entry = &mut self.entries[request_entry(&self.requests, id)];
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -1,20 +1,24 @@
 //! Admission beside the upstream: run now, wait, or refuse at once.
 //!
-//! A request runs while the upstream has fewer than its limit. Beyond that it waits
-//! in a short queue that is fair between customers by their weights, and it is
-//! refused at once, truthfully as not run, when its turn would come too late for its
-//! deadline or when its customer already fills its part of the queue.
+//! Load pattern: several nodes place requests here at once, each with a picture that is some
+//! hundred milliseconds old, and upstreams slow down before all their slots are taken. A
+//! request runs while the upstream has fewer than its limit. Beyond that it waits in
+//! [`crate::queue`], and it is refused at once, truthfully as not run, when its turn would
+//! come too late, so that its entry can place it elsewhere while there is time.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use crate::configs::admission::Settings;
 use crate::ewma::Ewma;
-use crate::load::Report;
+use crate::load::{Report, Upstream, slow_penalty};
 use crate::outcome::{Reason, Refusal};
+use crate::queue::Queue;
 use crate::request::{Arrival, Id};
 
+/// One in so many of the limit may wait though it will miss its target.
+const LATE_PART: usize = 2;
+
 /// What happens to a request that just arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -44,33 +48,33 @@
     Shed,
 }
 
-/// The queue and the slots of one upstream.
+/// The slots of one upstream and what waits for them.
 #[derive(Debug)]
 pub struct Admission {
     settings: Settings,
     slots: u32,
     limit: f64,
     lowered_at: Option<Instant>,
-    running: HashMap<Id, Instant>,
-    customers: BTreeMap<Arc<str>, Customer>,
-    queued: usize,
-    virtual_time: f64,
+    running: HashMap<Id, Running>,
+    queue: Queue,
     service_time: Ewma,
+    /// By rank, since requests of one rank mostly do the same work.
+    service_times: BTreeMap<u8, Ewma>,
+    slowness: Option<Slowness>,
     actions: VecDeque<Action>,
 }
 
-/// Requests of one customer; `tag` is its virtual finish time.
-#[derive(Debug)]
-struct Customer {
-    weight: f64,
-    tag: f64,
-    waiting: VecDeque<Arrival>,
+/// How slow the upstream's host is, as told on its answers.
+#[derive(Clone, Copy, Debug)]
+struct Slowness {
+    percent: u32,
+    believed_until: Instant,
 }
 
-impl Customer {
-    fn backlog(&self) -> f64 {
-        count(self.waiting.len()) / self.weight
-    }
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    since: Instant,
+    priority: u8,
 }
 
 impl Admission {
@@ -80,14 +84,14 @@
         let initial = settings.service_time_initial.as_secs_f64();
         Self {
             service_time: Ewma::new(initial, settings.service_time_share),
+            service_times: BTreeMap::new(),
             limit: most_of(&settings, slots),
             settings,
             slots,
             lowered_at: None,
             running: HashMap::new(),
-            customers: BTreeMap::new(),
-            queued: 0,
-            virtual_time: 0.0,
+            queue: Queue::default(),
+            slowness: None,
             actions: VecDeque::new(),
         }
     }
@@ -101,21 +105,41 @@
         self.limit = most_of(&self.settings, slots);
     }
 
+    /// The upstream told its load; true if it tells of another slowness than before.
+    pub fn told(&mut self, now: Instant, load: &Upstream) -> bool {
+        let before = self.slowness_percent(now);
+        self.slowness = load.slowness_percent.map(|percent| Slowness {
+            percent,
+            believed_until: now + self.settings.slow_phase * 2,
+        });
+        before != self.slowness_percent(now)
+    }
+
     /// Decides on a request that just arrived.
     pub fn arrive(&mut self, now: Instant, arrival: Arrival, weight: f64) -> Decision {
-        if self.can_run() && self.queued == 0 {
-            self.charge(&arrival.customer, weight);
-            self.running.insert(arrival.id, now);
+        if self.can_run() && self.queue.is_empty() {
+            self.queue.charge(&arrival, weight);
+            self.run(now, &arrival);
             return Decision::Admit;
         }
-        let wait = self.expected_wait(&arrival.customer, weight);
-        if now + wait + self.service_time.mean() > arrival.deadline {
+        let turns = self.queue.turns_before(&arrival, weight) + 1.0;
+        let wait = Duration::from_secs_f64(self.service_time.seconds() * turns / self.limit);
+        let done = now + wait + self.needed(&arrival) + self.slow_penalty(now);
+        if done > arrival.deadline {
             return Decision::Refuse(self.refusal(now, Reason::Deadline));
         }
-        if self.queued >= self.queue_most() && !self.displace(now, &arrival.customer, weight) {
-            return Decision::Refuse(self.refusal(now, Reason::Busy));
+        if done > arrival.target && (arrival.only_in_time || self.late_most() <= self.late(now)) {
+            return Decision::Refuse(self.refusal(now, Reason::Late));
+        }
+        if self.queue.len() >= self.queue_most() {
+            let Some(displaced) = self.queue.displace(&arrival, weight) else {
+                return Decision::Refuse(self.refusal(now, Reason::Busy));
+            };
+            let refusal = self.refusal(now, Reason::Busy);
+            self.actions
+                .push_back(Action::Refuse(displaced.id, refusal));
         }
-        self.enqueue(arrival, weight);
+        self.queue.push(arrival, weight);
         Decision::Queue
     }
 
@@ -124,12 +148,19 @@
     /// The time until then is what a request costs; how long the body then takes is
     /// up to the caller who reads it.
     pub fn answered(&mut self, now: Instant, id: Id, answer: Answer) {
-        let Some(started) = self.running.get(&id) else {
+        let Some(running) = self.running.get(&id).copied() else {
             return;
         };
         match answer {
             Answer::Served => {
-                self.service_time.add(now.duration_since(*started));
+                let took = now.duration_since(running.since);
+                self.service_time.add(took);
+                let initial = self.service_time.seconds();
+                let share = self.settings.service_time_share;
+                let of_rank = self.service_times.entry(running.priority);
+                of_rank
+                    .or_insert_with(|| Ewma::new(initial, share))
+                    .add(took);
                 self.raise_limit();
             }
             Answer::Shed => self.lower_limit(now),
@@ -143,22 +174,17 @@
 
     /// The caller of a request that waits has gone.
     pub fn withdraw(&mut self, id: Id) {
-        for customer in self.customers.values_mut() {
-            let before = customer.waiting.len();
-            customer.waiting.retain(|arrival| arrival.id != id);
-            self.queued -= before - customer.waiting.len();
-        }
+        self.queue.remove(id);
     }
 
     /// Refuses everything that waits, as when the upstream turns doubtful.
     pub fn refuse_waiting(&mut self, now: Instant, reason: Reason) {
         let refusal = self.refusal(now, reason);
-        for customer in self.customers.values_mut() {
-            for arrival in customer.waiting.drain(..) {
-                self.actions.push_back(Action::Refuse(arrival.id, refusal));
-            }
-        }
-        self.queued = 0;
+        let actions = &mut self.actions;
+        self.queue.retain(
+            |_| false,
+            |arrival| actions.push_back(Action::Refuse(arrival.id, refusal)),
+        );
     }
 
     /// What to do next; call until `None` after each event and at [`Self::wake_at`].
@@ -170,30 +196,32 @@
         if !self.can_run() {
             return None;
         }
-        let arrival = self.dequeue()?;
-        self.running.insert(arrival.id, now);
+        let (times, mean) = (&self.service_times, self.service_time.mean());
+        let arrival = self
+            .queue
+            .pop(now, |arrival| needed(times, mean, arrival))?;
+        self.run(now, &arrival);
         Some(Action::Admit(arrival.id))
     }
 
     /// When a waiting request must be refused unless its turn comes before.
     #[must_use]
     pub fn wake_at(&self) -> Option<Instant> {
-        let service_time = self.service_time.mean();
-        self.customers
-            .values()
-            .flat_map(|customer| &customer.waiting)
-            .map(|arrival| latest_start(arrival, service_time))
+        self.queue
+            .iter()
+            .map(|arrival| latest_start(arrival, self.needed(arrival)))
             .min()
     }
 
     /// The load at this moment.
     #[must_use]
-    pub fn report(&self) -> Report {
+    pub fn report(&self, now: Instant) -> Report {
         Report {
             in_flight: saturate(self.running.len()),
-            queued: saturate(self.queued),
+            queued: saturate(self.queue.len()),
             limit: self.limit_whole(),
             service_micros: saturate(self.service_time.mean().as_micros()),
+            slowness_percent: self.slowness_percent(now),
         }
     }
 
@@ -206,11 +234,22 @@
     /// A refusal as not run that says when the queue will have drained.
     #[must_use]
     pub fn refusal(&self, now: Instant, reason: Reason) -> Refusal {
-        let drained = self.service_time.seconds() * count(self.queued + 1) / self.limit;
+        let drained = self.service_time.seconds() * count(self.queue.len() + 1) / self.limit;
         let wait = Duration::from_secs_f64(drained).max(self.settings.retry_after_least);
         Refusal::not_run(reason, now + wait)
     }
 
+    fn slowness_percent(&self, now: Instant) -> u32 {
+        let told = self.slowness.filter(|told| now < told.believed_until);
+        told.map_or(0, |told| told.percent)
+    }
+
+    /// Extra time of a request that begins at this moment.
+    fn slow_penalty(&self, now: Instant) -> Duration {
+        let percent = self.slowness_percent(now);
+        slow_penalty(percent, self.service_time.mean(), self.settings.slow_phase)
+    }
+
     fn can_run(&self) -> bool {
         saturate(self.running.len()) < self.limit_whole()
     }
@@ -226,117 +265,44 @@
         by_slots.max(self.settings.queue_least)
     }
 
-    /// Expected wait of one more request of this customer.
-    ///
-    /// Between its own requests each other customer with a backlog gets its turns, but
-    /// no more of them than it has waiting.
-    fn expected_wait(&self, name: &str, weight: f64) -> Duration {
-        let own = self.customers.get(name).map_or(0, |c| c.waiting.len());
-        let rounds = count(own + 1) / weight;
-        let ahead: f64 = self
-            .customers
-            .iter()
-            .filter(|(other, _)| other.as_ref() != name)
-            .map(|(_, other)| count(other.waiting.len()).min(rounds * other.weight))
-            .sum();
-        let turns = count(own + 1) + ahead;
-        Duration::from_secs_f64(self.service_time.seconds() * turns / self.limit)
-    }
-
-    /// Makes room in a full queue by refusing the newest of the longest backlog.
-    ///
-    /// Failure: one customer sends ten times its share. Symptom: the queue is full of
-    /// its requests and small customers are refused. The longest backlog pays instead,
-    /// so a large customer waits behind itself.
-    fn displace(&mut self, now: Instant, name: &Arc<str>, weight: f64) -> bool {
-        let own = self.customers.get(name).map_or(0, |c| c.waiting.len());
-        let own_backlog = count(own + 1) / weight;
-        let refusal = self.refusal(now, Reason::Busy);
-        let Some(longest) = self
-            .customers
-            .values_mut()
-            .max_by(|a, b| a.backlog().total_cmp(&b.backlog()))
-        else {
-            return false;
-        };
-        if longest.backlog() <= own_backlog {
-            return false;
-        }
-        let Some(displaced) = longest.waiting.pop_back() else {
-            return false;
-        };
-        self.queued -= 1;
-        self.actions
-            .push_back(Action::Refuse(displaced.id, refusal));
-        true
+    /// Requests that may wait though they will miss their target: as many as are done within
+    /// about a service time when nothing more urgent comes, and so few that those given up
+    /// at their deadline are few.
+    fn late_most(&self) -> usize {
+        usize::try_from(self.limit_whole()).unwrap_or(usize::MAX) / LATE_PART
     }
 
-    fn enqueue(&mut self, arrival: Arrival, weight: f64) {
-        let customer = self.customer(&arrival.customer, weight);
-        customer.waiting.push_back(arrival);
-        self.queued += 1;
+    /// Requests waiting that can no longer meet their target.
+    fn late(&self, now: Instant) -> usize {
+        let late = |arrival: &&Arrival| now + self.needed(arrival) > arrival.target;
+        self.queue.iter().filter(late).count()
     }
 
-    /// Takes the request of the customer that has had least, relative to its weight.
-    fn dequeue(&mut self) -> Option<Arrival> {
-        let (_, customer) = self
-            .customers
-            .iter_mut()
-            .filter(|(_, customer)| !customer.waiting.is_empty())
-            .min_by(|(_, a), (_, b)| a.tag.total_cmp(&b.tag))?;
-        let arrival = customer.waiting.pop_front()?;
-        let weight = customer.weight;
-        self.queued -= 1;
-        self.charge(&arrival.customer, weight);
-        Some(arrival)
+    /// Expected time of this request in the upstream.
+    fn needed(&self, arrival: &Arrival) -> Duration {
+        needed(&self.service_times, self.service_time.mean(), arrival)
     }
 
-    /// Counts one turn against a customer, and forgets customers that are even.
-    fn charge(&mut self, name: &Arc<str>, weight: f64) {
-        let customer = self.customer(name, weight);
-        let started = customer.tag;
-        customer.tag += 1.0 / weight;
-        self.virtual_time = self.virtual_time.max(started);
-        let even = self.virtual_time;
-        self.customers
-            .retain(|_, customer| !customer.waiting.is_empty() || customer.tag > even);
-    }
-
-    fn customer(&mut self, name: &Arc<str>, weight: f64) -> &mut Customer {
-        let virtual_time = self.virtual_time;
-        let customer = self
-            .customers
-            .entry(Arc::clone(name))
-            .or_insert_with(|| Customer {
-                weight,
-                tag: virtual_time,
-                waiting: VecDeque::new(),
-            });
-        customer.weight = weight;
-        if customer.waiting.is_empty() {
-            customer.tag = customer.tag.max(virtual_time);
-        }
-        customer
+    fn run(&mut self, now: Instant, arrival: &Arrival) {
+        let running = Running {
+            since: now,
+            priority: arrival.priority,
+        };
+        self.running.insert(arrival.id, running);
     }
 
     /// Refuses what can no longer be answered by its deadline, while it still knows.
     fn refuse_late(&mut self, now: Instant) {
-        if self.queued == 0 {
+        if self.queue.is_empty() {
             return;
         }
-        let service_time = self.service_time.mean();
         let refusal = self.refusal(now, Reason::Deadline);
-        for customer in self.customers.values_mut() {
-            let before = customer.waiting.len();
-            customer.waiting.retain(|arrival| {
-                let in_time = now < latest_start(arrival, service_time);
-                if !in_time {
-                    self.actions.push_back(Action::Refuse(arrival.id, refusal));
-                }
-                in_time
-            });
-            self.queued -= before - customer.waiting.len();
-        }
+        let (times, mean) = (&self.service_times, self.service_time.mean());
+        let actions = &mut self.actions;
+        self.queue.retain(
+            |arrival| now < latest_start(arrival, needed(times, mean, arrival)),
+            |arrival| actions.push_back(Action::Refuse(arrival.id, refusal)),
+        );
     }
 
     fn raise_limit(&mut self) {
@@ -364,6 +330,10 @@
     (f64::from(slots) * settings.slots_share).max(1.0)
 }
 
+fn needed(times: &BTreeMap<u8, Ewma>, mean: Duration, arrival: &Arrival) -> Duration {
+    times.get(&arrival.priority).map_or(mean, Ewma::mean)
+}
+
 fn latest_start(arrival: &Arrival, service_time: Duration) -> Instant {
     arrival
         .deadline
--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -11,6 +11,9 @@
     /// Share of the upstream's slots that are used at most. Many upstreams slow down before
     /// all their slots are taken, so that the last few cost more than they carry.
     pub slots_share: f64,
+    /// How long a slow phase of the upstream's host is expected to go on.
+    #[serde(with = "humantime_serde")]
+    pub slow_phase: Duration,
     /// Requests that may wait, per slot of the upstream.
     pub queue_per_slot: f64,
     /// Requests that may wait whatever the number of slots.
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             slots_share: 1.0,
+            slow_phase: Duration::from_millis(150),
             queue_per_slot: 2.0,
             queue_least: 4,
             service_time_initial: Duration::from_millis(20),
--- a/crates/core/src/configs/placement.rs
+++ b/crates/core/src/configs/placement.rs
@@ -22,6 +22,9 @@
     /// The suspicion of a straggler fades with the age of its last report at this rate.
     #[serde(with = "humantime_serde")]
     pub straggler_fades: Duration,
+    /// How long a slow phase of an upstream's host is expected to go on.
+    #[serde(with = "humantime_serde")]
+    pub slow_phase: Duration,
     /// A server that joined takes its full share only after this long.
     #[serde(with = "humantime_serde")]
     pub ramp: Duration,
@@ -40,6 +43,7 @@
             spread: 1.0,
             straggler_factor: 2.0,
             straggler_fades: Duration::from_secs(5),
+            slow_phase: Duration::from_millis(150),
             ramp: Duration::from_secs(5),
             avoid_for: Duration::from_millis(500),
             choices: 8,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,8 +10,8 @@
 //! | step | module |
 //! |---|---|
 //! | which server? | [`placement`] |
-//! | may it be tried again elsewhere? | [`retry`] |
-//! | may it run now? | [`admission`], closed by [`gate`] and [`health`] |
+//! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
+//! | may it run now, or wait, and in which order? | [`admission`], [`queue`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
 //! | what is the caller told? | [`outcome`] |
 //!
@@ -19,6 +19,8 @@
 //! in force) and [`probe`] (what measuring may cost).
 
 pub mod admission;
+pub mod attempts;
+pub mod audience;
 pub mod claim;
 pub mod configs;
 pub mod ewma;
@@ -31,6 +33,7 @@
 pub mod placement;
 pub mod preset;
 pub mod probe;
+pub mod queue;
 pub mod request;
 pub mod retry;
 pub mod route;
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -1,5 +1,9 @@
 //! The load of one upstream, counted by the node beside it.
 
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 /// Counted load, carried on every answer and refusal of the node that counted it.
@@ -13,6 +17,57 @@
     pub limit: u32,
     /// Mean time of a request in the upstream, in microseconds.
     pub service_micros: u32,
+    /// How long work takes on the upstream's host at this moment, in percent of the usual;
+    /// 0 if it is not known.
+    pub slowness_percent: u32,
+}
+
+/// Extra time that one request takes on a host that is slow at this moment.
+///
+/// Load pattern: neighbours on the same machine slow a host down several times, for a few
+/// hundred milliseconds, again and again. Work that begins in such a phase loses what the
+/// phase still lasts, or is slow to its end if it is shorter. `phase` is how long a slow
+/// phase is expected to go on.
+#[must_use]
+pub fn slow_penalty(slowness_percent: u32, service: Duration, phase: Duration) -> Duration {
+    let slowness = f64::from(slowness_percent) / 100.0;
+    if slowness <= 1.0 {
+        return Duration::ZERO;
+    }
+    let to_the_end = service.mul_f64(slowness - 1.0);
+    let lost_in_phase = phase.mul_f64(1.0 - 1.0 / slowness);
+    to_the_end.min(lost_in_phase)
+}
+
+/// A report does not have the form written by [`fmt::Display`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a load report")]
+pub struct Malformed;
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{},{},{},{},{}",
+            self.in_flight, self.queued, self.limit, self.service_micros, self.slowness_percent
+        )
+    }
+}
+
+impl FromStr for Report {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Self, Malformed> {
+        let mut figures = text.split(',').map(|figure| figure.parse().ok());
+        let mut next = || figures.next().flatten().ok_or(Malformed);
+        Ok(Self {
+            in_flight: next()?,
+            queued: next()?,
+            limit: next()?,
+            service_micros: next()?,
+            slowness_percent: next()?,
+        })
+    }
 }
 
 /// Load as the upstream itself tells it.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -33,6 +33,8 @@
     Busy,
     /// The deadline has passed or cannot be met.
     Deadline,
+    /// The answer would come later than its target, and another server may be quicker.
+    Late,
     /// The server is leaving and takes nothing new.
     Leaving,
     /// The upstream keeps failing and is being checked.
@@ -67,9 +69,10 @@
 
 impl Reason {
     /// Every reason, for metrics with a bounded label set.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::Busy,
         Self::Deadline,
+        Self::Late,
         Self::Leaving,
         Self::Doubtful,
         Self::Unannounced,
@@ -93,6 +96,7 @@
         match self {
             Self::Busy => "busy",
             Self::Deadline => "deadline",
+            Self::Late => "late",
             Self::Leaving => "leaving",
             Self::Doubtful => "doubtful",
             Self::Unannounced => "unannounced",
@@ -124,6 +128,7 @@
             self,
             Self::Busy
                 | Self::Deadline
+                | Self::Late
                 | Self::Leaving
                 | Self::Doubtful
                 | Self::Unannounced
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::configs::placement::Settings;
-use crate::load::Report;
+use crate::load::{Report, slow_penalty};
 
 /// Chance that a server which has just joined is compared at all.
 const RAMP_LEAST: f64 = 0.05;
@@ -265,7 +265,7 @@
     } else {
         settings.zone_cost.as_secs_f64()
     };
-    let cost = service + wait + filling + zone;
+    let cost = service + wait + filling + zone + slow_of(settings, candidate, service, age);
     if candidate.avoid_until.is_some_and(|until| now < until) {
         return cost + AVOIDED_SECONDS;
     }
@@ -290,6 +290,17 @@
     }
 }
 
+/// Extra time on a host that was slow when it was last heard, in seconds.
+///
+/// A slow phase ends by itself, so the report is believed less the older it is.
+fn slow_of(settings: &Settings, candidate: &Candidate, service: f64, age: Duration) -> f64 {
+    let percent = candidate.report.slowness_percent;
+    let service = Duration::from_secs_f64(service);
+    let penalty = slow_penalty(percent, service, settings.slow_phase);
+    let fresh = (-age.as_secs_f64() / settings.slow_phase.as_secs_f64()).exp();
+    penalty.as_secs_f64() * fresh
+}
+
 /// Requests expected at the upstream now.
 ///
 /// Failure: several nodes see the same low report and all choose it. Symptom: one server
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -16,4 +16,10 @@
     pub customer: Arc<str>,
     /// The caller's answer is worth nothing after this instant.
     pub deadline: Instant,
+    /// The caller's answer is worth less after this instant; never later than the deadline.
+    pub target: Instant,
+    /// Rank; 0 is the most urgent.
+    pub priority: u8,
+    /// Whether to refuse it if it would miss its target, because another server may not.
+    pub only_in_time: bool,
 }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -75,21 +75,6 @@
     }
 }
 
-/// Whether a request that no upstream has seen may be placed on another server.
-///
-/// It costs a message between two nodes and no upstream's work, so it draws on no budget;
-/// `placements` bounds the messages. Passing an upstream over and over multiplies nothing:
-/// what is refused at one level is not tried again by the level above.
-#[must_use]
-pub fn may_place_again(
-    settings: &Settings,
-    now: Instant,
-    deadline: Instant,
-    placements: u32,
-) -> bool {
-    placements < settings.placements && now < deadline
-}
-
 /// The progress that a refusal stands for.
 #[must_use]
 pub const fn progress_of(refusal: &Refusal) -> Progress {
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -24,6 +24,9 @@
         id: Id(id),
         customer: Arc::from(customer),
         deadline,
+        target: deadline,
+        priority: 0,
+        only_in_time: false,
     }
 }
 
@@ -160,7 +163,7 @@
     admission.withdraw(Id(1));
     admission.finish(Id(0));
     assert_eq!(drain(&mut admission, now), []);
-    assert_eq!(admission.report().queued, 0);
+    assert_eq!(admission.report(now).queued, 0);
 }
 
 #[test]
@@ -174,7 +177,7 @@
         admission.finish(Id(id));
         now += Duration::from_secs(1);
     }
-    let lowered = admission.report().limit;
+    let lowered = admission.report(now).limit;
     assert!(lowered < 10, "limit {lowered}");
     for id in 10..400 {
         admission.arrive(now, arrival(id, "a", late), 1.0);
@@ -182,7 +185,7 @@
         admission.finish(Id(id));
         now += SERVICE;
     }
-    assert_eq!(admission.report().limit, 10);
+    assert_eq!(admission.report(now).limit, 10);
 }
 
 #[test]
@@ -218,6 +221,9 @@
                     id: Id(*id),
                     customer: Arc::from("a"),
                     deadline: now + Duration::from_secs(10),
+                    target: now + Duration::from_secs(10),
+                    priority: 0,
+                    only_in_time: false,
                 };
                 admission.arrive(now, arrival, 1.0) == Decision::Admit
             })
@@ -227,5 +233,5 @@
     for _ in 0..1_000 {
         admission.answered(now, Id(0), Answer::Served);
     }
-    assert_eq!(admission.report().limit, 9);
+    assert_eq!(admission.report(now).limit, 9);
 }
--- /dev/null
+++ b/crates/core/tests/attempts.rs
@@ -0,0 +1,69 @@
+//! Which servers are asked for one request, and in what order they may be asked again.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::attempts::Attempts;
+use mintridge_core::configs::retry::Settings;
+use mintridge_core::outcome::{Reason, Refusal};
+use rstest::rstest;
+
+const SERVERS: [&str; 4] = ["a", "b", "c", "d"];
+
+fn settings() -> Settings {
+    Settings {
+        placements: 3,
+        ..Settings::default()
+    }
+}
+
+/// Asks server after server, each refusing for a reason, and tells which were asked and
+/// which of them were to refuse a late answer.
+fn play(servers: usize, reasons: &[Reason]) -> Vec<(&'static str, bool)> {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(1);
+    let mut attempts = Attempts::default();
+    let mut asked = Vec::new();
+    for reason in reasons {
+        let open = SERVERS[..servers]
+            .iter()
+            .find(|server| !attempts.tried().iter().any(|tried| **tried == ***server));
+        let server = open.expect("one is open");
+        let only_in_time = attempts.asks(&settings(), &Arc::from(*server));
+        asked.push((*server, only_in_time));
+        let refusal = Refusal::not_run(*reason, now);
+        let others = |tried: &[Arc<str>]| {
+            let mut open = SERVERS[..servers].iter();
+            open.any(|server| !tried.iter().any(|tried| **tried == **server))
+        };
+        if !attempts.refused(&settings(), now, deadline, &refusal, others) {
+            break;
+        }
+    }
+    asked
+}
+
+/// A burst: all servers could answer late only. Two are asked to answer in time, and the
+/// third time any of them may take the request for a late answer, once.
+#[rstest]
+#[case::enough_servers(4, &[Reason::Late; 5], &[("a", true), ("b", true), ("a", false)])]
+#[case::one_server(1, &[Reason::Late; 5], &[("a", true), ("a", false)])]
+#[case::full(4, &[Reason::Busy; 5], &[("a", true), ("b", true), ("c", false)])]
+#[case::late_then_leaving(2, &[Reason::Late, Reason::Leaving, Reason::Late], &[("a", true), ("b", true), ("a", false)])]
+#[case::of_no_use_elsewhere(4, &[Reason::BadRequest], &[("a", true)])]
+fn refused_goes_on_while_another_may_answer(
+    #[case] servers: usize,
+    #[case] reasons: &[Reason],
+    #[case] expected: &[(&str, bool)],
+) {
+    assert_eq!(play(servers, reasons), expected);
+}
+
+#[test]
+fn refused_stops_at_the_deadline() {
+    let now = Instant::now();
+    let mut attempts = Attempts::default();
+    attempts.asks(&settings(), &Arc::from("a"));
+    let refusal = Refusal::not_run(Reason::Busy, now);
+    assert!(!attempts.refused(&settings(), now, now, &refusal, |_| true));
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -41,6 +41,7 @@
         queued,
         limit: 12,
         service_micros: 20_000,
+        slowness_percent: 0,
     }
 }
 
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -114,7 +114,7 @@
 /// Error types registered for Proxy-Status.
 const fn proxy_error(reason: Reason) -> &'static str {
     match reason {
-        Reason::Busy => "connection_limit_reached",
+        Reason::Busy | Reason::Late => "connection_limit_reached",
         Reason::Deadline => "connection_timeout",
         Reason::Unreachable => "connection_refused",
         Reason::LinkLost => "connection_terminated",
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -141,6 +141,8 @@
             claim,
             priority: treatment.priority,
             target: target.min(deadline),
+            only_in_time: false,
+            report_to: None,
         },
         attempts: treatment.attempts,
         routes: treatment.routes,
--- a/crates/node/src/configs/guard.rs
+++ b/crates/node/src/configs/guard.rs
@@ -16,6 +16,9 @@
     pub idle_connections_for: Duration,
     /// Idle connections to the upstream kept open.
     pub idle_connections_most: usize,
+    /// Least time between two load reports sent to one peer beside answers.
+    #[serde(with = "humantime_serde")]
+    pub report_every: Duration,
     /// Announcements between their listener and the guard.
     pub announcements_ring: usize,
 }
@@ -26,6 +29,7 @@
             connect_within: Duration::from_millis(500),
             idle_connections_for: Duration::from_secs(2),
             idle_connections_most: 64,
+            report_every: Duration::from_millis(50),
             announcements_ring: 16,
         }
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,6 +13,7 @@
 use hyper::header::RETRY_AFTER;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use mintridge_core::attempts::Attempts;
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Outcome, Reason, Refusal};
 use mintridge_core::placement::{Ending, Placement};
@@ -33,7 +34,7 @@
 use crate::headers;
 use crate::link::Links;
 use crate::replay::Source;
-use crate::traces;
+use crate::{reports, traces};
 
 /// When a caller is told to come back if no server offers its service.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
@@ -83,13 +84,11 @@
     request: arrival::Request,
     parts: Parts,
     source: Source,
-    tried: Vec<Arc<str>>,
+    attempts: Attempts,
     /// Whether the request may hold its claim.
     claimed: bool,
     /// Whether any attempt so far may have run.
     may_have_run: bool,
-    /// Attempts that reached an upstream.
-    handed: u32,
     /// A failure that an upstream answered, told if no further attempt does better.
     failure: Option<(Response<Incoming>, Placed)>,
 }
@@ -100,6 +99,7 @@
     entry.take_view(&context.latest.view.borrow().clone());
     tokio::spawn(follow_view(Arc::clone(&entry)));
     tokio::spawn(publish_often(Arc::clone(&entry)));
+    tokio::spawn(take_reports(Arc::clone(&entry)));
     let limits = server::Limits {
         connections: context.settings.callers.connections_most,
         header_within: context.settings.callers.header_within,
@@ -132,6 +132,14 @@
     }
 }
 
+async fn take_reports(entry: Arc<Entry>) {
+    reports::receive(&entry.context, |datagram, report| {
+        let mut placement = entry.placement.lock();
+        placement.reported(Instant::now(), &datagram.service, &datagram.server, report);
+    })
+    .await;
+}
+
 async fn publish_often(entry: Arc<Entry>) {
     loop {
         entry.publish();
@@ -183,10 +191,9 @@
         request: read,
         parts,
         source: Source::new(body, settings.replay_most),
-        tried: Vec::new(),
+        attempts: Attempts::default(),
         claimed: false,
         may_have_run: false,
-        handed: 0,
         failure: None,
     };
     travel(&entry, journey).await
@@ -202,7 +209,7 @@
         };
         match attempt(entry, &journey, &mut placed).await {
             Attempt::Answered(response) => {
-                journey.handed += 1;
+                journey.attempts.was_handed();
                 if !entry.is_failure(&response) {
                     return entry.pass_on(response, placed, &journey);
                 }
@@ -222,9 +229,9 @@
                 journey.claimed |= claimed;
                 journey.may_have_run |= may_have_run;
                 let again = if refusal.spared_upstreams() {
-                    refusal.reason.is_local() && entry.may_place_again(&journey)
+                    entry.may_ask_another(&mut journey, &refusal)
                 } else {
-                    journey.handed += 1;
+                    journey.attempts.was_handed();
                     let elsewhere = may_have_run || refusal.reason.is_local();
                     elsewhere && entry.may_retry(&journey, progress)
                 };
@@ -271,16 +278,13 @@
         self.refuse(&Refusal::not_run(error.reason(), now), number)
     }
 
-    /// Whether a request that no upstream has seen may go to another server.
-    fn may_place_again(&self, journey: &Journey) -> bool {
+    /// Whether another server may be asked for a request that no upstream has seen.
+    fn may_ask_another(&self, journey: &mut Journey, refusal: &Refusal) -> bool {
+        let settings = &self.context.settings.retry;
         let head = &journey.request.head;
-        let placements = u32::try_from(journey.tried.len()).unwrap_or(u32::MAX);
-        let now = Instant::now();
-        retry::may_place_again(&self.context.settings.retry, now, head.deadline, placements)
-            && self
-                .placement
-                .lock()
-                .has_untried(&head.service, &journey.tried)
+        let others = |tried: &[Arc<str>]| self.placement.lock().has_untried(&head.service, tried);
+        let attempts = &mut journey.attempts;
+        attempts.refused(settings, Instant::now(), head.deadline, refusal, others)
     }
 
     /// Number of a request within the fleet: server, its start, and a count.
@@ -312,14 +316,17 @@
 
     /// Chooses a server that was not tried yet, and counts the request there.
     fn place(self: &Arc<Self>, journey: &mut Journey) -> Option<Placed> {
+        let retry = &self.context.settings.retry;
         let service = &journey.request.head.service;
         let mut placement = self.placement.lock();
-        let server = placement.pick(Instant::now(), service, &journey.tried)?;
+        let server = placement.pick(Instant::now(), service, journey.attempts.tried())?;
         drop(placement);
-        journey.tried.push(Arc::clone(&server));
+        let service = Arc::clone(service);
+        journey.request.head.report_to = Some(self.context.addresses.peers);
+        journey.request.head.only_in_time = journey.attempts.asks(retry, &server);
         Some(Placed {
             entry: Arc::clone(self),
-            service: Arc::clone(service),
+            service,
             server,
             ending: Ending::Answered,
         })
@@ -329,10 +336,14 @@
     fn may_retry(&self, journey: &Journey, progress: Progress) -> bool {
         let request = &journey.request;
         let service = &request.head.service;
-        if !self.placement.lock().has_untried(service, &journey.tried) {
+        if !self
+            .placement
+            .lock()
+            .has_untried(service, journey.attempts.tried())
+        {
             return false;
         }
-        if journey.handed >= request.attempts {
+        if journey.attempts.handed() >= request.attempts {
             return false;
         }
         let deadline = request.head.deadline;
@@ -340,7 +351,7 @@
             budget.may_retry(
                 Instant::now(),
                 deadline,
-                journey.handed,
+                journey.attempts.handed(),
                 progress,
                 request.head.repeatable,
             )
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -114,7 +114,9 @@
         return Attempt::Answered(response);
     };
     placed.ending = match refusal.reason {
-        Reason::Busy | Reason::Deadline | Reason::Duplicate | Reason::Shed => Ending::Full,
+        Reason::Busy | Reason::Late | Reason::Deadline | Reason::Duplicate | Reason::Shed => {
+            Ending::Full
+        }
         _ => Ending::Avoid,
     };
     Attempt::Refused {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -2,6 +2,7 @@
 
 mod follow;
 mod probing;
+mod reporting;
 mod slot;
 
 use std::collections::HashMap;
@@ -21,6 +22,7 @@
 use mintridge_core::gate::Gate;
 use mintridge_core::health::{Health, Verdict};
 use mintridge_core::instance;
+use mintridge_core::load::{Report, Upstream as UpstreamLoad};
 use mintridge_core::membership;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::preset::Preset;
@@ -33,6 +35,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc, oneshot};
 
+use self::reporting::Reporting;
 use self::slot::{Slot, admit};
 use crate::announcement::{Announcement, Heard};
 use crate::arrival::ANONYMOUS;
@@ -49,6 +52,7 @@
     context: Arc<Context>,
     state: Mutex<State>,
     queued: Notify,
+    reporting: Reporting,
     upstream: Upstream,
     prober: Client<HttpConnector, Empty<Bytes>>,
 }
@@ -73,6 +77,7 @@
     let guard = Arc::new(Guard::new(Arc::clone(&context)));
     follow::start(&guard, announcements);
     tokio::spawn(probing::when_due(Arc::clone(&guard)));
+    tokio::spawn(reporting::run(Arc::clone(&guard)));
     let handler = Function::new(guard, |guard, request| -> Answer {
         Box::pin(answer(guard, request))
     });
@@ -98,6 +103,9 @@
             return guard.refuse(&refusal, "", false);
         }
     };
+    if let Some(address) = head.report_to {
+        guard.reporting.sent(now, address);
+    }
     let span = traces::child("guard", &guard.context, request.headers());
     traces::within(span, serve(guard, head, request)).await
 }
@@ -142,15 +150,22 @@
         Ok(Ok(Received::NotRun {
             instance,
             misdirected,
-            ..
-        })) => return Err(guard.not_executed(now, slot.id, instance.as_ref(), misdirected)),
+            load,
+        })) => {
+            guard.told(now, load.as_ref());
+            if misdirected {
+                return Err(guard.misdirected(now, instance.as_ref()));
+            }
+            return Err(guard.shed(now, slot.id, load.as_ref()));
+        }
         Ok(Err(error)) => return Err(guard.failed(now, &error)),
         Err(_) => return Err(guard.silent(now, in_left)),
     };
+    guard.told(now, guard.upstream.load(&parts.headers).as_ref());
     guard.answered(now, slot.id, parts.status, now - handed_at);
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_own(&mut parts.headers);
-    headers::write_load(&guard.state.lock().admission.report(), &mut parts.headers);
+    headers::write_load(&guard.report(now), &mut parts.headers);
     let idle = guard.context.settings.callers.body_idle;
     let body = Held::new(body, slot, idle);
     Ok(Response::from_parts(parts, Body::new(body)))
@@ -179,6 +194,7 @@
                 next_id: 0,
             }),
             queued: Notify::new(),
+            reporting: Reporting::default(),
             upstream: Upstream::new(settings, context.adapter.load),
             prober,
             context,
@@ -290,19 +306,35 @@
         }
     }
 
+    /// The upstream told its load.
+    fn told(&self, now: Instant, load: Option<&UpstreamLoad>) {
+        let Some(load) = load else { return };
+        if self.state.lock().admission.told(now, load) {
+            self.reporting.changed();
+        }
+    }
+
+    fn report(&self, now: Instant) -> Report {
+        self.state.lock().admission.report(now)
+    }
+
     /// The upstream said itself that it did not run the request.
-    fn not_executed(
-        &self,
-        now: Instant,
-        id: Id,
-        found: Option<&Arc<str>>,
-        misdirected: bool,
-    ) -> Refusal {
+    ///
+    /// Failure: a faulty upstream sheds part of its requests though it has room. Symptom:
+    /// taken for overload, each such answer lowers the limit until next to nothing runs.
+    /// Where the upstream tells its load, only a full one lowers the limit.
+    fn shed(&self, now: Instant, id: Id, load: Option<&UpstreamLoad>) -> Refusal {
+        let full = load.is_none_or(|load| load.running + load.waiting >= load.slots);
         let mut state = self.state.lock();
-        if !misdirected {
+        if full {
             state.admission.answered(now, id, Begun::Shed);
-            return state.admission.refusal(now, Reason::Shed);
         }
+        state.admission.refusal(now, Reason::Shed)
+    }
+
+    /// Another instance than the one expected stands at the upstream's address.
+    fn misdirected(&self, now: Instant, found: Option<&Arc<str>>) -> Refusal {
+        let mut state = self.state.lock();
         let expected = state.instance.current().cloned();
         if let Some(found) = found {
             state.instance.found(found);
@@ -382,7 +414,7 @@
         );
         let now = Instant::now();
         let mut response = problem::response(now, refusal, server, request, Precision::Millis);
-        let report = self.state.lock().admission.report();
+        let report = self.report(now);
         headers::write_load(&report, response.headers_mut());
         if claimed {
             headers::write_claimed(response.headers_mut());
@@ -414,7 +446,7 @@
             leaving,
         });
         let guarded = Guarded {
-            load: state.admission.report(),
+            load: state.admission.report(now),
             closed,
             doubtful: !state.health.is_ready(),
             probe_micros: u64::try_from(state.budget.spent().as_micros()).unwrap_or(u64::MAX),
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -21,6 +21,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         self.guard.state.lock().admission.finish(self.id);
+        self.guard.reporting.changed();
         self.guard.pump();
     }
 }
@@ -84,8 +85,12 @@
         id,
         customer: Arc::clone(&head.customer),
         deadline: head.deadline,
+        target: head.target,
+        priority: head.priority,
+        only_in_time: head.only_in_time,
     };
     let guard = Arc::clone(guard);
+    guard.reporting.changed();
     match state.admission.arrive(now, arrival, weight) {
         Decision::Admit => Ok(Entered::Admitted(Slot { guard, id })),
         Decision::Refuse(refusal) => Err(refusal),
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -1,5 +1,6 @@
 //! Headers between nodes, and those that are never passed on.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,11 +22,15 @@
 const PRIORITY: HeaderName = HeaderName::from_static("mintridge-priority");
 /// Time left until the answer is worth less to the caller, in microseconds.
 const TARGET: HeaderName = HeaderName::from_static("mintridge-target-us");
+/// Address at which the entry node takes load reports.
+const REPORT_TO: HeaderName = HeaderName::from_static("mintridge-report-to");
+/// Present on a request that is to be refused if it would miss its target here.
+const ONLY_IN_TIME: HeaderName = HeaderName::from_static("mintridge-only-in-time");
 /// Present on a request that may run more than once.
 const REPEATABLE: HeaderName = HeaderName::from_static("mintridge-repeatable");
 /// Digest of service, customer and idempotency key, if a claim is needed.
 const CLAIM: HeaderName = HeaderName::from_static("mintridge-claim");
-/// Load of the upstream that answered, a [`Report`] in JSON.
+/// Load of the upstream that answered, a [`Report`].
 const LOAD: HeaderName = HeaderName::from_static("mintridge-load");
 /// Present on a refusal whose request may hold its claim.
 const CLAIMED: HeaderName = HeaderName::from_static("mintridge-claimed");
@@ -62,6 +67,10 @@
     /// Whether running it twice does no harm: its route or method is idempotent, and its
     /// caller did not ask for at most one run by sending a key.
     pub repeatable: bool,
+    /// Whether to refuse it if it would miss its target, because another server may not.
+    pub only_in_time: bool,
+    /// Where the entry node takes load reports.
+    pub report_to: Option<SocketAddr>,
 }
 
 /// A header between nodes is missing or malformed.
@@ -85,6 +94,12 @@
     insert(headers, PRIORITY, &head.priority.to_string());
     let target = head.target.saturating_duration_since(now);
     insert(headers, TARGET, &target.as_micros().to_string());
+    if let Some(address) = head.report_to {
+        insert(headers, REPORT_TO, &address.to_string());
+    }
+    if head.only_in_time {
+        headers.insert(ONLY_IN_TIME, HeaderValue::from_static("yes"));
+    }
     if head.repeatable {
         headers.insert(REPEATABLE, HeaderValue::from_static("yes"));
     }
@@ -112,6 +127,8 @@
             .map_err(|_| Malformed { name: PRIORITY })?,
         target: instant(now, headers, TARGET)?,
         repeatable: headers.contains_key(REPEATABLE),
+        only_in_time: headers.contains_key(ONLY_IN_TIME),
+        report_to: text(headers, REPORT_TO).and_then(|address| address.parse().ok()),
     })
 }
 
@@ -126,16 +143,14 @@
 
 /// Attaches a load report to a response to a peer.
 pub fn write_load(report: &Report, headers: &mut HeaderMap) {
-    if let Ok(written) = serde_json::to_string(report) {
-        insert(headers, LOAD, &written);
-    }
+    insert(headers, LOAD, &report.to_string());
 }
 
 /// Takes the load report off a response of a peer.
 #[must_use]
 pub fn take_load(headers: &mut HeaderMap) -> Option<Report> {
     let written = headers.remove(LOAD)?;
-    serde_json::from_slice(written.as_bytes()).ok()
+    written.to_str().ok()?.parse().ok()
 }
 
 /// Marks a refusal whose request may hold its claim.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod operators;
 pub mod program;
 pub mod replay;
+pub mod reports;
 pub mod settings;
 pub mod traces;
 pub mod upstream;
