perf(guard): ask the upstream who it is when the node starts

Cause: a node that starts beside a running upstream waited for its next announcement.

Change: guard::discovery asks the health check for instance and slots, at the start and when another instance than the expected one is found.

Ruled out: shorter announcements (the upstream's own); sending before the instance is known.

--- a/crates/node/src/configs/upstream.rs
+++ b/crates/node/src/configs/upstream.rs
@@ -1,5 +1,7 @@
 //! Settings of what the upstream understands.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 /// Headers that the upstream beside the node understands or sends; one that is not named
@@ -7,6 +9,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
+    /// Where the upstream is asked at the start who it is; without it the node waits for its
+    /// announcement. Needs the headers for instance and load.
+    pub address: Option<SocketAddr>,
     /// Names the instance that is meant; another one refuses the request.
     pub expected_instance_header: Option<String>,
     /// Names the instance that answered a health check or refused a request.
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -1,5 +1,6 @@
 //! The guard: all requests to the upstream pass here, so its load is counted, not asked.
 
+mod discovery;
 mod follow;
 mod probing;
 mod reporting;
@@ -53,6 +54,8 @@
     state: Mutex<State>,
     queued: Notify,
     reporting: Reporting,
+    /// Who the upstream is has to be found out.
+    unknown_upstream: Notify,
     upstream: Upstream,
     prober: Client<HttpConnector, Empty<Bytes>>,
 }
@@ -78,6 +81,7 @@
     follow::start(&guard, announcements);
     tokio::spawn(probing::when_due(Arc::clone(&guard)));
     tokio::spawn(reporting::run(Arc::clone(&guard)));
+    tokio::spawn(discovery::run(Arc::clone(&guard)));
     let handler = Function::new(guard, |guard, request| -> Answer {
         Box::pin(answer(guard, request))
     });
@@ -195,6 +199,7 @@
             }),
             queued: Notify::new(),
             reporting: Reporting::default(),
+            unknown_upstream: Notify::new(),
             upstream: Upstream::new(settings, context.adapter.load),
             prober,
             context,
@@ -340,6 +345,7 @@
             state.instance.found(found);
         }
         state.announcement = None;
+        self.unknown_upstream.notify_one();
         log::warn!(
             expected:? = expected,
             found:? = found;
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -35,7 +35,7 @@
 }
 
 impl Guard {
-    fn announced(&self, announcement: Announcement) {
+    pub(super) fn announced(&self, announcement: Announcement) {
         let now = Instant::now();
         let mut state = self.state.lock();
         let before = state.instance.current().cloned();
