refactor: say client_account where the code said customer

Cause: the users' word for it is client account; the code kept another one. Behaviour is unchanged. Ruled out: keeping the old names as aliases, since nothing is deployed with them.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -25,8 +25,8 @@
 pub struct Call {
     /// Service asked for.
     pub service: String,
-    /// Customer on whose behalf.
-    pub customer: String,
+    /// Client account on whose behalf.
+    pub client_account: String,
     /// Method; POST is unrepeatable.
     pub method: Method,
     /// Path.
@@ -45,7 +45,7 @@
     fn default() -> Self {
         Self {
             service: String::from("service"),
-            customer: String::from("customer"),
+            client_account: String::from("client_account"),
             method: Method::GET,
             path: String::from("/"),
             id: String::new(),
@@ -208,7 +208,7 @@
         .method(call.method.clone())
         .uri(format!("http://{address}{}", call.path))
         .header("mintridge-service", &call.service)
-        .header("mintridge-customer", &call.customer)
+        .header("mintridge-client-account", &call.client_account)
         .header("mintridge-timeout-ms", call.timeout.as_millis().to_string())
         .header(REQUEST_ID, &call.id);
     if let Some(key) = &call.key {
--- a/crates/bench/src/flags.rs
+++ b/crates/bench/src/flags.rs
@@ -14,8 +14,8 @@
         optional --seconds seconds: f64
         /// Service asked for, as name or name=share; repeat for several.
         repeated --service service: String
-        /// Customer, as name or name=share; repeat for several.
-        repeated --customer customer: String
+        /// Client account, as name or name=share; repeat for several.
+        repeated --client_account client_account: String
         /// Share of unrepeatable requests, 0 to 1; each has its own idempotency key.
         optional --unrepeatable share: f64
         /// Milliseconds allowed to each request, 5000 by default.
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -25,8 +25,8 @@
     pub duration: Duration,
     /// Services and the share of requests for each.
     pub services: Vec<(String, f64)>,
-    /// Customers and the share of requests of each.
-    pub customers: Vec<(String, f64)>,
+    /// Client accounts and the share of requests of each.
+    pub client_accounts: Vec<(String, f64)>,
     /// Share of unrepeatable requests, each with its own idempotency key.
     pub unrepeatable: f64,
     /// Time allowed to each.
@@ -46,7 +46,7 @@
             rate: 100.0,
             duration: Duration::from_secs(5),
             services: vec![(String::from("service"), 1.0)],
-            customers: vec![(String::from("customer"), 1.0)],
+            client_accounts: vec![(String::from("client_account"), 1.0)],
             unrepeatable: 0.0,
             timeout: Duration::from_secs(5),
             path: String::from("/"),
@@ -128,7 +128,7 @@
     let id = format!("{}-{number}", plan.run);
     Call {
         service: weighted(&plan.services, rng),
-        customer: weighted(&plan.customers, rng),
+        client_account: weighted(&plan.client_accounts, rng),
         method: if unrepeatable {
             Method::POST
         } else {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -87,7 +87,7 @@
         rate,
         duration: Duration::from_secs_f64(seconds),
         services: shares(&arguments.service, defaults.services)?,
-        customers: shares(&arguments.customer, defaults.customers)?,
+        client_accounts: shares(&arguments.client_account, defaults.client_accounts)?,
         unrepeatable,
         timeout,
         path: arguments.path.unwrap_or(defaults.path),
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -65,7 +65,7 @@
     FailFast,
     /// One server joins after a second, and is five times slower for three more.
     ColdStart,
-    /// One customer sends ten times its share for a second; small ones are looked at.
+    /// One client account sends ten times its share for a second; small ones are looked at.
     Burst,
     /// Arrivals are ten-fold for 300 ms.
     Auction,
--- a/crates/bench/src/policy/fake.rs
+++ b/crates/bench/src/policy/fake.rs
@@ -55,7 +55,7 @@
     arrived: Instant,
     tried: Vec<usize>,
     looked_at: bool,
-    customer: Arc<str>,
+    client_account: Arc<str>,
 }
 
 struct Server {
@@ -245,7 +245,7 @@
         }
         let is_large = self.rng.random::<f64>() < large;
         let small = self.rng.random_range(0..20);
-        let customer = if is_large {
+        let client_account = if is_large {
             Arc::from("large")
         } else {
             Arc::from(format!("small-{small}"))
@@ -257,7 +257,7 @@
             arrived: self.now,
             tried: Vec::new(),
             looked_at: !(self.condition == Condition::Burst && is_large),
-            customer,
+            client_account,
         };
         self.figures.requests += u64::from(request.looked_at);
         self.requests.insert(id, request);
@@ -313,7 +313,7 @@
         let request = &self.requests[&id];
         let arrival = Arrival {
             id: Id(id as u64),
-            customer: Arc::clone(&request.customer),
+            client_account: Arc::clone(&request.client_account),
             deadline: request.arrived + DEADLINE,
             target: request.arrived + DEADLINE,
             priority: 0,
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -16,7 +16,7 @@
 
 use crate::configs::claim::Settings;
 
-/// Digest of service, customer and idempotency key.
+/// Digest of service, client account and idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key(pub Arc<str>);
 
--- a/crates/core/src/health.rs
+++ b/crates/core/src/health.rs
@@ -57,7 +57,7 @@
 
     /// What a refusal by the upstream shows, which came after `took`.
     ///
-    /// Failure: one customer asks for what the application itself refuses. Symptom: the
+    /// Failure: one client account asks for what the application itself refuses. Symptom: the
     /// upstream turns doubtful for everybody. Only a refusal faster than work could be is
     /// a sign of the upstream and not of the request.
     #[must_use]
@@ -68,7 +68,7 @@
 
     /// What no answer shows, after `waited`.
     ///
-    /// Failure: one customer allows its requests no time. Symptom: as above. Only a
+    /// Failure: one client account allows its requests no time. Symptom: as above. Only a
     /// silence long beside the usual time is a sign of the upstream.
     #[must_use]
     pub fn silent(&self, waited: Duration, mean: Duration) -> Option<Verdict> {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
-    /// All slots and the customer's part of the queue are taken.
+    /// All slots and the client account's part of the queue are taken.
     Busy,
     /// The deadline has passed or cannot be met.
     Deadline,
@@ -182,7 +182,7 @@
 
     /// The HTTP status that carries this refusal.
     ///
-    /// 429 is kept for a customer that fills its own part of the queue; 409 follows
+    /// 429 is kept for a client account that fills its own part of the queue; 409 follows
     /// the Idempotency-Key draft; the rest are RFC 9110 gateway statuses.
     #[must_use]
     pub const fn status(&self) -> u16 {
--- a/crates/core/src/preset.rs
+++ b/crates/core/src/preset.rs
@@ -9,7 +9,7 @@
 const PROBE_SHARE_MOST: f64 = 0.05;
 /// Largest share of traffic that a preset may grant to second attempts.
 const RETRY_SHARE_MOST: f64 = 0.5;
-/// Largest weight of a customer.
+/// Largest weight of a client account.
 const WEIGHT_MOST: f64 = 1000.0;
 
 /// Contents of a preset.
@@ -20,8 +20,8 @@
     pub probe_share: f64,
     /// Second attempts per answered request, 0 to 0.5.
     pub retry_share: f64,
-    /// Customers with a weight other than 1.
-    pub customers: BTreeMap<Arc<str>, Customer>,
+    /// Client accounts with a weight other than 1.
+    pub client_accounts: BTreeMap<Arc<str>, ClientAccount>,
     /// Servers under maintenance: they finish what they have and get nothing new.
     pub leaving: BTreeSet<Arc<str>>,
 }
@@ -31,21 +31,21 @@
         Self {
             probe_share: 0.005,
             retry_share: 0.1,
-            customers: BTreeMap::new(),
+            client_accounts: BTreeMap::new(),
             leaving: BTreeSet::new(),
         }
     }
 }
 
-/// What a preset grants to one customer.
+/// What a preset grants to one client account.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
-pub struct Customer {
-    /// Share of a full upstream relative to other customers, above 0 to 1000.
+pub struct ClientAccount {
+    /// Share of a full upstream relative to other client accounts, above 0 to 1000.
     pub weight: f64,
 }
 
-impl Default for Customer {
+impl Default for ClientAccount {
     fn default() -> Self {
         Self { weight: 1.0 }
     }
@@ -83,20 +83,26 @@
             RETRY_SHARE_MOST,
             "0 to 0.5",
         )?;
-        for (name, customer) in &self.customers {
-            let key = format!("customers.{name}.weight");
+        for (name, client_account) in &self.client_accounts {
+            let key = format!("client_accounts.{name}.weight");
             let least = f64::MIN_POSITIVE;
-            check_range(&key, customer.weight, least, WEIGHT_MOST, "above 0 to 1000")?;
+            check_range(
+                &key,
+                client_account.weight,
+                least,
+                WEIGHT_MOST,
+                "above 0 to 1000",
+            )?;
         }
         Ok(())
     }
 
-    /// Weight of a customer.
+    /// Weight of a client account.
     #[must_use]
-    pub fn weight(&self, customer: &str) -> f64 {
-        self.customers
-            .get(customer)
-            .map_or(1.0, |customer| customer.weight)
+    pub fn weight(&self, client_account: &str) -> f64 {
+        self.client_accounts
+            .get(client_account)
+            .map_or(1.0, |client_account| client_account.weight)
     }
 }
 
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -188,7 +188,7 @@
 }
 
 fn key_of(arrival: &Arrival) -> Key {
-    (arrival.priority, Arc::clone(&arrival.customer))
+    (arrival.priority, Arc::clone(&arrival.client_account))
 }
 
 #[allow(clippy::cast_precision_loss)]
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -12,8 +12,8 @@
 pub struct Arrival {
     /// Number given by this node.
     pub id: Id,
-    /// On whose behalf the request runs; fairness is between customers.
-    pub customer: Arc<str>,
+    /// On whose behalf the request runs; fairness is between client accounts.
+    pub client_account: Arc<str>,
     /// The caller's answer is worth nothing after this instant.
     pub deadline: Instant,
     /// The caller's answer is worth less after this instant; never later than the deadline.
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -19,10 +19,10 @@
     Admission::new(settings, slots)
 }
 
-fn arrival(id: u64, customer: &str, deadline: Instant) -> Arrival {
+fn arrival(id: u64, client_account: &str, deadline: Instant) -> Arrival {
     Arrival {
         id: Id(id),
-        customer: Arc::from(customer),
+        client_account: Arc::from(client_account),
         deadline,
         target: deadline,
         priority: 0,
@@ -96,11 +96,11 @@
     assert!(matches!(refused[..], [Action::Refuse(Id(1), _)]));
 }
 
-/// What the callers see: a large customer that filled the queue waits behind itself;
+/// What the callers see: a large client account that filled the queue waits behind itself;
 /// a small one that comes later is next. Order: the large one's requests queue, then
 /// one of the small one, then slots come free one by one.
 #[test]
-fn dequeue_is_fair_between_customers() {
+fn dequeue_is_fair_between_client_accounts() {
     let now = Instant::now();
     let mut admission = admission(1);
     let late = now + Duration::from_secs(10);
@@ -133,8 +133,8 @@
     assert_eq!(heavy.count(), heavy_in_first_four);
 }
 
-/// What the callers see: with the queue full of a large customer's requests, a small
-/// customer still gets a place; the large one's newest request is refused as not run.
+/// What the callers see: with the queue full of a large client account's requests, a small
+/// client account still gets a place; the large one's newest request is refused as not run.
 #[test]
 fn arrive_displaces_the_longest_backlog_when_full() {
     let now = Instant::now();
@@ -219,7 +219,7 @@
             .filter(|id| {
                 let arrival = Arrival {
                     id: Id(*id),
-                    customer: Arc::from("a"),
+                    client_account: Arc::from("a"),
                     deadline: now + Duration::from_secs(10),
                     target: now + Duration::from_secs(10),
                     priority: 0,
--- a/crates/core/tests/preset.rs
+++ b/crates/core/tests/preset.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use mintridge_core::preset::{Customer, InForce, Offered, Preset, Register, Revision};
+use mintridge_core::preset::{ClientAccount, InForce, Offered, Preset, Register, Revision};
 use rstest::rstest;
 
 fn document(revision: u64, mark: &str) -> InForce {
@@ -49,14 +49,14 @@
 #[case::probe_share(Preset { probe_share: 0.06, ..Preset::default() }, "probe_share")]
 #[case::not_a_number(Preset { retry_share: f64::NAN, ..Preset::default() }, "retry_share")]
 #[case::negative(Preset { retry_share: -0.1, ..Preset::default() }, "retry_share")]
-#[case::weight(weighted(0.0), "customers.large.weight")]
+#[case::weight(weighted(0.0), "client_accounts.large.weight")]
 fn check_names_the_value_out_of_range(#[case] preset: Preset, #[case] key: &str) {
     assert_eq!(preset.check().unwrap_err().key, key);
 }
 
 fn weighted(weight: f64) -> Preset {
     Preset {
-        customers: BTreeMap::from([(Arc::from("large"), Customer { weight })]),
+        client_accounts: BTreeMap::from([(Arc::from("large"), ClientAccount { weight })]),
         ..Preset::default()
     }
 }
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -105,7 +105,7 @@
 fn arrival(number: usize, at: Instant, kind: Kind) -> Arrival {
     Arrival {
         id: Id(number as u64),
-        customer: Arc::from("a"),
+        client_account: Arc::from("a"),
         deadline: at + kind.deadline,
         target: at + kind.target,
         priority: kind.priority,
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -13,9 +13,9 @@
 use crate::configs::callers::Settings;
 use crate::headers::Head;
 
-/// Customer of requests that name none.
+/// Client account of requests that name none.
 pub const ANONYMOUS: &str = "anonymous";
-/// Longest name of a service or customer, and longest idempotency key, in bytes.
+/// Longest name of a service or client account, and longest idempotency key, in bytes.
 const TEXT_MOST: usize = 256;
 
 /// A caller's request as the entry node works on it.
@@ -122,11 +122,12 @@
 ) -> Result<Request, Malformed> {
     let treatment = treatment(settings, parts, routing)?;
     let service = treatment.service;
-    let customer = text(&parts.headers, &settings.customer_header)?.unwrap_or(ANONYMOUS);
-    let customer: Arc<str> = Arc::from(customer);
+    let client_account =
+        text(&parts.headers, &settings.client_account_header)?.unwrap_or(ANONYMOUS);
+    let client_account: Arc<str> = Arc::from(client_account);
     let key = key(settings, &parts.headers)?.filter(|_| !parts.method.is_safe());
     let claim = key.map(|key| Claim {
-        key: digest(&service, &customer, key),
+        key: digest(&service, &client_account, key),
         mark: Mark(Arc::clone(&number)),
     });
     let deadline = now + allowed(settings, &parts.headers)?.min(treatment.timeout);
@@ -134,7 +135,7 @@
     Ok(Request {
         head: Head {
             service,
-            customer,
+            client_account,
             deadline,
             request: number,
             repeatable: claim.is_none() && treatment.repeatable,
@@ -233,10 +234,10 @@
     Ok(Some(text))
 }
 
-/// Keys of different services and customers never meet.
-fn digest(service: &str, customer: &str, key: &str) -> Key {
+/// Keys of different services and client accounts never meet.
+fn digest(service: &str, client_account: &str, key: &str) -> Key {
     let mut hasher = blake3::Hasher::new();
-    for part in [service, customer, key] {
+    for part in [service, client_account, key] {
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part.as_bytes());
     }
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -10,8 +10,8 @@
 pub struct Settings {
     /// Header that names the service; without it the host name does.
     pub service_header: String,
-    /// Header that names the customer on whose behalf the request runs.
-    pub customer_header: String,
+    /// Header that names the client account on whose behalf the request runs.
+    pub client_account_header: String,
     /// Header with the time allowed, in milliseconds.
     pub timeout_header: String,
     /// Header with the idempotency key of an unrepeatable request.
@@ -53,7 +53,7 @@
     fn default() -> Self {
         Self {
             service_header: String::from("mintridge-service"),
-            customer_header: String::from("mintridge-customer"),
+            client_account_header: String::from("mintridge-client-account"),
             timeout_header: String::from("mintridge-timeout-ms"),
             key_header: String::from("idempotency-key"),
             request_header: None,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -288,8 +288,8 @@
             fields.entry(HOST).or_insert(host);
         }
         let names = &self.context.settings.callers;
-        if &*head.customer != ANONYMOUS {
-            headers::set(fields, &names.customer_header, &head.customer);
+        if &*head.client_account != ANONYMOUS {
+            headers::set(fields, &names.client_account_header, &head.client_account);
         }
         let expected = &self.context.settings.upstream.expected_instance_header;
         let instance = self.state.lock().instance.current().cloned();
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -74,7 +74,7 @@
 
 fn enter(guard: &Arc<Guard>, head: &Head) -> Result<Entered, Refusal> {
     let now = Instant::now();
-    let weight = guard.context.in_force().preset.weight(&head.customer);
+    let weight = guard.context.in_force().preset.weight(&head.client_account);
     let mut state = guard.state.lock();
     if let Some(reason) = state.closed(now, &head.service) {
         return Err(state.admission.refusal(now, reason));
@@ -83,7 +83,7 @@
     state.next_id += 1;
     let arrival = Arrival {
         id,
-        customer: Arc::clone(&head.customer),
+        client_account: Arc::clone(&head.client_account),
         deadline: head.deadline,
         target: head.target,
         priority: head.priority,
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -12,8 +12,8 @@
 const PREFIX: &str = "mintridge-";
 /// Service asked for.
 const SERVICE: HeaderName = HeaderName::from_static("mintridge-to-service");
-/// Customer on whose behalf the request runs.
-const CUSTOMER: HeaderName = HeaderName::from_static("mintridge-for-customer");
+/// Client account on whose behalf the request runs.
+const CLIENT_ACCOUNT: HeaderName = HeaderName::from_static("mintridge-for-client-account");
 /// Time left until the deadline, in microseconds: clocks differ, what is left does not.
 const LEFT: HeaderName = HeaderName::from_static("mintridge-left-us");
 /// Number of the request, given by the entry node.
@@ -28,7 +28,7 @@
 const ONLY_IN_TIME: HeaderName = HeaderName::from_static("mintridge-only-in-time");
 /// Present on a request that may run more than once.
 const REPEATABLE: HeaderName = HeaderName::from_static("mintridge-repeatable");
-/// Digest of service, customer and idempotency key, if a claim is needed.
+/// Digest of service, client account and idempotency key, if a claim is needed.
 const CLAIM: HeaderName = HeaderName::from_static("mintridge-claim");
 /// Load of the upstream that answered, a [`Report`].
 const LOAD: HeaderName = HeaderName::from_static("mintridge-load");
@@ -52,8 +52,8 @@
 pub struct Head {
     /// Service asked for.
     pub service: Arc<str>,
-    /// Customer on whose behalf the request runs.
-    pub customer: Arc<str>,
+    /// Client account on whose behalf the request runs.
+    pub client_account: Arc<str>,
     /// The answer is worth nothing after this instant.
     pub deadline: Instant,
     /// Number of the request, given by the entry node.
@@ -85,7 +85,7 @@
 pub fn write(now: Instant, head: &Head, headers: &mut HeaderMap) {
     let left = head.deadline.saturating_duration_since(now);
     insert(headers, SERVICE, &head.service);
-    insert(headers, CUSTOMER, &head.customer);
+    insert(headers, CLIENT_ACCOUNT, &head.client_account);
     insert(headers, LEFT, &left.as_micros().to_string());
     insert(headers, REQUEST, &head.request);
     if let Some(claim) = &head.claim {
@@ -118,7 +118,7 @@
     });
     Ok(Head {
         service: Arc::from(required(headers, SERVICE)?),
-        customer: Arc::from(required(headers, CUSTOMER)?),
+        client_account: Arc::from(required(headers, CLIENT_ACCOUNT)?),
         deadline,
         request,
         claim,
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -120,17 +120,17 @@
 
 /// What a deeper call needs is passed on: on whose behalf, and how much time is left.
 #[tokio::test]
-async fn customer_and_time_left_reach_the_upstream() {
+async fn client_account_and_time_left_reach_the_upstream() {
     let scene = threads(servers(1)).await;
     let call = Call {
-        customer: String::from("printer-7"),
+        client_account: String::from("printer-7"),
         ..within(3_000, post("deeper", "key"))
     };
     let Told::Answer { body, .. } = scene.call(0, &call).await else {
         panic!("no answer");
     };
     let answer = Answer::parse(&body).expect("an answer of the stand-in");
-    assert_eq!(answer.customer, "printer-7");
+    assert_eq!(answer.client_account, "printer-7");
     let left: u64 = answer.left_millis.parse().expect("a number");
     assert!(left > 0 && left <= 3_000, "{left}");
 }
--- a/crates/standin/src/bin/trial.rs
+++ b/crates/standin/src/bin/trial.rs
@@ -60,7 +60,7 @@
                 /// Numbers of members, separated by commas.
                 required members: String
             }
-            /// A large customer at ten times its share beside small ones.
+            /// A large client account at ten times its share beside small ones.
             cmd fairness {}
         }
     }
@@ -315,7 +315,7 @@
     );
 }
 
-/// Small customers beside a large one that sends ten times its share.
+/// Small client accounts beside a large one that sends ten times its share.
 async fn fairness(binary: &Path) {
     let behaviour = Behaviour {
         service_micros: 20_000,
@@ -323,30 +323,30 @@
         ..Behaviour::default()
     };
     let scene = scene(binary, &PRESSE, behaviour).await;
-    for (name, large) in [("alone", 0.0), ("beside a large customer", 6_000.0)] {
-        let mut customers: Vec<(String, f64)> =
+    for (name, large) in [("alone", 0.0), ("beside a large client_account", 6_000.0)] {
+        let mut client_accounts: Vec<(String, f64)> =
             (0..10).map(|n| (format!("small-{n}"), 60.0)).collect();
         if large > 0.0 {
-            customers.push((String::from("large"), large));
+            client_accounts.push((String::from("large"), large));
         }
         let load = Load {
             targets: scene.entries(),
             rate: 600.0 + large,
             services: vec![(String::from("field-service"), 1.0)],
-            customers,
+            client_accounts,
             timeout: Duration::from_secs(1),
             run: name.to_owned(),
             ..Load::default()
         };
         let mut small = Report::new(600.0, load.duration);
         load::run(&load, |record| {
-            if record.call.customer != "large" && record.call.method == Method::GET {
+            if record.call.client_account != "large" && record.call.method == Method::GET {
                 small.add(record);
             }
         })
         .await;
         println!(
-            "small customers {name}: answered {} of {}, p50 {:.1} p99 {:.1} ms",
+            "small client_accounts {name}: answered {} of {}, p50 {:.1} p99 {:.1} ms",
             small.outcome("answered 200"),
             small.sent(),
             small.percentile(50.0).as_secs_f64() * 1e3,
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -25,7 +25,7 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Header that names the upstream that answered.
 pub const SERVER: &str = "x-server";
-const CUSTOMER: &str = "mintridge-customer";
+const CLIENT_ACCOUNT: &str = "mintridge-client-account";
 const TIMEOUT: &str = "mintridge-timeout-ms";
 /// Trace context of a request.
 pub const TRACEPARENT: &str = "traceparent";
@@ -124,8 +124,8 @@
     pub server: String,
     /// The caller's id of the request.
     pub id: String,
-    /// Customer named to the upstream.
-    pub customer: String,
+    /// Client account named to the upstream.
+    pub client_account: String,
     /// Milliseconds left, as told to the upstream.
     pub left_millis: String,
     /// Bytes of the request body.
@@ -261,7 +261,7 @@
 }
 
 async fn result(upstream: &Upstream, request: Request<Body>, id: String) -> Response<Body> {
-    let customer = header(&request, CUSTOMER);
+    let client_account = header(&request, CLIENT_ACCOUNT);
     let left_millis = header(&request, TIMEOUT);
     let mut digest = blake3::Hasher::new();
     let mut body_bytes = 0;
@@ -278,7 +278,7 @@
     let result = Result {
         server: upstream.name.to_string(),
         id,
-        customer,
+        client_account,
         left_millis,
         body_bytes,
         body_digest: digest.finalize().to_hex().to_string(),
