--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -64,7 +64,7 @@
         /// Its status.
         status: StatusCode,
         /// The upstream that answered.
-        server: String,
+        host: String,
         /// Its body.
         body: Bytes,
     },
@@ -233,13 +233,13 @@
                 .and_then(|text| text.parse().ok()),
         };
     }
-    let server = parts.headers.get(SERVER);
-    let server = server
+    let host = parts.headers.get(SERVER);
+    let host = host
         .and_then(|value| value.to_str().ok())
         .unwrap_or_default();
     Told::Answer {
         status: parts.status,
-        server: server.to_owned(),
+        host: host.to_owned(),
         body: collected.to_bytes(),
     }
 }
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -20,8 +20,8 @@
 pub struct Deployment {
     /// Its name.
     pub name: &'static str,
-    /// Servers of the service looked at.
-    pub servers: usize,
+    /// Hosts of the service looked at.
+    pub hosts: usize,
     /// Slots of each.
     pub slots: u32,
     /// Availability zones.
@@ -35,7 +35,7 @@
 /// Presse Maurice: the field-service application.
 pub const PRESSE: Deployment = Deployment {
     name: "presse-maurice 9x12",
-    servers: 9,
+    hosts: 9,
     slots: 12,
     zones: 3,
     zone_delay: Duration::from_micros(250),
@@ -45,7 +45,7 @@
 /// Wisła: the lot service.
 pub const WISLA: Deployment = Deployment {
     name: "wisla 7x15",
-    servers: 7,
+    hosts: 7,
     slots: 15,
     zones: 4,
     zone_delay: Duration::from_micros(750),
@@ -57,13 +57,13 @@
 pub enum Condition {
     /// Nothing.
     Even,
-    /// Each server now and then runs at half speed for 5 to 200 ms.
+    /// Each host now and then runs at half speed for 5 to 200 ms.
     Noisy,
-    /// One server takes ten times as long.
+    /// One host takes ten times as long.
     Straggler,
-    /// One server refuses everything at once.
+    /// One host refuses everything at once.
     FailFast,
-    /// One server joins after a second, and is five times slower for three more.
+    /// One host joins after a second, and is five times slower for three more.
     ColdStart,
     /// One client account sends ten times its share for a second; small ones are looked at.
     Burst,
@@ -86,11 +86,11 @@
 pub struct View<'a> {
     /// The entry that chooses.
     pub entry: usize,
-    /// Servers not tried yet and present.
+    /// Hosts not tried yet and present.
     pub open: &'a [usize],
-    /// Requests of this entry on their way to or at each server.
+    /// Requests of this entry on their way to or at each host.
     pub own: &'a [u32],
-    /// Last report of each server that reached this entry.
+    /// Last report of each host that reached this entry.
     pub reports: &'a [Report],
     /// The truth: expected seconds until a request sent now is answered.
     pub truth: &'a [f64],
@@ -127,7 +127,7 @@
 fn least_own(view: &mut View<'_>) -> usize {
     let from = view.rng.random_range(0..view.open.len());
     let turned = view.open[from..].iter().chain(&view.open[..from]);
-    *turned.min_by_key(|server| view.own[**server]).unwrap_or(&0)
+    *turned.min_by_key(|host| view.own[**host]).unwrap_or(&0)
 }
 
 fn two(view: &mut View<'_>, load: fn(&View<'_>, usize) -> u32) -> usize {
@@ -136,11 +136,11 @@
 }
 
 fn two_own(view: &mut View<'_>) -> usize {
-    two(view, |view, server| view.own[server])
+    two(view, |view, host| view.own[host])
 }
 
-fn reported(view: &View<'_>, server: usize) -> u32 {
-    view.reports[server].in_flight + view.reports[server].queued
+fn reported(view: &View<'_>, host: usize) -> u32 {
+    view.reports[host].in_flight + view.reports[host].queued
 }
 
 fn two_reports(view: &mut View<'_>) -> usize {
@@ -148,10 +148,7 @@
 }
 
 fn least_reported(view: &mut View<'_>) -> usize {
-    let least = view
-        .open
-        .iter()
-        .min_by_key(|server| reported(view, **server));
+    let least = view.open.iter().min_by_key(|host| reported(view, **host));
     *least.unwrap_or(&0)
 }
 
--- a/crates/bench/src/policy/fake.rs
+++ b/crates/bench/src/policy/fake.rs
@@ -27,24 +27,24 @@
 enum Event {
     Arrive,
     Reach {
-        server: usize,
+        host: usize,
         request: usize,
     },
     Done {
-        server: usize,
+        host: usize,
         request: usize,
     },
     Wake {
-        server: usize,
+        host: usize,
     },
     Answer {
-        server: usize,
+        host: usize,
         request: usize,
         report: [u32; 4],
         ok: bool,
     },
     Noise {
-        server: usize,
+        host: usize,
         slow: bool,
     },
     Join,
@@ -58,7 +58,7 @@
     client_account: Arc<str>,
 }
 
-struct Server {
+struct Host {
     admission: Admission,
     running: u32,
     queued: u32,
@@ -85,7 +85,7 @@
     sequence: u64,
     requests: HashMap<usize, Request>,
     next_request: usize,
-    servers: Vec<Server>,
+    hosts: Vec<Host>,
     entries: Vec<Entry>,
     rng: ChaCha8Rng,
     figures: Figures,
@@ -109,8 +109,8 @@
     bench.figures
 }
 
-fn server_name(index: usize) -> Arc<str> {
-    Arc::from(format!("server-{index}"))
+fn host_name(index: usize) -> Arc<str> {
+    Arc::from(format!("host-{index}"))
 }
 
 impl Bench {
@@ -123,12 +123,12 @@
     ) -> Self {
         let began = Instant::now();
         let slots = f64::from(deployment.slots);
-        let servers = u32::try_from(deployment.servers).unwrap_or(u32::MAX);
+        let hosts = u32::try_from(deployment.hosts).unwrap_or(u32::MAX);
         let settings = configs::admission::Settings {
             service_time_initial: Duration::from_secs_f64(SERVICE_MEAN),
             ..configs::admission::Settings::default()
         };
-        let server = |index| Server {
+        let host = |index| Host {
             admission: Admission::new(settings.clone(), deployment.slots),
             running: 0,
             queued: 0,
@@ -137,7 +137,7 @@
         };
         let latency = Histogram::new_with_bounds(1, 60_000_000, 3);
         let mut bench = Self {
-            rate: share * f64::from(servers) * slots / SERVICE_MEAN,
+            rate: share * f64::from(hosts) * slots / SERVICE_MEAN,
             deployment,
             condition,
             choose,
@@ -148,7 +148,7 @@
             sequence: 0,
             requests: HashMap::new(),
             next_request: 0,
-            servers: (0..deployment.servers).map(server).collect(),
+            hosts: (0..deployment.hosts).map(host).collect(),
             entries: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(11),
             figures: Figures {
@@ -174,19 +174,19 @@
         placement.update(self.now, &self.upstreams(index));
         Entry {
             placement,
-            own: vec![0; self.deployment.servers],
-            reports: vec![Report::default(); self.deployment.servers],
+            own: vec![0; self.deployment.hosts],
+            reports: vec![Report::default(); self.deployment.hosts],
         }
     }
 
     fn upstreams(&self, entry: usize) -> Vec<Upstream> {
-        let present = (0..self.servers.len()).filter(|server| self.servers[*server].present);
+        let present = (0..self.hosts.len()).filter(|host| self.hosts[*host].present);
         present
-            .map(|server| Upstream {
-                server: server_name(server),
+            .map(|host| Upstream {
+                host: host_name(host),
                 service: Arc::from(SERVICE),
                 slots: self.deployment.slots,
-                same_zone: server % self.deployment.zones == entry % self.deployment.zones,
+                same_zone: host % self.deployment.zones == entry % self.deployment.zones,
             })
             .collect()
     }
@@ -194,9 +194,9 @@
     fn begin(&mut self) {
         self.after(Duration::ZERO, Event::Arrive);
         if self.condition == Condition::Noisy {
-            for server in 0..self.servers.len() {
+            for host in 0..self.hosts.len() {
                 let at = self.exponential(0.5);
-                self.after(at, Event::Noise { server, slow: true });
+                self.after(at, Event::Noise { host, slow: true });
             }
         }
         if self.condition == Condition::ColdStart {
@@ -207,18 +207,18 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
-            Event::Reach { server, request } => self.reach(server, request),
-            Event::Done { server, request } => self.done(server, request),
-            Event::Wake { server } => self.pump(server),
+            Event::Reach { host, request } => self.reach(host, request),
+            Event::Done { host, request } => self.done(host, request),
+            Event::Wake { host } => self.pump(host),
             Event::Answer {
-                server,
+                host,
                 request,
                 report,
                 ok,
-            } => self.answer(server, request, report, ok),
-            Event::Noise { server, slow } => self.noise(server, slow),
+            } => self.answer(host, request, report, ok),
+            Event::Noise { host, slow } => self.noise(host, slow),
             Event::Join => {
-                self.servers[0].present = true;
+                self.hosts[0].present = true;
                 for index in 0..self.entries.len() {
                     let upstreams = self.upstreams(index);
                     self.entries[index].placement.update(self.now, &upstreams);
@@ -270,15 +270,15 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let present = (0..self.servers.len()).filter(|server| self.servers[*server].present);
+        let present = (0..self.hosts.len()).filter(|host| self.hosts[*host].present);
         let open: Vec<usize> = present
-            .filter(|server| !request.tried.contains(server))
+            .filter(|host| !request.tried.contains(host))
             .collect();
-        let truth: Vec<f64> = (0..self.servers.len())
-            .map(|server| truth(self.condition, &self.servers, server, self.deployment.slots))
+        let truth: Vec<f64> = (0..self.hosts.len())
+            .map(|host| truth(self.condition, &self.hosts, host, self.deployment.slots))
             .collect();
         let entry = &mut self.entries[request.entry];
-        let server = if let Some(choose) = self.choose {
+        let host = if let Some(choose) = self.choose {
             choose(&mut View {
                 entry: request.entry,
                 open: &open,
@@ -288,27 +288,21 @@
                 rng: &mut self.rng,
             })
         } else {
-            let tried: Vec<Arc<str>> = request.tried.iter().map(|s| server_name(*s)).collect();
+            let tried: Vec<Arc<str>> = request.tried.iter().map(|s| host_name(*s)).collect();
             let picked = entry.placement.pick(self.now, SERVICE, &tried);
-            let picked = picked.and_then(|name| name.strip_prefix("server-")?.parse().ok());
+            let picked = picked.and_then(|name| name.strip_prefix("host-")?.parse().ok());
             picked.unwrap_or(open[0])
         };
-        entry.own[server] += 1;
-        request.tried.push(server);
+        entry.own[host] += 1;
+        request.tried.push(host);
         self.figures.attempts += 1;
-        let delay = self.delay(request_entry(&self.requests, id), server);
-        self.after(
-            delay,
-            Event::Reach {
-                server,
-                request: id,
-            },
-        );
+        let delay = self.delay(request_entry(&self.requests, id), host);
+        self.after(delay, Event::Reach { host, request: id });
     }
 
-    fn reach(&mut self, server: usize, id: usize) {
-        if self.condition == Condition::FailFast && server == 0 {
-            return self.reply(server, id, false);
+    fn reach(&mut self, host: usize, id: usize) {
+        if self.condition == Condition::FailFast && host == 0 {
+            return self.reply(host, id, false);
         }
         let request = &self.requests[&id];
         let arrival = Arrival {
@@ -319,66 +313,57 @@
             priority: 0,
             only_in_time: false,
         };
-        match self.servers[server]
-            .admission
-            .arrive(self.now, arrival, 1.0)
-        {
-            Decision::Admit => self.start(server, id),
-            Decision::Queue => self.servers[server].queued += 1,
-            Decision::Refuse(_) => self.reply(server, id, false),
+        match self.hosts[host].admission.arrive(self.now, arrival, 1.0) {
+            Decision::Admit => self.start(host, id),
+            Decision::Queue => self.hosts[host].queued += 1,
+            Decision::Refuse(_) => self.reply(host, id, false),
         }
-        self.pump(server);
+        self.pump(host);
     }
 
-    fn start(&mut self, server: usize, id: usize) {
-        self.servers[server].running += 1;
+    fn start(&mut self, host: usize, id: usize) {
+        self.hosts[host].running += 1;
         let work = self.exponential(SERVICE_MEAN);
-        let took = work.div_f64(self.speed(server));
-        self.after(
-            took,
-            Event::Done {
-                server,
-                request: id,
-            },
-        );
+        let took = work.div_f64(self.speed(host));
+        self.after(took, Event::Done { host, request: id });
     }
 
-    fn done(&mut self, server: usize, id: usize) {
-        let at = &mut self.servers[server];
+    fn done(&mut self, host: usize, id: usize) {
+        let at = &mut self.hosts[host];
         at.running -= 1;
         at.admission
             .answered(self.now, Id(id as u64), Answer::Served);
         at.admission.finish(Id(id as u64));
-        self.reply(server, id, true);
-        self.pump(server);
+        self.reply(host, id, true);
+        self.pump(host);
     }
 
-    fn pump(&mut self, server: usize) {
-        while let Some(action) = self.servers[server].admission.poll(self.now) {
-            self.servers[server].queued -= 1;
+    fn pump(&mut self, host: usize) {
+        while let Some(action) = self.hosts[host].admission.poll(self.now) {
+            self.hosts[host].queued -= 1;
             match action {
-                Action::Admit(id) => self.start(server, usize::try_from(id.0).unwrap_or(0)),
+                Action::Admit(id) => self.start(host, usize::try_from(id.0).unwrap_or(0)),
                 Action::Refuse(id, _) => {
-                    self.reply(server, usize::try_from(id.0).unwrap_or(0), false);
+                    self.reply(host, usize::try_from(id.0).unwrap_or(0), false);
                 }
             }
         }
-        if let Some(at) = self.servers[server].admission.wake_at() {
-            self.at(at, Event::Wake { server });
+        if let Some(at) = self.hosts[host].admission.wake_at() {
+            self.at(at, Event::Wake { host });
         }
     }
 
-    fn reply(&mut self, server: usize, id: usize, ok: bool) {
-        let report = self.servers[server].admission.report(self.now);
+    fn reply(&mut self, host: usize, id: usize, ok: bool) {
+        let report = self.hosts[host].admission.report(self.now);
         let report = [
             report.in_flight,
             report.queued,
             report.limit,
             report.service_micros,
         ];
-        let delay = self.delay(request_entry(&self.requests, id), server);
+        let delay = self.delay(request_entry(&self.requests, id), host);
         let answer = Event::Answer {
-            server,
+            host,
             request: id,
             report,
             ok,
@@ -386,7 +371,7 @@
         self.after(delay, answer);
     }
 
-    fn answer(&mut self, server: usize, id: usize, report: [u32; 4], ok: bool) {
+    fn answer(&mut self, host: usize, id: usize, report: [u32; 4], ok: bool) {
         let [in_flight, queued, limit, service_micros] = report;
         let report = Report {
             in_flight,
@@ -395,11 +380,11 @@
             service_micros,
             slowness_percent: 0,
         };
-        let failing = self.condition == Condition::FailFast && server == 0;
+        let failing = self.condition == Condition::FailFast && host == 0;
         let entry = &mut self.entries[request_entry(&self.requests, id)];
-        entry.own[server] -= 1;
-        entry.reports[server] = report;
-        let name = server_name(server);
+        entry.own[host] -= 1;
+        entry.reports[host] = report;
+        let name = host_name(host);
         let ending = match (ok, failing) {
             (true, _) => Ending::Answered,
             (false, true) => Ending::Avoid,
@@ -410,7 +395,7 @@
             entry.placement.finish(self.now, SERVICE, &name, ending);
         }
         let request = &self.requests[&id];
-        if !ok && request.tried.len() < ATTEMPTS.min(self.servers.len()) {
+        if !ok && request.tried.len() < ATTEMPTS.min(self.hosts.len()) {
             return self.place(id);
         }
         if request.looked_at {
@@ -426,37 +411,31 @@
         self.requests.remove(&id);
     }
 
-    fn noise(&mut self, server: usize, slow: bool) {
+    fn noise(&mut self, host: usize, slow: bool) {
         if self.now >= self.end {
             return;
         }
-        self.servers[server].slow = slow;
+        self.hosts[host].slow = slow;
         let lasts = if slow {
             Duration::from_millis(self.rng.random_range(5..200))
         } else {
             self.exponential(0.5)
         };
-        self.after(
-            lasts,
-            Event::Noise {
-                server,
-                slow: !slow,
-            },
-        );
+        self.after(lasts, Event::Noise { host, slow: !slow });
     }
 
-    fn speed(&self, server: usize) -> f64 {
+    fn speed(&self, host: usize) -> f64 {
         let since = (self.now - self.began).as_secs_f64();
         match self.condition {
-            Condition::Straggler if server == 0 => 0.1,
-            Condition::ColdStart if server == 0 && since < 4.0 => 0.2,
-            Condition::Noisy if self.servers[server].slow => 0.5,
+            Condition::Straggler if host == 0 => 0.1,
+            Condition::ColdStart if host == 0 && since < 4.0 => 0.2,
+            Condition::Noisy if self.hosts[host].slow => 0.5,
             _ => 1.0,
         }
     }
 
-    fn delay(&self, entry: usize, server: usize) -> Duration {
-        if server % self.deployment.zones == entry % self.deployment.zones {
+    fn delay(&self, entry: usize, host: usize) -> Duration {
+        if host % self.deployment.zones == entry % self.deployment.zones {
             SAME_ZONE
         } else {
             self.deployment.zone_delay
@@ -483,12 +462,12 @@
 }
 
 /// Expected seconds until an answer, knowing all queues and speeds at once.
-fn truth(condition: Condition, servers: &[Server], server: usize, slots: u32) -> f64 {
-    let at = &servers[server];
+fn truth(condition: Condition, hosts: &[Host], host: usize, slots: u32) -> f64 {
+    let at = &hosts[host];
     let speed = match condition {
-        Condition::Straggler if server == 0 => 0.1,
-        Condition::ColdStart if server == 0 => 0.2,
-        Condition::FailFast if server == 0 => 0.001,
+        Condition::Straggler if host == 0 => 0.1,
+        Condition::ColdStart if host == 0 => 0.2,
+        Condition::FailFast if host == 0 => 0.001,
         _ if at.slow => 0.5,
         _ => 1.0,
     };
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -30,7 +30,7 @@
     duration: Duration,
     latency: Histogram<u64>,
     outcomes: BTreeMap<String, u64>,
-    servers: BTreeMap<String, u64>,
+    hosts: BTreeMap<String, u64>,
     sent: u64,
 }
 
@@ -43,8 +43,8 @@
     pub sent: u64,
     /// Requests by outcome.
     pub outcomes: BTreeMap<String, u64>,
-    /// Answers by server.
-    pub servers: BTreeMap<String, u64>,
+    /// Answers by host.
+    pub hosts: BTreeMap<String, u64>,
     /// Latency of successful answers in milliseconds, by percentile.
     pub latency_millis: BTreeMap<&'static str, f64>,
 }
@@ -62,7 +62,7 @@
             duration,
             latency: latency.expect("constant bounds are valid"),
             outcomes: BTreeMap::new(),
-            servers: BTreeMap::new(),
+            hosts: BTreeMap::new(),
             sent: 0,
         }
     }
@@ -71,8 +71,8 @@
     pub fn add(&mut self, record: &Record) {
         self.sent += 1;
         let outcome = match &record.heard.told {
-            Told::Answer { status, server, .. } => {
-                *self.servers.entry(server.clone()).or_default() += 1;
+            Told::Answer { status, host, .. } => {
+                *self.hosts.entry(host.clone()).or_default() += 1;
                 if status.is_success() {
                     let micros = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
                     self.latency.saturating_record(micros.max(1));
@@ -119,7 +119,7 @@
             rate: self.rate,
             sent: self.sent,
             outcomes: self.outcomes.clone(),
-            servers: self.servers.clone(),
+            hosts: self.hosts.clone(),
             latency_millis: latency.collect(),
         }
     }
@@ -137,9 +137,9 @@
         for (outcome, count) in &self.outcomes {
             writeln!(f, "  {outcome:<28} {count:>9}")?;
         }
-        writeln!(f, "answers by server")?;
-        for (server, count) in &self.servers {
-            writeln!(f, "  {server:<28} {count:>9}")?;
+        writeln!(f, "answers by host")?;
+        for (host, count) in &self.hosts {
+            writeln!(f, "  {host:<28} {count:>9}")?;
         }
         writeln!(f, "latency of successful answers")?;
         for (name, percent) in PERCENTILES {
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -1,8 +1,8 @@
-//! Servers asked for one request, and which may be asked next.
+//! Hosts asked for one request, and which may be asked next.
 //!
 //! Load pattern: what a node knows of an upstream is old, so in a burst many nodes pick the
 //! same one. Its node refuses what it could only answer late, at once and at no upstream's
-//! cost, and tells its true load; the request goes on to the next. Only the last server asked
+//! cost, and tells its true load; the request goes on to the next. Only the last host asked
 //! may take it for a late answer, and then it may be one that refused it before.
 
 use std::sync::Arc;
@@ -14,18 +14,18 @@
 /// What has been tried for one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Attempts {
-    /// Servers that are not to be asked again.
+    /// Hosts that are not to be asked again.
     tried: Vec<Arc<str>>,
     /// Those of them that refused only because their answer would have come late.
     late_at: Vec<Arc<str>>,
-    /// Servers asked so far, whatever they said.
+    /// Hosts asked so far, whatever they said.
     asked: u32,
     /// Upstreams that have seen the request, or may have.
     handed: u32,
 }
 
 impl Attempts {
-    /// Servers that are not to be asked again.
+    /// Hosts that are not to be asked again.
     #[must_use]
     pub fn tried(&self) -> &[Arc<str>] {
         &self.tried
@@ -37,19 +37,19 @@
         self.handed
     }
 
-    /// A server is asked; returns whether it is to refuse what it could only answer late.
-    pub fn asks(&mut self, settings: &Settings, server: &Arc<str>) -> bool {
-        self.tried.push(Arc::clone(server));
+    /// A host is asked; returns whether it is to refuse what it could only answer late.
+    pub fn asks(&mut self, settings: &Settings, host: &Arc<str>) -> bool {
+        self.tried.push(Arc::clone(host));
         self.asked += 1;
         self.asked < settings.placements
     }
 
-    /// The upstream of the server asked last has seen the request, or may have.
+    /// The upstream of the host asked last has seen the request, or may have.
     pub const fn was_handed(&mut self) {
         self.handed += 1;
     }
 
-    /// The server asked last refused before its upstream saw anything; returns whether
+    /// The host asked last refused before its upstream saw anything; returns whether
     /// another may be asked. `others` tells whether there is one besides those given.
     pub fn refused(
         &mut self,
@@ -70,7 +70,7 @@
         if last || !others(&self.tried) {
             self.asked = settings.placements.saturating_sub(1);
             let late_at = std::mem::take(&mut self.late_at);
-            self.tried.retain(|server| !late_at.contains(server));
+            self.tried.retain(|host| !late_at.contains(host));
         }
         others(&self.tried)
     }
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -7,8 +7,8 @@
 //! number of requests.
 //!
 //! A claim holds the mark of the request as its entry node numbered it. The entry node
-//! sends an unrepeatable request to a second server only after the first certainly
-//! refused it, so a second server that finds the same mark may go on.
+//! sends an unrepeatable request to a second host only after the first certainly
+//! refused it, so a second host that finds the same mark may go on.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key(pub Arc<str>);
 
-/// Who made a claim: entry server, its incarnation, and its number of the request.
+/// Who made a claim: entry host, its incarnation, and its number of the request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Mark(pub Arc<str>);
 
--- a/crates/core/src/configs/membership.rs
+++ b/crates/core/src/configs/membership.rs
@@ -16,10 +16,10 @@
     pub answer_within: Duration,
     /// Peers asked about one that did not answer.
     pub relays: usize,
-    /// A suspected server is dead unless it speaks up within this time.
+    /// A suspected host is dead unless it speaks up within this time.
     #[serde(with = "humantime_serde")]
     pub suspicion: Duration,
-    /// How long a dead or departed server is remembered, so that old news cannot revive it.
+    /// How long a dead or departed host is remembered, so that old news cannot revive it.
     #[serde(with = "humantime_serde")]
     pub forget_after: Duration,
     /// News records carried by one exchange.
--- a/crates/core/src/configs/placement.rs
+++ b/crates/core/src/configs/placement.rs
@@ -16,7 +16,7 @@
     pub service_time_initial: Duration,
     /// Weight of an upstream's filling while it has free slots, in service times.
     pub spread: f64,
-    /// A server is taken as a straggler when its service time exceeds the median of its
+    /// A host is taken as a straggler when its service time exceeds the median of its
     /// peers by this factor.
     pub straggler_factor: f64,
     /// The suspicion of a straggler fades with the age of its last report at this rate.
@@ -25,10 +25,10 @@
     /// How long a slow phase of an upstream's host is expected to go on.
     #[serde(with = "humantime_serde")]
     pub slow_phase: Duration,
-    /// A server that joined takes its full share only after this long.
+    /// A host that joined takes its full share only after this long.
     #[serde(with = "humantime_serde")]
     pub ramp: Duration,
-    /// How long a server that refused or broke is taken only when all others are worse.
+    /// How long a host that refused or broke is taken only when all others are worse.
     #[serde(with = "humantime_serde")]
     pub avoid_for: Duration,
     /// Candidates compared for one request, drawn at random when there are more.
--- a/crates/core/src/configs/retry.rs
+++ b/crates/core/src/configs/retry.rs
@@ -8,7 +8,7 @@
 pub struct Settings {
     /// Attempts made for one request, the first included.
     pub attempts: u32,
-    /// Servers tried for one request while none has handed it to its upstream.
+    /// Hosts tried for one request while none has handed it to its upstream.
     pub placements: u32,
     /// Statuses of an upstream's answer after which a repeatable request is tried again.
     pub on_statuses: Vec<u16>,
--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -1,7 +1,7 @@
 //! Whether the node beside an upstream lets anything new through.
 //!
 //! The gate is the only way to the upstream, so closing it here is what makes "a
-//! leaving server gets no new request" true on every node, also on one that has not
+//! leaving host gets no new request" true on every node, also on one that has not
 //! heard of it yet: its request is refused as not run and placed elsewhere.
 
 use std::time::Instant;
@@ -58,7 +58,7 @@
         self.note_leaving(now);
     }
 
-    /// The preset in force lists this server as leaving, or no longer does.
+    /// The preset in force lists this host as leaving, or no longer does.
     pub fn set_preset_drain(&mut self, now: Instant, leaving: bool) {
         self.drained_by_preset = leaving;
         self.note_leaving(now);
@@ -67,7 +67,7 @@
     /// Called often by a timer; a late call means the process was paused.
     ///
     /// Failure: a node frozen for a minute wakes with the preset and members of
-    /// before. Symptom: a server that was put into maintenance meanwhile runs new
+    /// before. Symptom: a host that was put into maintenance meanwhile runs new
     /// requests. The gap shows on the monotonic clock before anything else is done,
     /// and the gate stays closed until a peer or the store has been heard; after
     /// `wake_gives_up` of hearing nobody it opens with what it knows, since then
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Whether the server is leaving, for whatever cause.
+    /// Whether the host is leaving, for whatever cause.
     #[must_use]
     pub const fn is_leaving(&self) -> bool {
         self.stopping || self.drained_by_upstream || self.drained_by_preset
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! | step | module |
 //! |---|---|
-//! | which server? | [`placement`] |
+//! | which host? | [`placement`] |
 //! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
 //! | may it run now, or wait, and in which order? | [`admission`], [`queue`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -1,4 +1,4 @@
-//! Who is there: records of all servers, spread from node to node.
+//! Who is there: records of all hosts, spread from node to node.
 //!
 //! Each node owns its record and numbers its versions. Nodes exchange news in rounds:
 //! one peer a round, whatever the size of the fleet. A peer that does not answer is
@@ -18,7 +18,7 @@
 
 use crate::configs::membership::Settings;
 
-/// How a server stands in the eyes of the others; later variants outweigh earlier ones.
+/// How a host stands in the eyes of the others; later variants outweigh earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Standing {
@@ -43,7 +43,7 @@
     pub leaving: bool,
 }
 
-/// Order of two records about the same server.
+/// Order of two records about the same host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Version {
     /// Start of the process, in milliseconds since the Unix epoch, or later if others
@@ -53,11 +53,11 @@
     pub change: u64,
 }
 
-/// What is known of one server.
+/// What is known of one host.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
-    /// Name of the server.
-    pub server: Arc<str>,
+    /// Name of the host.
+    pub host: Arc<str>,
     /// Its availability zone.
     pub availability_zone: Arc<str>,
     /// Where its node takes requests from peers.
@@ -130,7 +130,7 @@
         self.others.values().map(|entry| &entry.record)
     }
 
-    /// Records of servers that are there, the own one included.
+    /// Records of hosts that are there, the own one included.
     pub fn present(&self) -> impl Iterator<Item = &Record> {
         std::iter::once(&self.own).chain(self.others().filter(|record| record.is_present()))
     }
@@ -155,29 +155,29 @@
 
     /// Takes in a record from a peer; true if it was news.
     pub fn merge(&mut self, now: Instant, record: Record) -> bool {
-        if record.server == self.own.server {
+        if record.host == self.own.host {
             return self.refute(&record);
         }
-        if let Some(entry) = self.others.get(&record.server)
+        if let Some(entry) = self.others.get(&record.host)
             && !record.outweighs(&entry.record)
         {
             return false;
         }
-        let known = self.others.contains_key(&record.server);
+        let known = self.others.contains_key(&record.host);
         if !known && !record.is_present() {
             return false;
         }
-        let server = Arc::clone(&record.server);
+        let host = Arc::clone(&record.host);
         let changes_at = self.change_due(now, record.standing);
         self.others
-            .insert(Arc::clone(&server), Entry { record, changes_at });
-        self.spread(server);
+            .insert(Arc::clone(&host), Entry { record, changes_at });
+        self.spread(host);
         true
     }
 
     /// A peer answered: whatever was suspected of this version of it is over.
-    pub fn answered(&mut self, server: &str) {
-        let Some(entry) = self.others.get_mut(server) else {
+    pub fn answered(&mut self, host: &str) {
+        let Some(entry) = self.others.get_mut(host) else {
             return;
         };
         if entry.record.standing == Standing::Suspect {
@@ -187,9 +187,9 @@
     }
 
     /// A peer answered neither directly nor through others.
-    pub fn unanswered(&mut self, now: Instant, server: &str) {
+    pub fn unanswered(&mut self, now: Instant, host: &str) {
         let due = self.change_due(now, Standing::Suspect);
-        let Some(entry) = self.others.get_mut(server) else {
+        let Some(entry) = self.others.get_mut(host) else {
             return;
         };
         if entry.record.standing != Standing::Alive {
@@ -197,8 +197,8 @@
         }
         entry.record.standing = Standing::Suspect;
         entry.changes_at = due;
-        let server = Arc::clone(&entry.record.server);
-        self.spread(server);
+        let host = Arc::clone(&entry.record.host);
+        self.spread(host);
     }
 
     /// Turns suspects into dead and forgets the long dead; true if anything changed.
@@ -207,10 +207,10 @@
             .others
             .iter()
             .filter(|(_, entry)| entry.changes_at.is_some_and(|at| now >= at))
-            .map(|(server, _)| Arc::clone(server))
+            .map(|(host, _)| Arc::clone(host))
             .collect();
-        for server in &due {
-            self.advance(now, server);
+        for host in &due {
+            self.advance(now, host);
         }
         !due.is_empty()
     }
@@ -221,8 +221,8 @@
             self.round = self.present_others();
             self.round.shuffle(&mut self.rng);
         }
-        while let Some(server) = self.round.pop() {
-            let present = self.others.get(&server).map(|entry| &entry.record);
+        while let Some(host) = self.round.pop() {
+            let present = self.others.get(&host).map(|entry| &entry.record);
             if let Some(record) = present.filter(|record| record.is_present()) {
                 return Some(record.clone());
             }
@@ -242,7 +242,7 @@
             .values()
             .map(|entry| &entry.record)
             .filter(|record| record.standing == Standing::Alive)
-            .filter(|record| record.server.as_ref() != except)
+            .filter(|record| record.host.as_ref() != except)
             .cloned()
             .sample(&mut self.rng, most)
     }
@@ -252,13 +252,13 @@
         let mut hottest: Vec<(u32, Arc<str>)> = self
             .news
             .iter()
-            .map(|(server, left)| (*left, Arc::clone(server)))
+            .map(|(host, left)| (*left, Arc::clone(host)))
             .collect();
         hottest.sort_by(|a, b| b.cmp(a));
         hottest.truncate(self.settings.records_most);
         hottest
             .into_iter()
-            .filter_map(|(_, server)| self.take_one(&server))
+            .filter_map(|(_, host)| self.take_one(&host))
             .collect()
     }
 
@@ -268,7 +268,7 @@
         self.present()
             .map(|record| {
                 let mut hasher = SipHasher13::new();
-                (&record.server, record.version).hash(&mut hasher);
+                (&record.host, record.version).hash(&mut hasher);
                 hasher.finish()
             })
             .fold(0, |sum, hash| sum ^ hash)
@@ -280,12 +280,12 @@
     /// agree, and their number follows the zones and not the fleet.
     #[must_use]
     pub fn is_holder(&self) -> bool {
-        let own = rank(&self.own.server);
+        let own = rank(&self.own.host);
         let ahead = self
             .others()
             .filter(|record| record.standing == Standing::Alive)
             .filter(|record| record.availability_zone == self.own.availability_zone)
-            .filter(|record| rank(&record.server) < own)
+            .filter(|record| rank(&record.host) < own)
             .count();
         ahead < self.settings.holders_per_zone
     }
@@ -293,7 +293,7 @@
     fn present_others(&self) -> Vec<Arc<str>> {
         self.others()
             .filter(|record| record.is_present())
-            .map(|record| Arc::clone(&record.server))
+            .map(|record| Arc::clone(&record.host))
             .collect()
     }
 
@@ -314,19 +314,19 @@
         true
     }
 
-    fn advance(&mut self, now: Instant, server: &Arc<str>) {
+    fn advance(&mut self, now: Instant, host: &Arc<str>) {
         let due = self.change_due(now, Standing::Dead);
-        let Some(entry) = self.others.get_mut(server) else {
+        let Some(entry) = self.others.get_mut(host) else {
             return;
         };
         if entry.record.standing == Standing::Suspect {
             entry.record.standing = Standing::Dead;
             entry.changes_at = due;
-            self.spread(Arc::clone(server));
+            self.spread(Arc::clone(host));
             return;
         }
-        self.others.remove(server);
-        self.news.remove(server);
+        self.others.remove(host);
+        self.news.remove(host);
     }
 
     fn change_due(&self, now: Instant, standing: Standing) -> Option<Instant> {
@@ -338,31 +338,31 @@
     }
 
     fn spread_own(&mut self) {
-        let server = Arc::clone(&self.own.server);
-        self.spread(server);
+        let host = Arc::clone(&self.own.host);
+        self.spread(host);
     }
 
-    fn spread(&mut self, server: Arc<str>) {
+    fn spread(&mut self, host: Arc<str>) {
         let members = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
         let rounds = u32::BITS - members.leading_zeros() + 1;
-        self.news.insert(server, self.settings.news_rounds * rounds);
+        self.news.insert(host, self.settings.news_rounds * rounds);
     }
 
-    fn take_one(&mut self, server: &Arc<str>) -> Option<Record> {
-        let left = self.news.get_mut(server)?;
+    fn take_one(&mut self, host: &Arc<str>) -> Option<Record> {
+        let left = self.news.get_mut(host)?;
         *left -= 1;
         if *left == 0 {
-            self.news.remove(server);
+            self.news.remove(host);
         }
-        if *server == self.own.server {
+        if *host == self.own.host {
             return Some(self.own.clone());
         }
-        self.others.get(server).map(|entry| entry.record.clone())
+        self.others.get(host).map(|entry| entry.record.clone())
     }
 }
 
-fn rank(server: &str) -> u64 {
+fn rank(host: &str) -> u64 {
     let mut hasher = SipHasher13::new();
-    server.hash(&mut hasher);
+    host.hash(&mut hasher);
     hasher.finish()
 }
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -33,9 +33,9 @@
     Busy,
     /// The deadline has passed or cannot be met.
     Deadline,
-    /// The answer would come later than its target, and another server may be quicker.
+    /// The answer would come later than its target, and another host may be quicker.
     Late,
-    /// The server is leaving and takes nothing new.
+    /// The host is leaving and takes nothing new.
     Leaving,
     /// The upstream keeps failing and is being checked.
     Doubtful,
@@ -43,7 +43,7 @@
     Unannounced,
     /// The node was frozen and has not heard from the others since.
     Stale,
-    /// No server offers the service.
+    /// No host offers the service.
     NoUpstream,
     /// The store did not confirm the idempotency key.
     StoreUnavailable,
@@ -121,7 +121,7 @@
         Self::ALL.into_iter().find(|reason| reason.as_str() == text)
     }
 
-    /// Whether another server might take a request refused for this reason.
+    /// Whether another host might take a request refused for this reason.
     #[must_use]
     pub const fn is_local(self) -> bool {
         matches!(
@@ -173,7 +173,7 @@
     }
 
     /// Whether no upstream saw anything of the request, so that placing it on another
-    /// server repeats no work.
+    /// host repeats no work.
     #[must_use]
     pub const fn spared_upstreams(&self) -> bool {
         let reached = matches!(self.reason, Reason::Shed | Reason::Misdirected);
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -17,16 +17,16 @@
 use crate::configs::placement::Settings;
 use crate::load::{Report, slow_penalty};
 
-/// Chance that a server which has just joined is compared at all.
+/// Chance that a host which has just joined is compared at all.
 const RAMP_LEAST: f64 = 0.05;
-/// Cost added to a server to be avoided, in seconds: above any real wait.
+/// Cost added to a host to be avoided, in seconds: above any real wait.
 const AVOIDED_SECONDS: f64 = 60.0;
 
 /// An upstream that may be chosen.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
-    /// The server it runs on.
-    pub server: Arc<str>,
+    /// The host it runs on.
+    pub host: Arc<str>,
     /// The service it offers.
     pub service: Arc<str>,
     /// Requests it may have at once, as announced.
@@ -83,7 +83,7 @@
         for upstream in upstreams {
             let known = old
                 .get_mut(&upstream.service)
-                .and_then(|candidates| take_known(candidates, &upstream.server));
+                .and_then(|candidates| take_known(candidates, &upstream.host));
             let candidate = match known {
                 Some(known) => Candidate {
                     upstream: upstream.clone(),
@@ -98,20 +98,20 @@
         }
     }
 
-    /// Whether any server offers the service.
+    /// Whether any host offers the service.
     #[must_use]
     pub fn knows(&self, service: &str) -> bool {
         self.services.contains_key(service)
     }
 
-    /// Whether there is a server that is not among `tried`.
+    /// Whether there is a host that is not among `tried`.
     #[must_use]
     pub fn has_untried(&self, service: &str, tried: &[Arc<str>]) -> bool {
         let mut candidates = self.services.get(service).into_iter().flatten();
-        candidates.any(|candidate| !tried.contains(&candidate.upstream.server))
+        candidates.any(|candidate| !tried.contains(&candidate.upstream.host))
     }
 
-    /// Chooses a server that is not among `tried`, and counts the request as placed.
+    /// Chooses a host that is not among `tried`, and counts the request as placed.
     pub fn pick(&mut self, now: Instant, service: &str, tried: &[Arc<str>]) -> Option<Arc<str>> {
         let candidates = self.services.get_mut(service)?;
         let compared = draw(&self.settings, &mut self.rng, candidates, now, tried);
@@ -125,13 +125,13 @@
         }
         let candidate = &mut candidates[best?.0];
         candidate.outstanding += 1;
-        Some(Arc::clone(&candidate.upstream.server))
+        Some(Arc::clone(&candidate.upstream.host))
     }
 
     /// A request placed by [`Self::pick`] ended.
-    pub fn finish(&mut self, now: Instant, service: &str, server: &str, ending: Ending) {
+    pub fn finish(&mut self, now: Instant, service: &str, host: &str, ending: Ending) {
         let avoid_until = now + self.settings.avoid_for;
-        let Some(candidate) = self.candidate(service, server) else {
+        let Some(candidate) = self.candidate(service, host) else {
             return;
         };
         candidate.outstanding = candidate.outstanding.saturating_sub(1);
@@ -143,8 +143,8 @@
     }
 
     /// A report arrived: what it counts beyond this node's own requests is others'.
-    pub fn reported(&mut self, now: Instant, service: &str, server: &str, report: Report) {
-        let Some(candidate) = self.candidate(service, server) else {
+    pub fn reported(&mut self, now: Instant, service: &str, host: &str, report: Report) {
+        let Some(candidate) = self.candidate(service, host) else {
             return;
         };
         candidate.report = report;
@@ -164,14 +164,14 @@
         })
     }
 
-    fn candidate(&mut self, service: &str, server: &str) -> Option<&mut Candidate> {
+    fn candidate(&mut self, service: &str, host: &str) -> Option<&mut Candidate> {
         self.services
             .get_mut(service)?
             .iter_mut()
-            .find(|candidate| candidate.upstream.server.as_ref() == server)
+            .find(|candidate| candidate.upstream.host.as_ref() == host)
     }
 
-    /// A server that joins a running fleet is cold and takes its share slowly; one
+    /// A host that joins a running fleet is cold and takes its share slowly; one
     /// that is there when this node starts is taken as warm.
     fn join(&self, now: Instant, upstream: &Upstream, first: bool) -> Candidate {
         let ramp = if first {
@@ -195,16 +195,16 @@
     }
 }
 
-fn take_known(candidates: &mut Vec<Candidate>, server: &Arc<str>) -> Option<Candidate> {
+fn take_known(candidates: &mut Vec<Candidate>, host: &Arc<str>) -> Option<Candidate> {
     let index = candidates
         .iter()
-        .position(|candidate| &candidate.upstream.server == server)?;
+        .position(|candidate| &candidate.upstream.host == host)?;
     Some(candidates.swap_remove(index))
 }
 
 /// Draws the candidates that one choice compares, in random order.
 ///
-/// A server that joined takes part with a chance that grows to one over the ramp, so its
+/// A host that joined takes part with a chance that grows to one over the ramp, so its
 /// share grows with it, whatever the others' load.
 fn draw(
     settings: &Settings,
@@ -213,7 +213,7 @@
     now: Instant,
     tried: &[Arc<str>],
 ) -> Vec<usize> {
-    let is_open = |index: &usize| !tried.contains(&candidates[*index].upstream.server);
+    let is_open = |index: &usize| !tried.contains(&candidates[*index].upstream.host);
     let mut open: Vec<usize> = (0..candidates.len()).filter(is_open).collect();
     open.shuffle(rng);
     let warm = |index: &usize| {
@@ -303,7 +303,7 @@
 
 /// Requests expected at the upstream now.
 ///
-/// Failure: several nodes see the same low report and all choose it. Symptom: one server
+/// Failure: several nodes see the same low report and all choose it. Symptom: one host
 /// at a time is flooded. The own part counts at once, and the others' part is believed
 /// for no longer than it takes them to turn over.
 fn load_of(candidate: &Candidate, peers: &Peers, age: Duration) -> f64 {
--- a/crates/core/src/preset.rs
+++ b/crates/core/src/preset.rs
@@ -22,7 +22,7 @@
     pub retry_share: f64,
     /// Client accounts with a weight other than 1.
     pub client_accounts: BTreeMap<Arc<str>, ClientAccount>,
-    /// Servers under maintenance: they finish what they have and get nothing new.
+    /// Hosts under maintenance: they finish what they have and get nothing new.
     pub leaving: BTreeSet<Arc<str>>,
 }
 
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -20,6 +20,6 @@
     pub target: Instant,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
-    /// Whether to refuse it if it would miss its target, because another server may not.
+    /// Whether to refuse it if it would miss its target, because another host may not.
     pub only_in_time: bool,
 }
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -1,4 +1,4 @@
-//! Which servers are asked for one request, and in what order they may be asked again.
+//! Which hosts are asked for one request, and in what order they may be asked again.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -17,24 +17,24 @@
     }
 }
 
-/// Asks server after server, each refusing for a reason, and tells which were asked and
+/// Asks host after host, each refusing for a reason, and tells which were asked and
 /// which of them were to refuse a late answer.
-fn play(servers: usize, reasons: &[Reason]) -> Vec<(&'static str, bool)> {
+fn play(hosts: usize, reasons: &[Reason]) -> Vec<(&'static str, bool)> {
     let now = Instant::now();
     let deadline = now + Duration::from_secs(1);
     let mut attempts = Attempts::default();
     let mut asked = Vec::new();
     for reason in reasons {
-        let open = SERVERS[..servers]
+        let open = SERVERS[..hosts]
             .iter()
-            .find(|server| !attempts.tried().iter().any(|tried| **tried == ***server));
-        let server = open.expect("one is open");
-        let only_in_time = attempts.asks(&settings(), &Arc::from(*server));
-        asked.push((*server, only_in_time));
+            .find(|host| !attempts.tried().iter().any(|tried| **tried == ***host));
+        let host = open.expect("one is open");
+        let only_in_time = attempts.asks(&settings(), &Arc::from(*host));
+        asked.push((*host, only_in_time));
         let refusal = Refusal::not_run(*reason, now);
         let others = |tried: &[Arc<str>]| {
-            let mut open = SERVERS[..servers].iter();
-            open.any(|server| !tried.iter().any(|tried| **tried == **server))
+            let mut open = SERVERS[..hosts].iter();
+            open.any(|host| !tried.iter().any(|tried| **tried == **host))
         };
         if !attempts.refused(&settings(), now, deadline, &refusal, others) {
             break;
@@ -43,20 +43,20 @@
     asked
 }
 
-/// A burst: all servers could answer late only. Two are asked to answer in time, and the
+/// A burst: all hosts could answer late only. Two are asked to answer in time, and the
 /// third time any of them may take the request for a late answer, once.
 #[rstest]
-#[case::enough_servers(4, &[Reason::Late; 5], &[("a", true), ("b", true), ("a", false)])]
-#[case::one_server(1, &[Reason::Late; 5], &[("a", true), ("a", false)])]
+#[case::enough_hosts(4, &[Reason::Late; 5], &[("a", true), ("b", true), ("a", false)])]
+#[case::one_host(1, &[Reason::Late; 5], &[("a", true), ("a", false)])]
 #[case::full(4, &[Reason::Busy; 5], &[("a", true), ("b", true), ("c", false)])]
 #[case::late_then_leaving(2, &[Reason::Late, Reason::Leaving, Reason::Late], &[("a", true), ("b", true), ("a", false)])]
 #[case::of_no_use_elsewhere(4, &[Reason::BadRequest], &[("a", true)])]
 fn refused_goes_on_while_another_may_answer(
-    #[case] servers: usize,
+    #[case] hosts: usize,
     #[case] reasons: &[Reason],
     #[case] expected: &[(&str, bool)],
 ) {
-    assert_eq!(play(servers, reasons), expected);
+    assert_eq!(play(hosts, reasons), expected);
 }
 
 #[test]
--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -201,7 +201,7 @@
     );
 }
 
-/// The entry node sends a request to a second server only after the first certainly
+/// The entry node sends a request to a second host only after the first certainly
 /// refused it; the second finds the mark of this very request and may go on.
 #[test]
 fn ask_with_the_same_mark_is_granted_again() {
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -1,4 +1,4 @@
-//! The gate: a leaving, silent or woken server gets nothing new.
+//! The gate: a leaving, silent or woken host gets nothing new.
 
 use std::time::{Duration, Instant};
 
@@ -64,7 +64,7 @@
 }
 
 /// What the caller sees: a node that was frozen refuses as not run instead of running on
-/// a server that may have left meanwhile. Order: it ticks, is paused for a minute, and a
+/// a host that may have left meanwhile. Order: it ticks, is paused for a minute, and a
 /// request comes first; then an exchange begun before the pause ends, then one begun
 /// after it.
 #[test]
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -8,10 +8,10 @@
 use mintridge_core::membership::{Record, Standing, Table, Upstream, Version};
 use rstest::rstest;
 
-fn record(server: &str, incarnation: u64) -> Record {
+fn record(host: &str, incarnation: u64) -> Record {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     Record {
-        server: Arc::from(server),
+        host: Arc::from(host),
         availability_zone: Arc::from("zone-a"),
         peer_address: address,
         control_address: address,
@@ -25,14 +25,12 @@
     }
 }
 
-fn table(server: &str, seed: u64) -> Table {
-    Table::new(Settings::default(), record(server, 1), seed)
+fn table(host: &str, seed: u64) -> Table {
+    Table::new(Settings::default(), record(host, 1), seed)
 }
 
 fn fleet(size: u64) -> Vec<Table> {
-    let mut tables: Vec<Table> = (0..size)
-        .map(|n| table(&format!("server-{n}"), n))
-        .collect();
+    let mut tables: Vec<Table> = (0..size).map(|n| table(&format!("host-{n}"), n)).collect();
     let records: Vec<Record> = tables.iter().map(|table| table.own().clone()).collect();
     let now = Instant::now();
     for table in &mut tables {
@@ -50,7 +48,7 @@
         let Some(peer) = tables[index].next_peer() else {
             continue;
         };
-        let other = tables.iter().position(|t| t.own().server == peer.server);
+        let other = tables.iter().position(|t| t.own().host == peer.host);
         let other = other.expect("the peer exists");
         let ours = tables[index].take_news();
         for record in ours {
@@ -91,7 +89,7 @@
 }
 
 #[test]
-fn tick_turns_a_silent_server_into_a_dead_one_after_suspicion() {
+fn tick_turns_a_silent_host_into_a_dead_one_after_suspicion() {
     let now = Instant::now();
     let mut table = table("a", 1);
     table.merge(now, record("b", 1));
@@ -106,7 +104,7 @@
     assert_eq!(table.present().count(), 1);
 }
 
-/// What the others see: a server that was declared dead while it was frozen speaks up
+/// What the others see: a host that was declared dead while it was frozen speaks up
 /// with a version that outweighs its death.
 #[test]
 fn merge_news_of_own_death_is_refuted() {
@@ -125,7 +123,7 @@
     assert_eq!(other.present().count(), 2);
 }
 
-/// What the others see: a server replaced by an empty process whose clock is behind is
+/// What the others see: a host replaced by an empty process whose clock is behind is
 /// known again as soon as it hears what is said of it.
 #[test]
 fn merge_of_a_later_incarnation_is_overtaken() {
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -12,7 +12,7 @@
 
 fn upstream(index: u32) -> Upstream {
     Upstream {
-        server: Arc::from(format!("server-{index}")),
+        host: Arc::from(format!("host-{index}")),
         service: Arc::from(SERVICE),
         slots: 12,
         same_zone: true,
@@ -29,8 +29,8 @@
 fn picks(placement: &mut Placement, now: Instant, count: u32) -> BTreeMap<Arc<str>, u32> {
     let mut spread = BTreeMap::new();
     for _ in 0..count {
-        let server = placement.pick(now, SERVICE, &[]).expect("one is open");
-        *spread.entry(server).or_default() += 1;
+        let host = placement.pick(now, SERVICE, &[]).expect("one is open");
+        *spread.entry(host).or_default() += 1;
     }
     spread
 }
@@ -63,46 +63,46 @@
 fn pick_prefers_the_less_loaded_by_report() {
     let now = Instant::now();
     let mut placement = placement(now, 2);
-    placement.reported(now, SERVICE, "server-0", report(12, 10));
-    placement.reported(now, SERVICE, "server-1", report(2, 0));
+    placement.reported(now, SERVICE, "host-0", report(12, 10));
+    placement.reported(now, SERVICE, "host-1", report(2, 0));
     let spread = picks(&mut placement, now, 8);
-    assert_eq!(spread.get("server-1"), Some(&8));
+    assert_eq!(spread.get("host-1"), Some(&8));
 }
 
 #[test]
-fn pick_takes_an_avoided_server_rather_than_none() {
+fn pick_takes_an_avoided_host_rather_than_none() {
     let now = Instant::now();
     let mut placement = placement(now, 2);
-    for server in ["server-0", "server-1"] {
-        placement.finish(now, SERVICE, server, Ending::Avoid);
+    for host in ["host-0", "host-1"] {
+        placement.finish(now, SERVICE, host, Ending::Avoid);
     }
     assert!(placement.pick(now, SERVICE, &[]).is_some());
-    let tried = [Arc::from("server-0")];
+    let tried = [Arc::from("host-0")];
     assert_eq!(
         placement.pick(now, SERVICE, &tried).as_deref(),
-        Some("server-1")
+        Some("host-1")
     );
-    let tried = [Arc::from("server-0"), Arc::from("server-1")];
+    let tried = [Arc::from("host-0"), Arc::from("host-1")];
     assert_eq!(placement.pick(now, SERVICE, &tried), None);
 }
 
 #[test]
-fn pick_avoids_a_server_that_broke_until_later() {
+fn pick_avoids_a_host_that_broke_until_later() {
     let now = Instant::now();
     let mut placement = placement(now, 2);
-    placement.finish(now, SERVICE, "server-0", Ending::Avoid);
+    placement.finish(now, SERVICE, "host-0", Ending::Avoid);
     let spread = picks(&mut placement, now, 10);
-    assert_eq!(spread.get("server-0"), None);
+    assert_eq!(spread.get("host-0"), None);
     let later = now + Duration::from_secs(1);
     let spread = picks(&mut placement, later, 10);
-    assert!(spread.contains_key("server-0"), "{spread:?}");
+    assert!(spread.contains_key("host-0"), "{spread:?}");
 }
 
-/// What the callers see: a server that joins a running fleet is cold; it gets a small
+/// What the callers see: a host that joins a running fleet is cold; it gets a small
 /// share at first, more as the ramp goes on, and its full share after it, also while the
 /// others have room.
 #[test]
-fn pick_ramps_up_a_server_that_joins() {
+fn pick_ramps_up_a_host_that_joins() {
     let now = Instant::now();
     let mut placement = placement(now, 3);
     let upstreams: Vec<Upstream> = (0..4).map(upstream).collect();
@@ -112,9 +112,9 @@
         let at = now + Duration::from_secs(seconds);
         let mut share = 0;
         for _ in 0..400 {
-            let server = placement.pick(at, SERVICE, &[]).expect("one is open");
-            share += u32::from(&*server == "server-3");
-            placement.finish(at, SERVICE, &server, Ending::Answered);
+            let host = placement.pick(at, SERVICE, &[]).expect("one is open");
+            share += u32::from(&*host == "host-3");
+            placement.finish(at, SERVICE, &host, Ending::Answered);
         }
         shares.push(share);
     }
@@ -129,9 +129,9 @@
 fn update_keeps_what_is_known_of_those_that_stay() {
     let now = Instant::now();
     let mut placement = placement(now, 2);
-    placement.reported(now, SERVICE, "server-0", report(12, 20));
+    placement.reported(now, SERVICE, "host-0", report(12, 20));
     let upstreams: Vec<Upstream> = (0..2).map(upstream).collect();
     placement.update(now, &upstreams);
     let spread = picks(&mut placement, now, 5);
-    assert_eq!(spread.get("server-0"), None);
+    assert_eq!(spread.get("host-0"), None);
 }
--- a/crates/ctl/src/commands/node.rs
+++ b/crates/ctl/src/commands/node.rs
@@ -32,7 +32,7 @@
             Err(address) => answers.silent.push(address),
         }
     }
-    answers.nodes.sort_by(|a, b| a.server.cmp(&b.server));
+    answers.nodes.sort_by(|a, b| a.host.cmp(&b.host));
     output::print(context.json, &answers, text)
 }
 
@@ -53,11 +53,11 @@
         .view
         .members
         .iter()
-        .find(|record| record.server == status.server);
+        .find(|record| record.host == status.host);
     let upstream = own.and_then(|record| record.upstream.as_ref());
     let load = &status.guarded.load;
     vec![
-        status.server.to_string(),
+        status.host.to_string(),
         own.map_or_else(String::new, |record| record.availability_zone.to_string()),
         upstream.map_or_else(
             || String::from("-"),
--- a/crates/ctl/src/commands/preset.rs
+++ b/crates/ctl/src/commands/preset.rs
@@ -77,14 +77,14 @@
     Ok(())
 }
 
-/// A preset may name a server that is not there yet; the operator is told.
+/// A preset may name a host that is not there yet; the operator is told.
 async fn warn_of_unknown(context: &Context, preset: &Preset) {
     let Ok(answers) = nodes::all(&context.nodes, context.timeout).await else {
         return;
     };
-    let servers: Vec<Arc<str>> = answers.into_iter().flatten().map(|s| s.server).collect();
-    for server in preset.leaving.iter().filter(|name| !servers.contains(name)) {
-        eprintln!("warning: leaving names {server}, which no node knows now");
+    let hosts: Vec<Arc<str>> = answers.into_iter().flatten().map(|s| s.host).collect();
+    for host in preset.leaving.iter().filter(|name| !hosts.contains(name)) {
+        eprintln!("warning: leaving names {host}, which no node knows now");
     }
 }
 
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -59,7 +59,7 @@
     let written = good(&scene, &["--node", &node, "preset", "put", "peak", path]).await;
     assert!(
         written.contains("service-9"),
-        "the unknown server is pointed out: {written}"
+        "the unknown host is pointed out: {written}"
     );
     let used = good(
         &scene,
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -30,8 +30,8 @@
     pub outcome: Outcome,
     /// Why it was given up on.
     pub reason: Reason,
-    /// The server whose node gave up.
-    pub server: String,
+    /// The host whose node gave up.
+    pub host: String,
     /// Number of the request, as in the logs.
     pub request: String,
 }
@@ -50,7 +50,7 @@
 pub fn response(
     now: Instant,
     refusal: &Refusal,
-    server: &str,
+    host: &str,
     request: &str,
     precision: Precision,
 ) -> Response<Body> {
@@ -61,7 +61,7 @@
         status: status.as_u16(),
         outcome: refusal.outcome,
         reason: refusal.reason,
-        server: server.to_owned(),
+        host: host.to_owned(),
         request: request.to_owned(),
     };
     let mut response = reply::json(status, &problem);
--- a/crates/node/schema/peer.capnp
+++ b/crates/node/schema/peer.capnp
@@ -16,7 +16,7 @@
 }
 
 struct Record {
-  server @0 :Text;
+  host @0 :Text;
   availabilityZone @1 :Text;
   peerAddress @2 :Text;
   controlAddress @3 :Text;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -23,7 +23,7 @@
 /// Members and preset as this node knows them.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct View {
-    /// Records of all servers that are there, the own one included.
+    /// Records of all hosts that are there, the own one included.
     pub members: Vec<Record>,
     /// The preset in force here.
     pub in_force: Arc<InForce>,
@@ -130,10 +130,10 @@
 }
 
 impl Context {
-    /// Name of this server.
+    /// Name of this host.
     #[must_use]
-    pub const fn server(&self) -> &Arc<str> {
-        &self.settings.server
+    pub const fn host(&self) -> &Arc<str> {
+        &self.settings.host
     }
 
     /// The preset in force here.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -93,7 +93,7 @@
         let settings = &context.settings;
         let peers_public = settings.listeners.peers_public;
         let own = Record {
-            server: Arc::clone(&settings.server),
+            host: Arc::clone(&settings.host),
             availability_zone: Arc::clone(&settings.availability_zone),
             peer_address: peers_public.unwrap_or(context.addresses.peers),
             control_address: context.addresses.control,
--- a/crates/node/src/control/codec.rs
+++ b/crates/node/src/control/codec.rs
@@ -123,7 +123,7 @@
 }
 
 fn write_record(record: &Record, mut to: peer_capnp::record::Builder<'_>) {
-    to.set_server(&*record.server);
+    to.set_host(&*record.host);
     to.set_availability_zone(&*record.availability_zone);
     to.set_peer_address(record.peer_address.to_string());
     to.set_control_address(record.control_address.to_string());
@@ -161,7 +161,7 @@
         }
     };
     Ok(Record {
-        server: read_text(from.get_server()?)?,
+        host: read_text(from.get_host()?)?,
         availability_zone: read_text(from.get_availability_zone()?)?,
         peer_address: read_address(from.get_peer_address()?)?,
         control_address: read_address(from.get_control_address()?)?,
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -59,22 +59,22 @@
 /// One round: the peer itself, then others about it, then suspicion.
 async fn round(control: Rc<Control>, record: Record) {
     if with(&control, record.control_address).await.is_ok() {
-        control.state.borrow_mut().table.answered(&record.server);
+        control.state.borrow_mut().table.answered(&record.host);
         return;
     }
-    let relays = control.state.borrow_mut().table.relays(&record.server);
+    let relays = control.state.borrow_mut().table.relays(&record.host);
     for relay in relays {
         if ask(&control, &relay, &record).await.unwrap_or(false) {
             return;
         }
     }
-    log::info!(server = &*record.server; "server does not answer");
+    log::info!(host = &*record.host; "host does not answer");
     let now = Instant::now();
     control
         .state
         .borrow_mut()
         .table
-        .unanswered(now, &record.server);
+        .unanswered(now, &record.host);
     control.publish();
 }
 
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -67,7 +67,7 @@
             return false;
         }
     };
-    let own_key = keys::seed(control.context.server());
+    let own_key = keys::seed(control.context.host());
     if !found.iter().any(|item| item.key == own_key) {
         control.state.borrow_mut().seed_lease = None;
     }
@@ -76,7 +76,7 @@
             continue;
         }
         if let Err(error) = exchange::join_at(control, record.control_address).await {
-            log::debug!(server = &*record.server, error:% = error; "seed not joined");
+            log::debug!(host = &*record.host, error:% = error; "seed not joined");
         }
     }
     true
@@ -94,7 +94,7 @@
 fn knows(control: &Control, record: &Record) -> bool {
     let state = control.state.borrow();
     let mut known = state.table.present();
-    known.any(|known| known.server == record.server)
+    known.any(|known| known.host == record.host)
 }
 
 /// Writes or renews this node's entry among the seeds; false if the store failed.
@@ -129,7 +129,7 @@
     control.context.metrics.store_call("lease");
     let lease = control.store.grant(time_to_live).await?;
     let put = Put {
-        key: keys::seed(&own.server),
+        key: keys::seed(&own.host),
         value: serde_json::to_vec(&own)?,
         lease,
     };
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,4 +1,4 @@
-//! The entry: takes callers' requests, chooses servers, tries again where that is safe.
+//! The entry: takes callers' requests, chooses hosts, tries again where that is safe.
 
 mod attempt;
 mod candidates;
@@ -36,7 +36,7 @@
 use crate::replay::Source;
 use crate::{reports, traces};
 
-/// When a caller is told to come back if no server offers its service.
+/// When a caller is told to come back if no host offers its service.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(1);
 /// How often operators' view of the upstreams is renewed.
 const PUBLISH_EVERY: Duration = Duration::from_millis(500);
@@ -54,8 +54,8 @@
 /// One upstream as this entry sees it, for operators.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Seen {
-    /// The server.
-    pub server: Arc<str>,
+    /// The host.
+    pub host: Arc<str>,
     /// Its service.
     pub service: Arc<str>,
     /// The last report that arrived.
@@ -64,18 +64,18 @@
     pub outstanding: u32,
 }
 
-/// A request placed on a server; counted there until dropped.
+/// A request placed on a host; counted there until dropped.
 struct Placed {
     entry: Arc<Entry>,
     service: Arc<str>,
-    server: Arc<str>,
+    host: Arc<str>,
     ending: Ending,
 }
 
 impl Drop for Placed {
     fn drop(&mut self) {
         let mut placement = self.entry.placement.lock();
-        placement.finish(Instant::now(), &self.service, &self.server, self.ending);
+        placement.finish(Instant::now(), &self.service, &self.host, self.ending);
     }
 }
 
@@ -135,7 +135,7 @@
 async fn take_reports(entry: Arc<Entry>) {
     reports::receive(&entry.context, |datagram, report| {
         let mut placement = entry.placement.lock();
-        placement.reported(Instant::now(), &datagram.service, &datagram.server, report);
+        placement.reported(Instant::now(), &datagram.service, &datagram.host, report);
     })
     .await;
 }
@@ -199,7 +199,7 @@
     travel(&entry, journey).await
 }
 
-/// Tries servers until one answers or no further attempt may be made.
+/// Tries hosts until one answers or no further attempt may be made.
 async fn travel(entry: &Arc<Entry>, mut journey: Journey) -> Response<Body> {
     loop {
         let Some(mut placed) = entry.place(&mut journey) else {
@@ -278,7 +278,7 @@
         self.refuse(&Refusal::not_run(error.reason(), now), number)
     }
 
-    /// Whether another server may be asked for a request that no upstream has seen.
+    /// Whether another host may be asked for a request that no upstream has seen.
     fn may_ask_another(&self, journey: &mut Journey, refusal: &Refusal) -> bool {
         let settings = &self.context.settings.retry;
         let head = &journey.request.head;
@@ -287,12 +287,12 @@
         attempts.refused(settings, Instant::now(), head.deadline, refusal, others)
     }
 
-    /// Number of a request within the fleet: server, its start, and a count.
+    /// Number of a request within the fleet: host, its start, and a count.
     fn number(&self) -> Arc<str> {
         let count = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let server = self.context.server();
+        let host = self.context.host();
         let incarnation = self.context.incarnation;
-        Arc::from(format!("{server}.{incarnation:x}.{count}"))
+        Arc::from(format!("{host}.{incarnation:x}.{count}"))
     }
 
     /// Takes the members that offer something.
@@ -302,7 +302,7 @@
         let addresses: HashMap<Arc<str>, SocketAddr> = view
             .members
             .iter()
-            .map(|record| (Arc::clone(&record.server), record.peer_address))
+            .map(|record| (Arc::clone(&record.host), record.peer_address))
             .collect();
         self.links
             .keep(|address| addresses.values().any(|known| known == address));
@@ -314,25 +314,25 @@
         }
     }
 
-    /// Chooses a server that was not tried yet, and counts the request there.
+    /// Chooses a host that was not tried yet, and counts the request there.
     fn place(self: &Arc<Self>, journey: &mut Journey) -> Option<Placed> {
         let retry = &self.context.settings.retry;
         let service = &journey.request.head.service;
         let mut placement = self.placement.lock();
-        let server = placement.pick(Instant::now(), service, journey.attempts.tried())?;
+        let host = placement.pick(Instant::now(), service, journey.attempts.tried())?;
         drop(placement);
         let service = Arc::clone(service);
         journey.request.head.report_to = Some(self.context.addresses.peers);
-        journey.request.head.only_in_time = journey.attempts.asks(retry, &server);
+        journey.request.head.only_in_time = journey.attempts.asks(retry, &host);
         Some(Placed {
             entry: Arc::clone(self),
             service,
-            server,
+            host,
             ending: Ending::Answered,
         })
     }
 
-    /// Whether another server may be tried; an answer in hand is not given up for none.
+    /// Whether another host may be tried; an answer in hand is not given up for none.
     fn may_retry(&self, journey: &Journey, progress: Progress) -> bool {
         let request = &journey.request;
         let service = &request.head.service;
@@ -390,10 +390,10 @@
 
     /// Tells the caller of a refusal; a claim that was made for nothing is given back.
     ///
-    /// Only a request that was certainly refused by every server it went to gives its
-    /// claim back: no server will hand it over any more.
+    /// Only a request that was certainly refused by every host it went to gives its
+    /// claim back: no host will hand it over any more.
     ///
-    /// Failure: a repeatable request runs on one server, breaks, and is refused by the
+    /// Failure: a repeatable request runs on one host, breaks, and is refused by the
     /// next. Symptom: its caller is told of the last refusal alone, "not run", which is
     /// false. What any attempt may have done decides.
     fn give_up(&self, mut journey: Journey, refusal: Refusal) -> Response<Body> {
@@ -426,14 +426,14 @@
             "given up"
         );
         self.context.metrics.refusal(refusal);
-        let server = self.context.server();
+        let host = self.context.host();
         let fractions = self.context.settings.callers.retry_after_fractions;
         let precision = if fractions {
             Precision::Millis
         } else {
             Precision::Seconds
         };
-        problem::response(Instant::now(), refusal, server, number, precision)
+        problem::response(Instant::now(), refusal, host, number, precision)
     }
 
     /// Shows operators what this entry knows of the upstreams.
@@ -446,7 +446,7 @@
         placement
             .view()
             .map(|(upstream, report, outstanding)| Seen {
-                server: Arc::clone(&upstream.server),
+                host: Arc::clone(&upstream.host),
                 service: Arc::clone(&upstream.service),
                 report: *report,
                 outstanding,
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -1,4 +1,4 @@
-//! One attempt: the request goes to one server, and what comes back is told apart.
+//! One attempt: the request goes to one host, and what comes back is told apart.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -28,11 +28,11 @@
     },
 }
 
-/// Sends the request to one server and waits for the head of its answer.
+/// Sends the request to one host and waits for the head of its answer.
 pub async fn attempt(entry: &Arc<Entry>, journey: &Journey, placed: &mut Placed) -> Attempt {
     let now = Instant::now();
     let head = &journey.request.head;
-    let address = entry.peers.lock().get(&placed.server).copied();
+    let address = entry.peers.lock().get(&placed.host).copied();
     let request = journey
         .source
         .replay()
@@ -108,7 +108,7 @@
     let claimed = headers::take_claimed(fields);
     if let Some(report) = headers::take_load(fields) {
         let mut placement = entry.placement.lock();
-        placement.reported(now, &placed.service, &placed.server, report);
+        placement.reported(now, &placed.service, &placed.host, report);
     }
     let Some(refusal) = refusal else {
         return Attempt::Answered(response);
--- a/crates/node/src/entry/candidates.rs
+++ b/crates/node/src/entry/candidates.rs
@@ -5,7 +5,7 @@
 use mintridge_core::membership::{Record, Standing};
 use mintridge_core::placement::Upstream;
 
-/// Servers that may be chosen: those that answer and are not leaving; a suspected one
+/// Hosts that may be chosen: those that answer and are not leaving; a suspected one
 /// only while its service has no other, since a suspicion must not empty the set.
 pub fn candidates(members: &[Record], own_zone: &Arc<str>) -> Vec<Upstream> {
     let offering = |record: &&Record| {
@@ -27,7 +27,7 @@
                 return None;
             }
             Some(Upstream {
-                server: Arc::clone(&record.server),
+                host: Arc::clone(&record.host),
                 service: Arc::clone(&upstream.service),
                 slots: upstream.slots,
                 same_zone: record.availability_zone == *own_zone,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -250,7 +250,7 @@
     ///
     /// Failure: the process is paused between admission and here, or the claim took
     /// long. Symptom: a request runs after its caller was told that it may not have,
-    /// or on a server that left long ago. The monotonic clock shows the pause.
+    /// or on a host that left long ago. The monotonic clock shows the pause.
     fn check_hand_over(&self, now: Instant, head: &Head) -> Result<SocketAddr, Refusal> {
         let mut state = self.state.lock();
         if now >= head.deadline {
@@ -410,7 +410,7 @@
     }
 
     fn refuse(&self, refusal: &Refusal, request: &str, claimed: bool) -> Response<Body> {
-        let server = self.context.server();
+        let host = self.context.host();
         self.context.metrics.guard_refusal(refusal);
         log::debug!(
             request = request,
@@ -419,7 +419,7 @@
             "refused"
         );
         let now = Instant::now();
-        let mut response = problem::response(now, refusal, server, request, Precision::Millis);
+        let mut response = problem::response(now, refusal, host, request, Precision::Millis);
         let report = self.report(now);
         headers::write_load(&report, response.headers_mut());
         if claimed {
@@ -430,7 +430,7 @@
 
     fn take_preset(&self, preset: &Preset) {
         let now = Instant::now();
-        let leaving = preset.leaving.contains(self.context.server());
+        let leaving = preset.leaving.contains(self.context.host());
         let mut state = self.state.lock();
         state.gate.set_preset_drain(now, leaving);
         state.budget.set_share(now, preset.probe_share);
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// Takes what the preset in force says about this server.
+/// Takes what the preset in force says about this host.
 async fn follow_view(guard: Arc<Guard>) {
     let mut view = guard.context.latest.view.subscribe();
     loop {
--- a/crates/node/src/guard/reporting.rs
+++ b/crates/node/src/guard/reporting.rs
@@ -74,7 +74,7 @@
         let state = self.state.lock();
         let announcement = state.announcement.as_ref()?;
         Some(Datagram {
-            server: Arc::clone(self.context.server()),
+            host: Arc::clone(self.context.host()),
             service: Arc::clone(&announcement.service),
             report: state.admission.report(now).to_string(),
         })
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -67,7 +67,7 @@
     /// Whether running it twice does no harm: its route or method is idempotent, and its
     /// caller did not ask for at most one run by sending a key.
     pub repeatable: bool,
-    /// Whether to refuse it if it would miss its target, because another server may not.
+    /// Whether to refuse it if it would miss its target, because another host may not.
     pub only_in_time: bool,
     /// Where the entry node takes load reports.
     pub report_to: Option<SocketAddr>,
@@ -182,7 +182,7 @@
 ///
 /// Failure: an upstream passes on the refusal of a deeper call with its headers.
 /// Symptom: the entry node takes the answer for a refusal as not run and sends an
-/// unrepeatable request that ran to a second server. Only the node that received the
+/// unrepeatable request that ran to a second host. Only the node that received the
 /// response adds these headers, so none can come from further away.
 pub fn strip_own(headers: &mut HeaderMap) {
     let own: Vec<HeaderName> = headers
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,7 @@
 //! | step | module |
 //! |---|---|
 //! | a caller's request is read | [`arrival`] |
-//! | a server is chosen, tried, perhaps another | [`entry`] |
+//! | a host is chosen, tried, perhaps another | [`entry`] |
 //! | the request goes to the node beside it | [`link`], [`headers`], [`replay`] |
 //! | that node admits it, claims its key, hands it over | [`guard`], [`claims`] |
 //! | the answer comes back | [`body`] |
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -91,7 +91,7 @@
     }
 
     /// Whether a new connection to the peer can be opened now, whatever became of the
-    /// one in use: a lost connection is no fault of the server's.
+    /// one in use: a lost connection is no fault of the host's.
     pub async fn can_connect(&self, address: SocketAddr) -> bool {
         let slot = self.slot(address);
         self.ready(&slot, address).await.is_ok()
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -127,7 +127,7 @@
         registry.register("upstream_limit", help, self.limit.clone());
         let help = "Upstream time spent on probes, in microseconds";
         registry.register("probe_microseconds", help, self.probe_micros.clone());
-        let help = "Servers that are there, this one included";
+        let help = "Hosts that are there, this one included";
         registry.register("members", help, self.members.clone());
         let help = "Revision of the preset in force here";
         registry.register("preset_revision", help, self.revision.clone());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -91,7 +91,7 @@
     };
     let duties = duties::start(&context, inputs).change_context(Error::Threads)?;
     log::info!(
-        server = &**context.server(),
+        host = &**context.host(),
         callers:% = addresses.callers,
         peers:% = addresses.peers,
         control:% = addresses.control,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -26,8 +26,8 @@
 /// State of a node as it sees itself and the others.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
-    /// Name of its server.
-    pub server: Arc<str>,
+    /// Name of its host.
+    pub host: Arc<str>,
     /// Whether a stop was asked for.
     pub stopping: bool,
     /// Members and preset.
@@ -91,7 +91,7 @@
 
 fn status(context: &Context) -> Status {
     Status {
-        server: Arc::clone(context.server()),
+        host: Arc::clone(context.host()),
         stopping: context.is_stopping(),
         view: context.latest.view.borrow().as_ref().clone(),
         guarded: context.latest.guarded.borrow().clone(),
--- a/crates/node/src/peer_capnp.rs
+++ b/crates/node/src/peer_capnp.rs
@@ -406,11 +406,11 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_server(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_server(&self) -> bool {
+        pub fn has_host(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
@@ -516,19 +516,19 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_server(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_server(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
         }
         #[inline]
-        pub fn init_server(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_server(&self) -> bool {
+        pub fn has_host(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
@@ -664,7 +664,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
@@ -724,7 +724,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 114, 118, 101, 114, 0, 0),
+            ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -825,7 +825,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,6,3,5,4,2,0,7,8];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,6,3,0,5,4,2,7,8];
         pub(crate) const TYPE_ID: u64 = 0xcf2d_acbb_7d07_ce1e;
     }
 
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -74,7 +74,7 @@
 async fn reload(mut hangup: Signal, context: Arc<Context>) {
     while hangup.recv().await.is_some() {
         log::warn!(
-            server = &**context.server();
+            host = &**context.host();
             "told to reload: settings are read at the start only and stay as they are"
         );
     }
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -10,14 +10,14 @@
 
 use crate::context::Context;
 
-/// Longest datagram taken, in bytes: names of a server and a service, and five figures.
+/// Longest datagram taken, in bytes: names of a host and a service, and five figures.
 const DATAGRAM_MOST: usize = 1024;
 
 /// A load report on its way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Datagram {
-    /// The server that reports.
-    pub server: Arc<str>,
+    /// The host that reports.
+    pub host: Arc<str>,
     /// The service that it offers.
     pub service: Arc<str>,
     /// A [`Report`] as text.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,13 +11,13 @@
 
 use crate::configs;
 
-/// All settings of a node. `server` and `availability_zone` are required; everything
+/// All settings of a node. `host` and `availability_zone` are required; everything
 /// else has a default.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
-    /// Name of this server, unlike that of any other.
-    pub server: Arc<str>,
+    /// Name of this host, unlike that of any other.
+    pub host: Arc<str>,
     /// Availability zone in which it stands.
     pub availability_zone: Arc<str>,
     /// Where the node listens.
@@ -88,7 +88,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            server: Arc::from("server-1"),
+            host: Arc::from("host-1"),
             availability_zone: Arc::from("zone-a"),
             listeners: configs::listeners::Settings::default(),
             peers: Vec::new(),
--- a/crates/node/src/traces/recorded.rs
+++ b/crates/node/src/traces/recorded.rs
@@ -25,8 +25,8 @@
         return Span::noop();
     }
     let parent = parent(headers).unwrap_or_else(SpanContext::random);
-    let server = context.server().to_string();
-    Span::root(name, parent).with_property(|| ("server", server))
+    let host = context.host().to_string();
+    Span::root(name, parent).with_property(|| ("host", host))
 }
 
 /// Span of a hop that continues a trace begun by another node; none without one.
@@ -68,7 +68,7 @@
 impl Reporter for Exporter {
     fn report(&mut self, spans: Vec<SpanRecord>) {
         for span in spans {
-            let server = span.properties.iter().find(|(key, _)| key == "server");
+            let host = span.properties.iter().find(|(key, _)| key == "host");
             log::info!(
                 target: "trace",
                 trace:% = format!("{:032x}", span.trace_id.0),
@@ -76,7 +76,7 @@
                 parent:% = format!("{:016x}", span.parent_id.0),
                 begin_ns = span.begin_time_unix_ns,
                 duration_ns = span.duration_ns,
-                server:% = server.map_or("", |(_, value)| value);
+                host:% = host.map_or("", |(_, value)| value);
                 "{}",
                 span.name
             );
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use common::{
-    Account, add_entry, get, is_broken, mixed_load, post, processes, processes_and_entry, servers,
+    Account, add_entry, get, hosts, is_broken, mixed_load, post, processes, processes_and_entry,
     threads, within,
 };
 use hyper::Method;
@@ -35,7 +35,7 @@
 #[case::large(20_000_000)]
 #[tokio::test]
 async fn answer_arrives_whole(#[case] length: usize) {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     for entry in 0..2 {
         let Told::Answer { body, .. } = scene.call(entry, &bytes(length)).await else {
             panic!("no answer");
@@ -50,7 +50,7 @@
 #[case::large(20_000_000)]
 #[tokio::test]
 async fn request_arrives_whole(#[case] length: usize) {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let content: Vec<u8> = (0..=u8::MAX).cycle().take(length).collect();
     let digest = blake3::hash(&content).to_hex().to_string();
     let call = Call {
@@ -68,11 +68,11 @@
     );
 }
 
-/// A server refuses a request with a body before it is handed over; the body goes whole
-/// to the next server.
+/// A host refuses a request with a body before it is handed over; the body goes whole
+/// to the next host.
 #[tokio::test]
-async fn request_body_is_whole_at_the_second_server() {
-    let scene = processes(servers(2)).await;
+async fn request_body_is_whole_at_the_second_host() {
+    let scene = processes(hosts(2)).await;
     scene.end_upstream(0);
     let content = vec![7_u8; 100_000];
     let digest = blake3::hash(&content).to_hex().to_string();
@@ -94,7 +94,7 @@
 /// answer that looks whole.
 #[tokio::test]
 async fn broken_answer_is_seen_broken() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     scene.behave(0, |behaviour| behaviour.manner = Manner::BreakAnswers);
     let told = scene.call(0, &bytes(1_000_000)).await;
     assert_eq!(told, Told::Broken { begun: true });
@@ -109,7 +109,7 @@
     let call = bytes(2_000_000_000);
     let reading = tokio::spawn(async move { caller.call(entry, &call).await.told });
     wait_for("the answer begins", || {
-        scene.servers[0].upstream.account().open == 0 && scene.runs("bytes") == 1
+        scene.hosts[0].upstream.account().open == 0 && scene.runs("bytes") == 1
     })
     .await;
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -121,7 +121,7 @@
 /// What a deeper call needs is passed on: on whose behalf, and how much time is left.
 #[tokio::test]
 async fn client_account_and_time_left_reach_the_upstream() {
-    let scene = threads(servers(1)).await;
+    let scene = threads(hosts(1)).await;
     let call = Call {
         client_account: String::from("printer-7"),
         ..within(3_000, post("deeper", "key"))
@@ -138,7 +138,7 @@
 /// Under load with every request different, each answer is that of its own request.
 #[tokio::test]
 async fn answers_are_never_mixed_up() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     let mut account = Account::default();
     account.run(&mixed_load(&scene, 300.0, 3.0)).await;
     account.check(&scene);
@@ -148,13 +148,13 @@
 /// The caller hangs up: the upstream's work is cancelled and its slot is free again.
 #[tokio::test]
 async fn hang_up_cancels_the_work() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     scene.behave(0, |behaviour| behaviour.manner = Manner::Silent);
     let entry = scene.addresses(0).callers;
     let caller = scene.caller.clone();
     let call = within(60_000, get("given-up"));
     let calling = tokio::spawn(async move { caller.call(entry, &call).await });
-    let open = || scene.servers[0].upstream.account().open;
+    let open = || scene.hosts[0].upstream.account().open;
     wait_for("it runs", || open() == 1).await;
     calling.abort();
     wait_for("it is cancelled", || open() == 0).await;
@@ -194,7 +194,7 @@
 /// A request that is given up on is answered at once, not near its deadline.
 #[tokio::test]
 async fn given_up_is_answered_at_once() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     scene.end_upstream(0);
     let began = Instant::now();
     let told = scene.call(0, &within(60_000, get("refused"))).await;
@@ -209,14 +209,14 @@
     assert!(retry_after.is_some());
 }
 
-/// Index of the server behind the relay, and of the entry that reaches it through it.
+/// Index of the host behind the relay, and of the entry that reaches it through it.
 const BEHIND: usize = 1;
 const ENTRY: usize = 2;
 
-/// A service of one server, whose peer port all others reach through a relay, and an
+/// A service of one host, whose peer port all others reach through a relay, and an
 /// entry apart from it.
 async fn relayed() -> (Scene, Arc<Relay>) {
-    let mut scene = threads(servers(1)).await;
+    let mut scene = threads(hosts(1)).await;
     let relay = Arc::new(Relay::default());
     let (listener, address) = loopback().await.expect("a free port");
     let behind = scene.add_with("behind", "service", "zone-a", <_>::default(), |settings| {
@@ -228,9 +228,9 @@
     scene.until_joined().await;
     scene.stop(0).await;
     add_entry(&mut scene).await;
-    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.server == "behind");
+    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
     scene
-        .until_of(&[ENTRY], "the entry knows the server", knows)
+        .until_of(&[ENTRY], "the entry knows the host", knows)
         .await;
     (scene, relay)
 }
@@ -251,13 +251,13 @@
     let told = scene.call(ENTRY, &post("after", "key-2")).await;
     assert!(told.is_success(), "{told:?}");
     assert_eq!(
-        scene.servers[BEHIND].upstream.account().runs.get("after"),
+        scene.hosts[BEHIND].upstream.account().runs.get("after"),
         Some(&1)
     );
 }
 
 /// The link falls silent while a request is on it. The unrepeatable request ends as
-/// unknown, long before its deadline; the server is not blamed, and the next request on
+/// unknown, long before its deadline; the host is not blamed, and the next request on
 /// a new connection is served.
 #[tokio::test]
 async fn link_silent_under_a_request_ends_as_unknown() {
@@ -305,7 +305,7 @@
 
 #[tokio::test]
 async fn head_and_options_pass() {
-    let scene = threads(servers(1)).await;
+    let scene = threads(hosts(1)).await;
     for method in [Method::OPTIONS, Method::PUT, Method::DELETE] {
         let call = Call {
             method,
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::{bare_post, post, processes, processes_and_entry, runs, servers, within};
+use common::{bare_post, hosts, post, processes, processes_and_entry, runs, within};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::scene::wait_for;
@@ -18,7 +18,7 @@
 /// same key: it is told that the request may have run, and nothing runs again.
 #[tokio::test]
 async fn repeat_after_answer_is_refused_as_unknown() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     assert!(scene.call(0, &post("first", "key")).await.is_success());
     let told = scene.call(1, &post("second", "key")).await;
     assert!(told.is_unknown(), "{told:?}");
@@ -28,7 +28,7 @@
 /// The same key comes through all nodes at the same moment: one runs.
 #[tokio::test]
 async fn repeat_at_the_same_moment_runs_once() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     for round in 0..10 {
         let key = format!("key-{round}");
         let ids: Vec<String> = (0..3).map(|n| format!("{key}-{n}")).collect();
@@ -67,20 +67,20 @@
     assert_eq!(runs(&scene, &["first", "second"]), 1);
 }
 
-/// The node beside the upstream is killed while the request runs, and another server
+/// The node beside the upstream is killed while the request runs, and another host
 /// offers the same service: the entry does not send an unrepeatable request there.
 #[rstest]
 #[case::with_a_key(post("first", "key"))]
 #[case::without_a_key(bare_post("first"))]
 #[tokio::test]
-async fn killed_guard_is_not_followed_by_another_server(#[case] call: Call) {
+async fn killed_guard_is_not_followed_by_another_host(#[case] call: Call) {
     let mut scene = processes_and_entry(2).await;
     common::all_behave(&scene, Manner::Silent);
     let entry = scene.addresses(2).callers;
     let caller = scene.caller.clone();
     let first = tokio::spawn(async move { caller.call(entry, &call).await.told });
     wait_for("the request runs", || scene.runs("first") == 1).await;
-    let runs_on = |index: usize| scene.servers[index].upstream.account().requests > 0;
+    let runs_on = |index: usize| scene.hosts[index].upstream.account().requests > 0;
     let killed = usize::from(!runs_on(0));
     scene.kill(killed).await;
     let told = first.await.expect("the caller lives");
@@ -108,7 +108,7 @@
 /// breaks, and its repeat through another node does not run.
 #[tokio::test]
 async fn repeat_after_entry_is_killed_runs_once() {
-    let mut scene = processes(servers(3)).await;
+    let mut scene = processes(hosts(3)).await;
     for index in 0..3 {
         scene.behave(index, |behaviour| behaviour.service_micros = 300_000);
     }
@@ -158,7 +158,7 @@
 /// is told when to come back; when the store is back it runs.
 #[tokio::test]
 async fn store_out_refuses_keyed_requests_as_not_run() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene.store.set_faults(Faults {
         down: true,
         ..Faults::default()
@@ -193,7 +193,7 @@
 #[case::denied(Faults { deny_writes: 1, ..Faults::default() })]
 #[tokio::test]
 async fn store_reply_lost_runs_once(#[case] faults: Faults) {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene.store.set_faults(faults);
     let told = scene.call(0, &post("first", "key")).await;
     assert!(told.is_success(), "{told:?}");
@@ -206,7 +206,7 @@
 /// which stays true; its repeat runs at most once.
 #[tokio::test]
 async fn store_write_applied_late_runs_nothing_twice() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene.store.set_faults(Faults {
         late_writes: 1,
         late_millis: 1_500,
@@ -221,10 +221,10 @@
 }
 
 /// The upstream runs the request and never answers: the caller is told unknown at its
-/// deadline, and the request is not tried on another server.
+/// deadline, and the request is not tried on another host.
 #[tokio::test]
 async fn silent_upstream_is_not_tried_again() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     common::all_behave(&scene, Manner::Silent);
     for call in [post("keyed", "key"), bare_post("keyless")] {
         let call = within(500, call);
@@ -235,11 +235,11 @@
     }
 }
 
-/// The upstream does not accept connections: that is not run, and another server takes
+/// The upstream does not accept connections: that is not run, and another host takes
 /// the request under the claim it already has.
 #[tokio::test]
 async fn unreachable_upstream_is_left_for_another() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     scene.end_upstream(0);
     for round in 0..6 {
         let id = format!("id-{round}");
@@ -253,8 +253,8 @@
 /// caller's repeat runs when they are back.
 #[tokio::test]
 async fn refused_everywhere_gives_the_claim_back() {
-    let scene = processes(servers(1)).await;
-    let address = scene.servers[0].upstream_address;
+    let scene = processes(hosts(1)).await;
+    let address = scene.hosts[0].upstream_address;
     scene.end_upstream(0);
     let told = scene.call(0, &post("first", "key")).await;
     assert!(told.is_not_run(), "{told:?}");
@@ -263,7 +263,7 @@
         .await
         .expect("binds again");
     let phase = tokio::sync::watch::Sender::new(mintridge_http::server::Phase::Open);
-    let upstream = std::sync::Arc::clone(&scene.servers[0].upstream);
+    let upstream = std::sync::Arc::clone(&scene.hosts[0].upstream);
     tokio::spawn(mintridge_standin::upstream::run(
         listener,
         upstream,
@@ -274,7 +274,7 @@
     assert_eq!(runs(&scene, &["first", "second"]), 1);
 }
 
-/// A repeatable request runs on a first server, which fails it, and is tried on a second,
+/// A repeatable request runs on a first host, which fails it, and is tried on a second,
 /// which refuses it before it runs, or there is none left. The caller is told the
 /// upstream's own answer or that it may have run; never that it did not.
 #[rstest]
@@ -282,7 +282,7 @@
 #[case::none_left(false)]
 #[tokio::test]
 async fn not_run_stays_true_after_a_first_attempt_that_ran(#[case] second_refuses: bool) {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     common::all_behave(&scene, Manner::FailSlowly);
     if second_refuses {
         scene.end_upstream(1);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -23,16 +23,16 @@
     threads(Plan { binary, ..plan }).await
 }
 
-/// A scene of processes with this many servers of one service, and after them one more
-/// server of another service, whose node is an entry apart from them all.
+/// A scene of processes with this many hosts of one service, and after them one more
+/// host of another service, whose node is an entry apart from them all.
 pub async fn processes_and_entry(count: usize) -> Scene {
-    let mut scene = processes(servers(count)).await;
+    let mut scene = processes(hosts(count)).await;
     add_entry(&mut scene).await;
     scene.until_joined().await;
     scene
 }
 
-/// Adds a server of another service.
+/// Adds a host of another service.
 pub async fn add_entry(scene: &mut Scene) {
     let added = scene
         .add("entry-1", "other", "zone-b", <_>::default())
@@ -40,8 +40,8 @@
     added.expect("it starts");
 }
 
-/// A scene with this many servers of one service.
-pub fn servers(count: usize) -> Plan {
+/// A scene with this many hosts of one service.
+pub fn hosts(count: usize) -> Plan {
     Plan {
         services: vec![("service", count)],
         ..Plan::default()
@@ -85,7 +85,7 @@
 
 /// Gives every upstream this manner.
 pub fn all_behave(scene: &Scene, manner: Manner) {
-    for index in 0..scene.servers.len() {
+    for index in 0..scene.hosts.len() {
         scene.behave(index, |behaviour| behaviour.manner = manner);
     }
 }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -1,4 +1,4 @@
-//! A leaving server gets nothing new after a few seconds; a planned stop cuts nothing.
+//! A leaving host gets nothing new after a few seconds; a planned stop cuts nothing.
 
 mod common;
 
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Account, get, mixed_load, processes, servers, within};
+use common::{Account, get, hosts, mixed_load, processes, within};
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
 use mintridge_node::operators::Status;
@@ -15,25 +15,25 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
-/// How long after the announcement a server may still get new requests.
+/// How long after the announcement a host may still get new requests.
 const FEW_SECONDS: Duration = Duration::from_secs(3);
 
-fn leaving(server: &str) -> Preset {
+fn leaving(host: &str) -> Preset {
     Preset {
-        leaving: BTreeSet::from([Arc::from(server)]),
+        leaving: BTreeSet::from([Arc::from(host)]),
         ..Preset::default()
     }
 }
 
 fn requests(scene: &Scene, index: usize) -> u64 {
-    scene.servers[index].upstream.account().requests
+    scene.hosts[index].upstream.account().requests
 }
 
 /// Under load one node gets SIGTERM, and callers that speak to the others and to it see
 /// every request answered. Callers of the stopped node go elsewhere once it closes.
 #[tokio::test]
 async fn stop_of_a_node_cuts_no_request() {
-    let mut scene = processes(servers(3)).await;
+    let mut scene = processes(hosts(3)).await;
     let mut load = mixed_load(&scene, 150.0, 5.0);
     load.targets.remove(0);
     let sending = tokio::spawn(async move {
@@ -52,7 +52,7 @@
 /// caller gets its answer, whole.
 #[tokio::test]
 async fn stop_of_the_entry_finishes_what_it_has() {
-    let mut scene = processes(servers(2)).await;
+    let mut scene = processes(hosts(2)).await;
     for index in 0..2 {
         scene.behave(index, |behaviour| behaviour.service_micros = 2_500_000);
     }
@@ -70,7 +70,7 @@
 /// that the caller goes elsewhere before the listener is gone.
 #[tokio::test]
 async fn stop_tells_callers_to_go_before_it_closes() {
-    let mut scene = processes(servers(2)).await;
+    let mut scene = processes(hosts(2)).await;
     let entry = scene.addresses(0).callers;
     let caller = scene.caller.clone();
     let asking = tokio::spawn(async move {
@@ -93,7 +93,7 @@
 /// few seconds it gets nothing new.
 #[tokio::test]
 async fn drain_of_an_upstream_cuts_no_request() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     let load = mixed_load(&scene, 150.0, 5.0);
     let sending = tokio::spawn(async move {
         let mut account = Account::default();
@@ -110,11 +110,11 @@
     account.all_succeeded();
 }
 
-/// The preset in force names a server as leaving: it finishes what it has, gets nothing
+/// The preset in force names a host as leaving: it finishes what it has, gets nothing
 /// new, and serves again when a later preset no longer names it.
 #[tokio::test]
-async fn preset_takes_a_server_out_and_back() {
-    let scene = processes(servers(3)).await;
+async fn preset_takes_a_host_out_and_back() {
+    let scene = processes(hosts(3)).await;
     scene
         .put_in_force(leaving("service-1"), "out")
         .await
@@ -122,8 +122,7 @@
     scene
         .until("all know that it leaves", |status| {
             status.view.members.iter().any(|record| {
-                &*record.server == "service-1"
-                    && record.upstream.as_ref().is_some_and(|u| u.leaving)
+                &*record.host == "service-1" && record.upstream.as_ref().is_some_and(|u| u.leaving)
             })
         })
         .await;
@@ -155,7 +154,7 @@
     assert!(requests(&scene, 0) > before);
 }
 
-/// A server's node is frozen while a preset takes the server out, and wakes with requests
+/// A host's node is frozen while a preset takes the host out, and wakes with requests
 /// already waiting in its sockets: its upstream gets none of them. They are refused as not
 /// run there and run elsewhere. The short pause is shorter than an announcement lasts, so
 /// nothing but the pause itself can tell the node; the long one outlasts every lease.
@@ -164,7 +163,7 @@
 #[case::long(Duration::from_secs(12))]
 #[tokio::test]
 async fn frozen_node_that_missed_the_preset_runs_nothing_on_waking(#[case] pause: Duration) {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     let before = requests(&scene, 0);
     let frozen_at = Instant::now();
     scene.process(0).signal(Signal::STOP).expect("frozen");
@@ -192,16 +191,16 @@
     assert_eq!(
         requests(&scene, 0),
         before,
-        "new requests on a leaving server"
+        "new requests on a leaving host"
     );
 }
 
 /// A node that is cut off from peers and store still believes what it knew: it goes on
-/// sending to a server that left. The guard there refuses as not run, the request goes to
-/// another server, and its caller notices nothing.
+/// sending to a host that left. The guard there refuses as not run, the request goes to
+/// another host, and its caller notices nothing.
 #[tokio::test]
-async fn entry_that_was_cut_off_sends_to_a_leaving_server_in_vain() {
-    let mut scene = processes(servers(2)).await;
+async fn entry_that_was_cut_off_sends_to_a_leaving_host_in_vain() {
+    let mut scene = processes(hosts(2)).await;
     let peers = vec![scene.addresses(0).control];
     scene
         .add_with("deaf", "other", "zone-a", <_>::default(), |settings| {
@@ -242,11 +241,11 @@
     assert_eq!(requests(&scene, 0), before);
 }
 
-/// The store is out and a server drains: its own node refuses, and the others learn of it
+/// The store is out and a host drains: its own node refuses, and the others learn of it
 /// from their peers.
 #[tokio::test]
 async fn drain_needs_no_store() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene.store.set_faults(Faults {
         down: true,
         ..Faults::default()
--- a/crates/node/tests/measuring.rs
+++ b/crates/node/tests/measuring.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Account, all_behave, bare_post, get, mixed_load, processes, servers, within};
+use common::{Account, all_behave, bare_post, get, hosts, mixed_load, processes, within};
 use mintridge_standin::scene::Scene;
 use mintridge_standin::upstream::Manner;
 use rstest::rstest;
@@ -15,7 +15,7 @@
 const FIRST: Duration = Duration::from_millis(25);
 
 fn probes(scene: &Scene) -> u64 {
-    let accounts = scene.servers.iter().map(|server| server.upstream.account());
+    let accounts = scene.hosts.iter().map(|host| host.upstream.account());
     accounts.map(|account| account.probes).sum()
 }
 
@@ -23,7 +23,7 @@
 /// counted where it passes.
 #[tokio::test]
 async fn steady_traffic_costs_no_probe() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let mut account = Account::default();
     account.run(&mixed_load(&scene, 150.0, 2.0)).await;
@@ -35,7 +35,7 @@
 /// under the share granted by the preset, beside the first probe of each node.
 #[tokio::test]
 async fn hanging_probes_of_all_stay_in_the_budget() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     let began = Instant::now();
     for index in 0..3 {
         scene.behave(index, |behaviour| behaviour.hang_probes = true);
@@ -65,7 +65,7 @@
     #[case] service_micros: u64,
     #[case] allowed_millis: u64,
 ) {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     scene.behave(0, |behaviour| {
         behaviour.manner = manner;
         behaviour.service_micros = service_micros;
@@ -82,7 +82,7 @@
 /// are served again without a restart.
 #[tokio::test]
 async fn doubt_ends_by_itself() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     all_behave(&scene, Manner::FailFast);
     for n in 0..20 {
         scene.call(n % 2, &get(&format!("id-{n}"))).await;
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Account, mixed_load, processes, servers};
+use common::{Account, hosts, mixed_load, processes};
 use mintridge_core::preset::{InForce, Preset, Revision};
 use mintridge_standin::scene::{Scene, author, wait_for};
 use mintridge_standin::store::Faults;
@@ -38,7 +38,7 @@
 
 #[tokio::test]
 async fn use_is_in_force_on_every_node_within_seconds() {
-    let scene = processes(servers(6)).await;
+    let scene = processes(hosts(6)).await;
     for revision in 1..=3 {
         let mark = format!("operator-{revision}");
         let in_force = scene
@@ -56,7 +56,7 @@
 /// caller sees anything of it.
 #[tokio::test]
 async fn use_under_load_cuts_nothing() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     let load = mixed_load(&scene, 150.0, 3.0);
     let sending = tokio::spawn(async move {
         let mut account = Account::default();
@@ -81,7 +81,7 @@
 #[case::slow(Faults { slow_millis: 200, ..Faults::default() })]
 #[tokio::test]
 async fn use_reaches_all_although(#[case] faults: Faults) {
-    let scene = processes(servers(4)).await;
+    let scene = processes(hosts(4)).await;
     scene.store.set_faults(faults);
     let in_force = scene
         .put_in_force(preset(0.2), "operator")
@@ -94,7 +94,7 @@
 /// settings, and learns the preset in force and the members from it.
 #[tokio::test]
 async fn node_that_starts_during_an_outage_learns_from_peers() {
-    let mut scene = processes(servers(3)).await;
+    let mut scene = processes(hosts(3)).await;
     let in_force = scene
         .put_in_force(preset(0.2), "operator")
         .await
@@ -114,7 +114,7 @@
 /// the other is told who was first.
 #[tokio::test]
 async fn two_operators_one_wins_and_the_other_is_told() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let store = scene.operator();
     for name in ["day", "peak"] {
         let author = author("setup");
@@ -153,7 +153,7 @@
 #[case::denied(Faults { deny_writes: 1, ..Faults::default() })]
 #[tokio::test]
 async fn use_with_a_lost_reply_says_that_it_took(#[case] faults: Faults) {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let store = scene.operator();
     presets::put(&store, "day", preset(0.2), None, &author("ana"))
         .await
@@ -168,7 +168,7 @@
 
 #[tokio::test]
 async fn use_with_the_store_down_says_that_nothing_changed() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let store = scene.operator();
     presets::put(&store, "day", preset(0.2), None, &author("ana"))
         .await
@@ -186,7 +186,7 @@
 /// An edit of the preset in force is itself in force everywhere.
 #[tokio::test]
 async fn put_of_the_preset_in_force_is_in_force() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     scene
         .put_in_force(preset(0.2), "ana")
         .await
@@ -206,7 +206,7 @@
 /// node goes back, and the last good preset stays in force.
 #[tokio::test]
 async fn nothing_old_or_wrong_reverts_what_is_in_force() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene
         .put_in_force(preset(0.2), "ana")
         .await
@@ -248,7 +248,7 @@
 #[case::garbage(Some(0))]
 #[tokio::test]
 async fn store_from_before_is_brought_up_to_date(#[case] revision: Option<u64>) {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene
         .put_in_force(preset(0.2), "ana")
         .await
@@ -287,7 +287,7 @@
 /// peers bring it to the latest.
 #[tokio::test]
 async fn frozen_node_catches_up_from_peers() {
-    let scene = processes(servers(3)).await;
+    let scene = processes(hosts(3)).await;
     scene.process(2).signal(Signal::STOP).expect("frozen");
     scene
         .put_in_force(preset(0.2), "ana")
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -15,14 +15,14 @@
     path
 }
 
-const GOOD: &str = "server: 'a', availability_zone: 'z'";
+const GOOD: &str = "host: 'a', availability_zone: 'z'";
 
 #[rstest]
 #[case::unknown_key("unknown", "{ SELF,\n retry: { attemps: 3 } }", &[":2:", "retry.attemps", "`attempts`"])]
 #[case::wrong_type("type", "{ SELF,\n\n gate: { pause_noticed: 'soon' } }", &[":3:", "gate.pause_noticed", "soon"])]
 #[case::out_of_range("range", "{ SELF, retry: { attempts: 0 } }", &["retry.attempts", "0", "1 to 1000000"])]
-#[case::required("required", "{ server: 'a' }", &["availability_zone"])]
-#[case::not_json("syntax", "{ server: ", &[":1:", "EOF"])]
+#[case::required("required", "{ host: 'a' }", &["availability_zone"])]
+#[case::not_json("syntax", "{ host: ", &[":1:", "EOF"])]
 fn load_names_what_is_wrong(#[case] name: &str, #[case] text: &str, #[case] parts: &[&str]) {
     let path = file(name, &text.replace("SELF", GOOD));
     let error = load(&path)
@@ -40,12 +40,12 @@
 fn load_takes_comments_and_fills_in_defaults() {
     let path = file(
         "good",
-        "{ // a comment\n server: 'a', /* and one */ availability_zone: 'z' }",
+        "{ // a comment\n host: 'a', /* and one */ availability_zone: 'z' }",
     );
     let loaded = load(&path).expect("good");
     let _ = fs::remove_file(&path);
     let expected = Settings {
-        server: "a".into(),
+        host: "a".into(),
         availability_zone: "z".into(),
         ..Settings::default()
     };
--- a/crates/node/tests/strangers.rs
+++ b/crates/node/tests/strangers.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{get, processes, servers};
+use common::{get, hosts, processes};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::Reason;
 use mintridge_standin::scene::Scene;
@@ -47,7 +47,7 @@
 )]
 #[tokio::test]
 async fn smuggled_request_runs_nowhere(#[case] bytes: &str) {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     send(scene.addresses(0).callers, bytes.as_bytes()).await;
     assert_eq!(scene.runs("smuggled"), 0);
     still_serves(&scene).await;
@@ -67,7 +67,7 @@
 #[case::not_http("\u{16}\u{3}\u{1}garbage\r\n\r\n", "400")]
 #[tokio::test]
 async fn malformed_call_gets_a_clear_refusal(#[case] bytes: &str, #[case] status: &str) {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     let answer = send(scene.addresses(0).callers, bytes.as_bytes()).await;
     assert!(
         answer.starts_with(&format!("HTTP/1.1 {status}")),
@@ -78,7 +78,7 @@
 
 #[tokio::test]
 async fn oversized_headers_are_refused() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     let huge = format!(
         "GET / HTTP/1.1\r\nhost: service\r\nx-huge: {}\r\n\r\n",
         "x".repeat(200_000)
@@ -99,7 +99,7 @@
 #[case::huge_length(&[0, 0, 0, 0, 255, 255, 255, 127])]
 #[tokio::test]
 async fn garbage_on_every_port_harms_nobody(#[case] bytes: &[u8]) {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let addresses = scene.addresses(0);
     let ports = [
         addresses.callers,
@@ -119,7 +119,7 @@
 /// request is the caller's own.
 #[tokio::test]
 async fn headers_of_peers_from_outside_are_dropped() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     let call = "GET / HTTP/1.1\r\nhost: service\r\nmintridge-to-service: other\r\n\
                 mintridge-left-us: 1\r\nmintridge-claim: x\r\nmintridge-outcome: not-run\r\n\
                 x-request-id: own\r\nconnection: close\r\n\r\n";
@@ -137,10 +137,10 @@
 
 /// An upstream passes on the refusal of a deeper call, with its headers. It ran, so its
 /// answer is an answer: not taken for a refusal, and an unrepeatable request is not sent
-/// to another server.
+/// to another host.
 #[tokio::test]
 async fn refusal_of_a_deeper_call_is_not_taken_for_one_here() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let call = Call {
         path: String::from("/deeper"),
         ..common::post("deep", "key")
@@ -153,7 +153,7 @@
 /// Many callers open connections and send nothing, or half a header: others are served.
 #[tokio::test]
 async fn slow_senders_keep_nobody_out() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     let mut slow = Vec::new();
     for _ in 0..300 {
         let mut stream = TcpStream::connect(scene.addresses(0).callers)
@@ -167,7 +167,7 @@
 
 #[tokio::test]
 async fn unknown_service_is_not_run() {
-    let scene = processes(servers(1)).await;
+    let scene = processes(hosts(1)).await;
     let call = Call {
         service: String::from("nobody"),
         ..get("lost")
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{get, post, processes, servers};
+use common::{get, hosts, post, processes};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_standin::cost::resident;
 use mintridge_standin::scene::Scene;
@@ -19,13 +19,13 @@
 const GROWTH_MOST: u64 = 40_000_000;
 
 fn memory(scene: &Scene) -> u64 {
-    let processes = (0..scene.servers.len()).map(|index| scene.process(index).id());
+    let processes = (0..scene.hosts.len()).map(|index| scene.process(index).id());
     processes.map(resident).sum()
 }
 
 #[tokio::test]
 async fn download_leaves_memory_flat() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let before = memory(&scene);
     let call = Call {
         path: format!("/bytes/{LARGE}"),
@@ -44,7 +44,7 @@
 
 #[tokio::test]
 async fn upload_leaves_memory_flat() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let before = memory(&scene);
     for entry in 0..2 {
         let call = Call {
@@ -66,7 +66,7 @@
 /// the windows, and others are served meanwhile.
 #[tokio::test]
 async fn slow_reader_slows_only_itself() {
-    let scene = processes(servers(2)).await;
+    let scene = processes(hosts(2)).await;
     let before = memory(&scene);
     let mut slow = TcpStream::connect(scene.addresses(0).callers)
         .await
--- a/crates/node/tests/traces.rs
+++ b/crates/node/tests/traces.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Plan, get, servers, threads};
+use common::{Plan, get, hosts, threads};
 use mintridge_bench::caller::Caller;
 use mintridge_standin::scene::Scene;
 use mintridge_standin::upstream::{SEEN_TRACEPARENT, TRACEPARENT};
@@ -32,10 +32,7 @@
     } else {
         |_: &mut mintridge_node::settings::Settings| {}
     };
-    let plan = Plan {
-        adjust,
-        ..servers(2)
-    };
+    let plan = Plan { adjust, ..hosts(2) };
     let scene = threads(plan).await;
     let seen = seen(&scene, &format!("00-{TRACE}-{SPAN}-01"))
         .await
--- a/crates/standin/src/bin/trial.rs
+++ b/crates/standin/src/bin/trial.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Servers of a deployment, by service.
+/// Hosts of a deployment, by service.
 const PRESSE: [(&str, usize); 2] = [("field-service", 9), ("parts", 3)];
 const WISLA: [(&str, usize); 2] = [("lots", 7), ("settlement", 4)];
 
@@ -176,16 +176,16 @@
     let scene = scene(binary, services, quick()).await;
     let service = services[0].0;
     let upstreams: Vec<SocketAddr> = scene
-        .servers
+        .hosts
         .iter()
-        .filter(|server| &*server.service == service)
-        .map(|server| server.upstream_address)
+        .filter(|host| &*host.service == service)
+        .map(|host| host.upstream_address)
         .collect();
     for rate in rates {
         #[allow(clippy::cast_precision_loss)]
         let load = Load {
             targets: upstreams.clone(),
-            rate: (rate * scene.servers.len()) as f64,
+            rate: (rate * scene.hosts.len()) as f64,
             duration: Duration::from_secs(seconds),
             services: vec![(service.to_owned(), 1.0)],
             ..Load::default()
@@ -261,7 +261,7 @@
 async fn memory_cost(binary: &Path) {
     let scene = scene(binary, &PRESSE, quick()).await;
     let rest = Cost::of(&scene).await;
-    for index in 0..scene.servers.len() {
+    for index in 0..scene.hosts.len() {
         scene.behave(index, |behaviour| behaviour.manner = Manner::Silent);
     }
     let load = Load {
@@ -275,11 +275,7 @@
     let sending = tokio::spawn(async move { load::run(&load, |_| {}).await });
     tokio::time::sleep(Duration::from_secs(4)).await;
     let busy = Cost::of(&scene).await;
-    let open: u64 = scene
-        .servers
-        .iter()
-        .map(|s| s.upstream.account().open)
-        .sum();
+    let open: u64 = scene.hosts.iter().map(|s| s.upstream.account().open).sum();
     let grown = busy.resident_bytes.saturating_sub(rest.resident_bytes);
     println!(
         "at rest {} a node; {open} requests in progress take {} KiB over both nodes",
--- a/crates/standin/src/cost.rs
+++ b/crates/standin/src/cost.rs
@@ -43,8 +43,8 @@
             loopback_bytes: loopback_bytes(),
             exchange_bytes: 0.0,
         };
-        for (index, server) in scene.servers.iter().enumerate() {
-            let Some(Running::Process(process)) = &server.node else {
+        for (index, host) in scene.hosts.iter().enumerate() {
+            let Some(Running::Process(process)) = &host.node else {
                 continue;
             };
             cost.nodes += 1;
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -40,9 +40,9 @@
 
 /// What to build.
 pub struct Plan {
-    /// Services with the number of their servers.
+    /// Services with the number of their hosts.
     pub services: Vec<(&'static str, usize)>,
-    /// Availability zones, given to the servers in turn.
+    /// Availability zones, given to the hosts in turn.
     pub zones: Vec<&'static str>,
     /// Behaviour of every upstream at first.
     pub behaviour: Behaviour,
@@ -96,8 +96,8 @@
     }
 }
 
-/// One server: an upstream and the node beside it.
-pub struct Server {
+/// One host: an upstream and the node beside it.
+pub struct Host {
     /// Its name.
     pub name: Arc<str>,
     /// Its service.
@@ -120,8 +120,8 @@
     pub store: Arc<Store>,
     /// Where the store listens.
     pub store_address: SocketAddr,
-    /// The servers.
-    pub servers: Vec<Server>,
+    /// The hosts.
+    pub hosts: Vec<Host>,
     /// A caller.
     pub caller: Caller,
     http: HttpClient<HttpConnector, Empty<Bytes>>,
@@ -141,7 +141,7 @@
 }
 
 impl Scene {
-    /// Builds a scene and waits until every node knows every server.
+    /// Builds a scene and waits until every node knows every host.
     ///
     /// # Errors
     /// If a socket or node cannot be started.
@@ -154,7 +154,7 @@
         let mut scene = Self {
             store,
             store_address,
-            servers: Vec::new(),
+            hosts: Vec::new(),
             caller: Caller::default(),
             http: HttpClient::builder(TokioExecutor::new()).build_http(),
             adjust: plan.adjust,
@@ -174,7 +174,7 @@
         Ok(scene)
     }
 
-    /// Adds a server.
+    /// Adds a host.
     ///
     /// # Errors
     /// If a socket or node cannot be started.
@@ -214,7 +214,7 @@
             state: State::Ready,
             ..Announcement::default()
         }));
-        self.servers.push(Server {
+        self.hosts.push(Host {
             name: Arc::from(name),
             service: Arc::from(service),
             upstream,
@@ -224,10 +224,10 @@
             zone: zone.to_owned(),
             phase,
         });
-        self.start_node_with(self.servers.len() - 1, adjust)
+        self.start_node_with(self.hosts.len() - 1, adjust)
     }
 
-    /// Starts a node with an empty memory beside the upstream of this server.
+    /// Starts a node with an empty memory beside the upstream of this host.
     ///
     /// # Errors
     /// If it does not start.
@@ -244,10 +244,10 @@
         index: usize,
         adjust: impl FnOnce(&mut Settings),
     ) -> Result<(), Error> {
-        let server = &mut self.servers[index];
+        let host = &mut self.hosts[index];
         let mut settings = Settings {
-            server: Arc::clone(&server.name),
-            availability_zone: Arc::from(server.zone.as_str()),
+            host: Arc::clone(&host.name),
+            availability_zone: Arc::from(host.zone.as_str()),
             ..Settings::default()
         };
         settings.store.address = self.store_address;
@@ -260,18 +260,18 @@
             Running::Threads(started.map_err(Error::Node)?)
         };
         let to = running.addresses().announcements;
-        tokio::spawn(announcer::run(to, server.announcement.subscribe()));
-        server.node = Some(running);
+        tokio::spawn(announcer::run(to, host.announcement.subscribe()));
+        host.node = Some(running);
         Ok(())
     }
 
-    /// Waits until every node knows every server, and its entry every upstream.
+    /// Waits until every node knows every host, and its entry every upstream.
     ///
     /// # Panics
     /// If that does not come true for very long.
     pub async fn until_joined(&self) {
-        let count = self.servers.len();
-        self.until("every node knows every server", |status| {
+        let count = self.hosts.len();
+        self.until("every node knows every host", |status| {
             let members = status.view.members.iter();
             let announced = members.filter(|record| record.upstream.is_some());
             announced.count() == count && status.seen.len() == count
@@ -284,8 +284,8 @@
     /// # Panics
     /// If that does not come true for very long.
     pub async fn until(&self, what: &str, holds: impl Fn(&Status) -> bool) {
-        let running: Vec<usize> = (0..self.servers.len())
-            .filter(|index| self.servers[*index].node.is_some())
+        let running: Vec<usize> = (0..self.hosts.len())
+            .filter(|index| self.hosts[*index].node.is_some())
             .collect();
         self.until_of(&running, what, holds).await;
     }
@@ -327,7 +327,7 @@
     }
 
     async fn ask(&self, index: usize, path: &str) -> Option<Bytes> {
-        let address = self.servers[index].node.as_ref()?.addresses().operators;
+        let address = self.hosts[index].node.as_ref()?.addresses().operators;
         let uri = format!("http://{address}{path}").parse().ok()?;
         let asked = async {
             let response = self.http.get(uri).await.ok()?;
@@ -336,27 +336,24 @@
         tokio::time::timeout(ASK_WITHIN, asked).await.ok()?
     }
 
-    /// Where the node of this server listens.
+    /// Where the node of this host listens.
     ///
     /// # Panics
     /// If the node was stopped.
     #[must_use]
     pub fn addresses(&self, index: usize) -> Addresses {
-        let node = self.servers[index].node.as_ref();
+        let node = self.hosts[index].node.as_ref();
         node.expect("the node runs").addresses()
     }
 
     /// Where all running nodes take callers' requests.
     #[must_use]
     pub fn entries(&self) -> Vec<SocketAddr> {
-        let running = self
-            .servers
-            .iter()
-            .filter_map(|server| server.node.as_ref());
+        let running = self.hosts.iter().filter_map(|host| host.node.as_ref());
         running.map(|node| node.addresses().callers).collect()
     }
 
-    /// Calls through the node of this server.
+    /// Calls through the node of this host.
     pub async fn call(&self, index: usize, call: &Call) -> Told {
         self.caller
             .call(self.addresses(index).callers, call)
@@ -364,13 +361,13 @@
             .told
     }
 
-    /// The process of this server's node.
+    /// The process of this host's node.
     ///
     /// # Panics
     /// If the node is not a process.
     #[must_use]
     pub fn process(&self, index: usize) -> &Process {
-        match &self.servers[index].node {
+        match &self.hosts[index].node {
             Some(Running::Process(process)) => process,
             _ => panic!("node {index} is not a process"),
         }
@@ -378,7 +375,7 @@
 
     /// Stops a node as planned; returns when it has ended.
     pub async fn stop(&mut self, index: usize) {
-        match self.servers[index].node.take() {
+        match self.hosts[index].node.take() {
             Some(Running::Threads(node)) => {
                 let _ = tokio::task::spawn_blocking(move || node.stop()).await;
             }
@@ -392,7 +389,7 @@
 
     /// Ends a node at once: a process by SIGKILL, threads without finishing requests.
     pub async fn kill(&mut self, index: usize) {
-        match self.servers[index].node.take() {
+        match self.hosts[index].node.take() {
             Some(Running::Threads(node)) => {
                 let _ = tokio::task::spawn_blocking(move || node.end()).await;
             }
@@ -403,14 +400,14 @@
 
     /// Ends an upstream at once.
     pub fn end_upstream(&self, index: usize) {
-        self.servers[index].phase.send_replace(Phase::Closing {
+        self.hosts[index].phase.send_replace(Phase::Closing {
             give_up_at: Instant::now(),
         });
     }
 
     /// Lets an upstream announce that it drains, or that it is ready again.
     pub fn announce(&self, index: usize, state: State) {
-        self.servers[index].announcement.send_modify(|current| {
+        self.hosts[index].announcement.send_modify(|current| {
             *current = Arc::new(Announcement {
                 state,
                 ..current.as_ref().clone()
@@ -420,7 +417,7 @@
 
     /// Changes the behaviour of an upstream.
     pub fn behave(&self, index: usize, change: impl FnOnce(&mut Behaviour)) {
-        let upstream = &self.servers[index].upstream;
+        let upstream = &self.hosts[index].upstream;
         let mut behaviour = upstream.behaviour();
         change(&mut behaviour);
         upstream.set_behaviour(behaviour);
@@ -450,7 +447,7 @@
     /// Times a request ran, over all upstreams.
     #[must_use]
     pub fn runs(&self, id: &str) -> u32 {
-        let accounts = self.servers.iter().map(|server| server.upstream.account());
+        let accounts = self.hosts.iter().map(|host| host.upstream.account());
         accounts
             .map(|account| account.runs.get(id).copied().unwrap_or(0))
             .sum()
--- a/crates/standin/src/tables.rs
+++ b/crates/standin/src/tables.rs
@@ -85,7 +85,7 @@
 fn fleet(members: usize) -> Vec<Table> {
     let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
     let record = |index: usize| Record {
-        server: Arc::from(format!("server-{index}")),
+        host: Arc::from(format!("host-{index}")),
         availability_zone: Arc::from(format!("zone-{}", index % 7)),
         peer_address: address,
         control_address: address,
@@ -121,7 +121,7 @@
         let Some(peer) = tables[index].next_peer() else {
             continue;
         };
-        let number = peer.server.rsplit('-').next().and_then(|n| n.parse().ok());
+        let number = peer.host.rsplit('-').next().and_then(|n| n.parse().ok());
         let other: usize = number.unwrap_or(0);
         let ours = tables[index].take_news();
         let theirs = tables[other].take_news();
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -121,7 +121,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Result {
     /// The upstream that answered.
-    pub server: String,
+    pub host: String,
     /// The caller's id of the request.
     pub id: String,
     /// Client account named to the upstream.
@@ -276,7 +276,7 @@
         }
     }
     let result = Result {
-        server: upstream.name.to_string(),
+        host: upstream.name.to_string(),
         id,
         client_account,
         left_millis,
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -18,8 +18,8 @@
 
 /// Key of one node's entry among the seeds.
 #[must_use]
-pub fn seed(server: &str) -> String {
-    format!("{SEEDS}{server}")
+pub fn seed(host: &str) -> String {
+    format!("{SEEDS}{host}")
 }
 
 /// Key of one claim.
--- a/crates/try/src/main.rs
+++ b/crates/try/src/main.rs
@@ -45,9 +45,9 @@
 
 /// The same load without mintridge, each upstream in turn.
 async fn straight(scene: &Scene) -> Report {
-    let upstreams = scene.servers.iter().take(SERVERS);
+    let upstreams = scene.hosts.iter().take(SERVERS);
     let load = Load {
-        targets: upstreams.map(|server| server.upstream_address).collect(),
+        targets: upstreams.map(|host| host.upstream_address).collect(),
         rate: RATE,
         duration: Duration::from_secs(SECONDS),
         run: String::from("straight"),
