fix(entry): subscribe to the members before they are read

Cause: the entry read the view of members and subscribed afterwards; a view that came between was lost. A lone node then knew of no upstream for good: the test headers_of_peers_from_outside_are_dropped failed once in the whole suite.

Ruled out: load alone. With 0.4 s put between the two steps the test fails every time with the same words; with one subscription made first it passes with the same delay.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -24,6 +24,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use self::attempt::{Attempt, attempt};
 use self::candidates::candidates;
@@ -96,8 +97,8 @@
 /// Serves callers until the node closes their listener.
 pub async fn run(context: Arc<Context>, listener: TcpListener) {
     let entry = Arc::new(Entry::new(Arc::clone(&context)));
-    entry.take_view(&context.latest.view.borrow().clone());
-    tokio::spawn(follow_view(Arc::clone(&entry)));
+    let view = context.latest.view.subscribe();
+    tokio::spawn(follow_view(Arc::clone(&entry), view));
     tokio::spawn(publish_often(Arc::clone(&entry)));
     tokio::spawn(take_reports(Arc::clone(&entry)));
     let limits = server::Limits {
@@ -123,12 +124,19 @@
     }
 }
 
-async fn follow_view(entry: Arc<Entry>) {
-    let mut view = entry.context.latest.view.subscribe();
-    while view.changed().await.is_ok() {
+/// Takes each view of the members, the present one first.
+///
+/// Failure: a view that comes between a first reading and the subscription is never taken.
+/// Symptom: a node with few peers knows of no upstream until the next change, which may be
+/// never. One subscription, made before anything is read, misses none.
+async fn follow_view(entry: Arc<Entry>, mut view: watch::Receiver<Arc<View>>) {
+    loop {
         let current = Arc::clone(&view.borrow_and_update());
         entry.take_view(&current);
         entry.publish();
+        if view.changed().await.is_err() {
+            return;
+        }
     }
 }
 
