feat(logs): tell each decision on a failed request, on standard output, and explain it

Cause: on-call engineers have only logs and metrics; refusals were logged at debug level without inputs, on standard error, by a call that may block.

Change: request_log writes a line for each attempt with what was known of the upstream and how old that was, and a last line with outcome; complete for failures, one in 1,000 of the others, 50 lines a second and duty, the rest counted (core::quota). Lines pass through a bounded queue to a thread of their own, and carry the host. mintridge explain joins the logs of several nodes into the story of one request with its cause. Metrics at a fixed port.

Ruled out: a line for each request (a fifth of a core would go into them); writing in place.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod preset;
 pub mod probe;
 pub mod queue;
+pub mod quota;
 pub mod request;
 pub mod retry;
 pub mod route;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -153,6 +153,14 @@
         candidate.others = (counted - f64::from(candidate.outstanding)).max(0.0);
     }
 
+    /// What is known of an upstream and since when, for logs.
+    #[must_use]
+    pub fn known(&self, service: &str, host: &str) -> Option<(Report, Instant)> {
+        let mut candidates = self.services.get(service)?.iter();
+        let known = candidates.find(|candidate| candidate.upstream.host.as_ref() == host)?;
+        Some((known.report, known.reported_at))
+    }
+
     /// The candidates of each service with their last report, for operators.
     pub fn view(&self) -> impl Iterator<Item = (&Upstream, &Report, u32)> {
         self.services.values().flatten().map(|candidate| {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -1,5 +1,6 @@
 //! The commands, one module for each group.
 
+pub mod explain;
 pub mod node;
 pub mod preset;
 pub mod settings;
@@ -46,6 +47,7 @@
     match arguments.subcommand {
         MintridgeCmd::Preset(preset) => preset::run(&context, preset).await,
         MintridgeCmd::Node(_) => node::status(&context).await,
+        MintridgeCmd::Explain(explain) => explain::run(&context, &explain.request, &explain.file),
         MintridgeCmd::Settings(settings) => settings::run(&context, settings),
     }
 }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -37,12 +37,15 @@
         /// Nodes asked.
         asked: usize,
     },
+    /// No line of the logs tells of the request.
+    #[error("no line tells of request {0}")]
+    NoSuchRequest(String),
     /// The result cannot be written as JSON.
     #[error(transparent)]
     Output(#[from] serde_json::Error),
-    /// The runtime cannot be started.
-    #[error("cannot start: {0}")]
-    Start(#[from] std::io::Error),
+    /// The runtime cannot be started, or a log file not be read.
+    #[error("cannot start or read: {0}")]
+    Io(#[from] std::io::Error),
 }
 
 impl Error {
--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -72,6 +72,13 @@
             /// Show what each node says of itself and the others.
             cmd status {}
         }
+        /// Tell the story of one request from the logs of several nodes.
+        cmd explain {
+            /// Id of the request, as the caller sent it or as its refusal names it.
+            required request: String
+            /// Log files of nodes.
+            repeated file: PathBuf
+        }
         /// Work on settings files of nodes.
         cmd settings {
             /// Check a settings file.
--- a/crates/node/src/configs/listeners.rs
+++ b/crates/node/src/configs/listeners.rs
@@ -20,6 +20,8 @@
     pub announcements: SocketAddr,
     /// Operators: health, metrics, state.
     pub operators: SocketAddr,
+    /// A further address for operators, where theirs changes and collectors need a fixed one.
+    pub metrics: Option<SocketAddr>,
     /// New connections that wait to be accepted, on each listener.
     pub backlog: i32,
 }
@@ -34,6 +36,7 @@
             control: any_port,
             announcements: any_port,
             operators: any_port,
+            metrics: None,
             backlog: 1024,
         }
     }
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -33,6 +33,8 @@
     pub announcements: Socket,
     /// For operators.
     pub operators: Socket,
+    /// For operators as well, at a fixed address.
+    pub metrics: Option<Socket>,
     /// Receiving end of the ring to the guard.
     pub announced: mpsc::Receiver<Heard>,
     /// Receiving end of the ring to the claims thread.
@@ -59,6 +61,7 @@
         control,
         announcements,
         operators,
+        metrics,
         announced,
         jobs,
     } = inputs;
@@ -88,6 +91,10 @@
             Ok(())
         })?,
         spawn("operators", context, move |context| async move {
+            if let Some(metrics) = metrics {
+                let listener = TcpListener::from_std(metrics)?;
+                tokio::spawn(operators::run(Arc::clone(&context), listener));
+            }
             let listener = TcpListener::from_std(operators)?;
             operators::run(context, listener).await;
             Ok(())
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -35,6 +35,7 @@
 use crate::headers;
 use crate::link::Links;
 use crate::replay::Source;
+use crate::request_log::{self, RequestLog, Trail};
 use crate::{reports, traces};
 
 /// When a caller is told to come back if no host offers its service.
@@ -50,6 +51,7 @@
     peers: Mutex<HashMap<Arc<str>, SocketAddr>>,
     links: Links,
     next_number: AtomicU64,
+    log: Arc<RequestLog>,
 }
 
 /// One upstream as this entry sees it, for operators.
@@ -71,6 +73,32 @@
     service: Arc<str>,
     host: Arc<str>,
     ending: Ending,
+    /// What was known of its upstream when it was chosen, and since when.
+    known: (Report, Instant),
+}
+
+impl Placed {
+    /// What logs tell of the attempt.
+    fn told(
+        &self,
+        asked_at: Instant,
+        journey: &Journey,
+        attempted: &Attempt,
+    ) -> request_log::Attempt {
+        let (report, reported_at) = self.known;
+        request_log::Attempt {
+            host: Arc::clone(&self.host),
+            report,
+            report_age: asked_at.duration_since(reported_at),
+            only_in_time: journey.request.head.only_in_time,
+            outcome: match attempted {
+                Attempt::Answered(_) => "answered",
+                Attempt::Refused { refusal, .. } => refusal.reason.as_str(),
+            },
+            asked_at,
+            took: asked_at.elapsed(),
+        }
+    }
 }
 
 impl Drop for Placed {
@@ -159,9 +187,15 @@
     let now = Instant::now();
     let number = entry.number();
     let span = traces::root("entry", &entry.context, request.headers());
-    let served = serve(Arc::clone(&entry), now, number, request);
+    let mut trail = Trail::new(&entry.log, now, &number);
+    let served = serve(Arc::clone(&entry), now, number, request, &mut trail);
     let response = traces::within(span, served).await;
     entry.context.metrics.answered(now.elapsed(), &response);
+    let refusal = problem::read(now, response.headers());
+    trail.answered(
+        response.status(),
+        refusal.map(|refusal| refusal.reason.as_str()),
+    );
     response
 }
 
@@ -170,6 +204,7 @@
     now: Instant,
     number: Arc<str>,
     request: Request<Body>,
+    trail: &mut Trail,
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let settings = &entry.context.settings.callers;
@@ -177,6 +212,7 @@
         Ok(id) => id,
         Err(error) => return entry.refuse_malformed(now, error, &number),
     };
+    trail.identified(&number);
     let routes = entry.context.latest.routes.borrow().clone();
     let routing = match &routes {
         Some(document) => Routing::Table {
@@ -195,6 +231,7 @@
         Ok(read) => read,
         Err(error) => return entry.refuse_malformed(now, error, &number),
     };
+    trail.routed(&read.head.service, read.routes.0, read.head.deadline);
     let journey = Journey {
         request: read,
         parts,
@@ -204,18 +241,21 @@
         may_have_run: false,
         failure: None,
     };
-    travel(&entry, journey).await
+    travel(&entry, journey, trail).await
 }
 
 /// Tries hosts until one answers or no further attempt may be made.
-async fn travel(entry: &Arc<Entry>, mut journey: Journey) -> Response<Body> {
+async fn travel(entry: &Arc<Entry>, mut journey: Journey, trail: &mut Trail) -> Response<Body> {
     loop {
         let Some(mut placed) = entry.place(&mut journey) else {
             let retry_at = Instant::now() + NO_UPSTREAM_RETRY;
             let none = Refusal::not_run(Reason::NoUpstream, retry_at);
             return entry.give_up(journey, none);
         };
-        match attempt(entry, &journey, &mut placed).await {
+        let asked_at = Instant::now();
+        let attempted = attempt(entry, &journey, &mut placed).await;
+        trail.attempted(placed.told(asked_at, &journey, &attempted));
+        match attempted {
             Attempt::Answered(response) => {
                 journey.attempts.was_handed();
                 if !entry.is_failure(&response) {
@@ -261,6 +301,7 @@
             peers: Mutex::default(),
             links: Links::new(settings.link.clone()),
             next_number: AtomicU64::new(1),
+            log: Arc::new(RequestLog::new(&settings.logs)),
             context,
         }
     }
@@ -328,6 +369,7 @@
         let service = &journey.request.head.service;
         let mut placement = self.placement.lock();
         let host = placement.pick(Instant::now(), service, journey.attempts.tried())?;
+        let known = placement.known(service, &host)?;
         drop(placement);
         let service = Arc::clone(service);
         journey.request.head.report_to = Some(self.context.addresses.peers);
@@ -337,6 +379,7 @@
             service,
             host,
             ending: Ending::Answered,
+            known,
         })
     }
 
@@ -427,12 +470,6 @@
     }
 
     fn refuse(&self, refusal: &Refusal, number: &str) -> Response<Body> {
-        log::debug!(
-            request = number,
-            outcome = refusal.outcome.as_str(),
-            reason = refusal.reason.as_str();
-            "given up"
-        );
         self.context.metrics.refusal(refusal);
         let host = self.context.host();
         let fractions = self.context.settings.callers.retry_after_fractions;
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -45,6 +45,7 @@
 use crate::context::{Context, Guarded};
 use crate::headers::{self, Head};
 use crate::link::CHECK_PATH;
+use crate::request_log::RequestLog;
 use crate::traces;
 use crate::upstream::{self, Received, Upstream};
 
@@ -57,6 +58,7 @@
     /// Who the upstream is has to be found out.
     unknown_upstream: Notify,
     upstream: Upstream,
+    log: RequestLog,
     prober: Client<HttpConnector, Empty<Bytes>>,
 }
 
@@ -162,7 +164,7 @@
             }
             return Err(guard.shed(now, slot.id, load.as_ref()));
         }
-        Ok(Err(error)) => return Err(guard.failed(now, &error)),
+        Ok(Err(error)) => return Err(guard.failed(now, &error, &head.request)),
         Err(_) => return Err(guard.silent(now, in_left)),
     };
     guard.told(now, guard.upstream.load(&parts.headers).as_ref());
@@ -201,6 +203,7 @@
             reporting: Reporting::default(),
             unknown_upstream: Notify::new(),
             upstream: Upstream::new(settings, context.adapter.load),
+            log: RequestLog::new(&settings.logs),
             prober,
             context,
         }
@@ -301,9 +304,11 @@
     }
 
     /// The upstream gave no answer: what that proves.
-    fn failed(&self, now: Instant, error: &upstream::Error) -> Refusal {
+    fn failed(&self, now: Instant, error: &upstream::Error, request: &str) -> Refusal {
         self.judge(now, Some(Verdict::Failed));
-        log::info!(error:% = error; "no answer of the upstream");
+        if self.log.admits(1) {
+            log::info!(request = request, error:% = error; "no answer of the upstream");
+        }
         match error {
             upstream::Error::NeverSent => self.not_run(Reason::Unreachable),
             upstream::Error::Broken(_) => self.unknown(now, Reason::LinkLost),
@@ -412,15 +417,10 @@
     fn refuse(&self, refusal: &Refusal, request: &str, claimed: bool) -> Response<Body> {
         let host = self.context.host();
         self.context.metrics.guard_refusal(refusal);
-        log::debug!(
-            request = request,
-            outcome = refusal.outcome.as_str(),
-            reason = refusal.reason.as_str();
-            "refused"
-        );
         let now = Instant::now();
         let mut response = problem::response(now, refusal, host, request, Precision::Millis);
         let report = self.report(now);
+        self.log_refusal(refusal, request, &report);
         headers::write_load(&report, response.headers_mut());
         if claimed {
             headers::write_claimed(response.headers_mut());
@@ -428,6 +428,24 @@
         response
     }
 
+    /// A refusal with what it was decided on.
+    fn log_refusal(&self, refusal: &Refusal, request: &str, report: &Report) {
+        if !self.log.admits(1) {
+            return;
+        }
+        log::info!(
+            request = request,
+            outcome = refusal.outcome.as_str(),
+            reason = refusal.reason.as_str(),
+            in_flight = report.in_flight,
+            queued = report.queued,
+            limit = report.limit,
+            service_ms = report.service_micros / 1000,
+            slowness_percent = report.slowness_percent;
+            "refused beside the upstream"
+        );
+    }
+
     fn take_preset(&self, preset: &Preset) {
         let now = Instant::now();
         let leaving = preset.leaving.contains(self.context.host());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod program;
 pub mod replay;
 pub mod reports;
+pub mod request_log;
 pub mod settings;
 pub mod traces;
 pub mod upstream;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -55,6 +55,10 @@
     let control = listen(listeners.control, "control")?;
     let announcements = listen(listeners.announcements, "announcements")?;
     let operators = listen(listeners.operators, "operators")?;
+    let metrics = match listeners.metrics {
+        Some(address) => Some(listen(address, "metrics")?.0),
+        None => None,
+    };
     let addresses = Addresses {
         callers: callers.1,
         peers: peers.1,
@@ -86,6 +90,7 @@
         control: control.0,
         announcements: announcements.0,
         operators: operators.0,
+        metrics,
         announced,
         jobs,
     };
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -31,7 +31,7 @@
         println!("{}: good", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    logs::start(&settings.logs);
+    logs::start(&settings.logs, &settings.host);
     match node::start(settings, adapter) {
         Ok(node) => until_stopped(node),
         Err(error) => {
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -28,10 +28,10 @@
         let file = write_settings(settings)?;
         let mut child = Command::new(binary)
             .arg(&file)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()?;
-        let stderr = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
-        let mut lines = BufReader::new(stderr).lines();
+        let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut lines = BufReader::new(output).lines();
         let addresses = loop {
             let line = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
             if let Some(addresses) = addresses(&line) {
