feat(control): join through hosts named in the settings; fewer calls to the store

At a start every node wrote an entry among the seeds and took it out again, and a lapsed entry came back only with the next round of seeds.

Ruled out, a failed trial: keeping to twelve hosts of a large service in an order of the node's own.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -7,7 +7,7 @@
 mod holder;
 mod peer;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,6 +29,9 @@
     state: RefCell<State>,
     /// Something changed that peers should hear at once.
     news: Notify,
+    started_at: Instant,
+    /// The store answers again after an outage, in which entries may have lapsed.
+    store_regained: Cell<bool>,
 }
 
 struct State {
@@ -121,6 +124,8 @@
                 seed_lease: None,
             }),
             news: Notify::new(),
+            started_at: Instant::now(),
+            store_regained: Cell::new(false),
             context,
         }
     }
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -99,9 +99,11 @@
 /// Finds the fleet through the addresses in the settings.
 async fn join(control: &Rc<Control>) {
     let own = control.context.addresses.control;
-    let peers = control.context.settings.peers.iter();
-    for address in peers.filter(|address| **address != own) {
-        if join_at(control, *address).await.is_ok() {
+    let settings = &control.context.settings;
+    for named in &settings.peers {
+        let port = settings.peers_port.unwrap_or(named.port());
+        let address = SocketAddr::new(named.ip(), port);
+        if address != own && join_at(control, address).await.is_ok() {
             return;
         }
     }
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -76,6 +76,7 @@
     let (found, mut read_at) = control.store.read(key).await?;
     if std::mem::take(lost) {
         log::info!(key = key, revision = read_at; "store regained");
+        control.store_regained.set(true);
     }
     control.heard(asked_at);
     take_read(control, kind, found).await;
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -11,11 +11,19 @@
 use super::{Control, exchange};
 
 /// How often this node looks whether something is due.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Pause before a failed call about seeds is made again. An entry that lapsed while the store
 /// was away must be back within two seconds of its return, which holds two such pauses, a
 /// call that times out and the calls that write the entry.
 const SEEDS_AGAIN: Duration = Duration::from_millis(500);
+/// The same pause for the first few times after the start: all nodes may be starting, and
+/// those found in the list listen a moment later.
+const SEEDS_AGAIN_AT_START: Duration = Duration::from_millis(150);
+/// How many times that is; a fleet that starts at once must keep to the store's rates.
+const SEEDS_AT_START: u32 = 6;
+/// A node that hears nobody writes its entry only after this long: most hear a peer within
+/// a second of the start and turn out to be none of the few that need an entry.
+const ENTRY_WHEN_ALONE_AFTER: Duration = Duration::from_secs(2);
 
 /// Keeps the seeds, as long as this node holds.
 ///
@@ -23,13 +31,20 @@
 pub async fn work(control: Rc<Control>) {
     let settings = &control.context.settings.control;
     let mut seeds_at = Instant::now();
+    let mut begun: u32 = 0;
     loop {
         let now = Instant::now();
+        if control.store_regained.take() {
+            seeds_at = now;
+        }
         if control.uses_store(now) && now >= seeds_at {
+            begun = begun.saturating_add(1);
             let kept = keep_seeds(&control).await;
             let isolated = control.is_isolated(Instant::now());
             let pause = if kept && !isolated {
                 settings.seeds_every
+            } else if begun <= SEEDS_AT_START {
+                SEEDS_AGAIN_AT_START
             } else {
                 SEEDS_AGAIN
             };
@@ -47,7 +62,9 @@
 async fn keep_seeds(control: &Rc<Control>) -> bool {
     let listed = find_others(control).await;
     let holder = control.state.borrow().table.is_holder();
-    if !holder {
+    let now = Instant::now();
+    let just_started = now < control.started_at + ENTRY_WHEN_ALONE_AFTER;
+    if !holder || (just_started && control.is_isolated(now)) {
         return listed;
     }
     keep_seed(control).await && listed
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -101,7 +101,8 @@
         peers:% = addresses.peers,
         control:% = addresses.control,
         announcements:% = addresses.announcements,
-        operators:% = addresses.operators;
+        operators:% = addresses.operators,
+        peers_named = context.settings.peers.len();
         "node started"
     );
     Ok(Node { context, duties })
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -26,6 +26,9 @@
     /// Control addresses of some other nodes, tried when the store does not answer.
     #[serde(default)]
     pub peers: Vec<SocketAddr>,
+    /// Control port of all peers, where `peers` names other ports of their hosts.
+    #[serde(default)]
+    pub peers_port: Option<u16>,
     /// The platform's key-value store.
     #[serde(default)]
     pub store: configs::store::Settings,
@@ -92,6 +95,7 @@
             availability_zone: Arc::from("zone-a"),
             listeners: configs::listeners::Settings::default(),
             peers: Vec::new(),
+            peers_port: None,
             store: configs::store::Settings::default(),
             node: configs::node::Settings::default(),
             callers: configs::callers::Settings::default(),
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -9,7 +9,7 @@
 use mintridge_core::preset::{InForce, Preset, Revision};
 use mintridge_standin::scene::{Scene, author, wait_for};
 use mintridge_standin::store::Faults;
-use mintridge_store::keys::IN_FORCE;
+use mintridge_store::keys::{IN_FORCE, SEEDS};
 use mintridge_store::presets::{self, Refused};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -110,6 +110,50 @@
     scene.until_joined().await;
 }
 
+/// The same, where the settings name hosts by another of their ports.
+#[tokio::test]
+async fn node_that_starts_during_an_outage_finds_peers_by_their_hosts() {
+    let mut scene = processes(hosts(2)).await;
+    let in_force = scene
+        .put_in_force(preset(0.2), "operator")
+        .await
+        .expect("accepted");
+    until_revision(&scene, in_force.revision.0).await;
+    scene.store.set_faults(down());
+    scene.kill(1).await;
+    let named = scene.addresses(0);
+    scene
+        .start_node_with(1, |settings| {
+            settings.peers = vec![named.announcements];
+            settings.peers_port = Some(named.control.port());
+        })
+        .expect("starts");
+    until_revision(&scene, in_force.revision.0).await;
+    scene.until_joined().await;
+}
+
+/// The store loses the entries by which nodes are found and does not say so, while it is out
+/// or while it answers. Each node that keeps one writes it again once the store answers.
+#[rstest]
+#[case::during_an_outage(true)]
+#[case::while_it_answers(false)]
+#[tokio::test]
+async fn entry_that_the_store_took_away_comes_back(#[case] outage: bool) {
+    let mut plan = hosts(1);
+    plan.adjust = |settings| settings.control.seeds_every = Duration::from_secs(1);
+    let scene = processes(plan).await;
+    let key = format!("{SEEDS}{}", scene.hosts[0].name);
+    let is_there = || scene.store.value(&key).is_some();
+    wait_for("the entry is there", is_there).await;
+    if outage {
+        scene.store.set_faults(down());
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+    }
+    scene.store.remove(&key);
+    scene.store.set_faults(Faults::default());
+    wait_for("the entry is back", is_there).await;
+}
+
 /// Two operators change presets at the same moment, unaware of each other: one wins, and
 /// the other is told who was first.
 #[tokio::test]
