perf(node): let the upstream serve while its node's callers leave

Cause: a node that was told to stop refused everything for its upstream at once and closed its listener only 2.2 s later.

Change: the gate closes, and peers are told, only when the callers' listener closes; peers are answered for 0.3 s more.

Ruled out: a shorter time for callers to leave (they are asked each second, and leave after two questions).

Measured: the test stop_serves_the_upstream_while_callers_leave failed before with no-upstream.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -49,10 +49,10 @@
 pub enum Stage {
     /// Serving.
     Serving,
-    /// A stop was asked for: nothing new is let through to the upstream, callers are
-    /// still served, and peers are told.
+    /// A stop was asked for: callers are told to go elsewhere and are still served.
     Leaving,
-    /// Listeners of callers are closed; requests in progress are finished.
+    /// Nothing new is let through to the upstream and peers are told. Listeners of callers
+    /// are closed; requests in progress are finished.
     ClosingCallers {
         /// What is not finished by then is cut.
         give_up_at: Instant,
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -90,10 +90,8 @@
 
 async fn follow_stage(guard: Arc<Guard>) {
     let mut stage = guard.context.latest.stage.subscribe();
-    let stopping = stage
-        .wait_for(|stage| *stage != Stage::Serving)
-        .await
-        .is_ok();
+    let closing = |stage: &Stage| !matches!(stage, Stage::Serving | Stage::Leaving);
+    let stopping = stage.wait_for(closing).await.is_ok();
     if stopping {
         guard.state.lock().gate.stop(Instant::now());
         guard.publish();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -19,6 +19,9 @@
 
 /// How often a stop looks whether a duty has ended.
 const LOOK_EVERY: Duration = Duration::from_millis(10);
+/// How long peers' requests are still answered, with a refusal, after peers are told that
+/// nothing new is taken: news reaches all peers within a few exchanges that follow at once.
+const PEERS_LEARN_WITHIN: Duration = Duration::from_millis(300);
 
 /// Why a node did not start.
 #[derive(Debug, thiserror::Error)]
@@ -152,9 +155,11 @@
 
     /// Stops as planned: no request in progress is cut within the time allowed.
     ///
-    /// 1. Nothing new is let through to the upstream; peers are told, and callers are
-    ///    still served while they learn of it.
-    /// 2. Callers' listener closes when their requests in progress are finished.
+    /// 1. Callers are still served while they learn that they should go elsewhere, and the
+    ///    upstream still gets new requests: an upstream whose node restarts is missing for as
+    ///    long as nothing passes to it, and others carry its load.
+    /// 2. Nothing new is let through to the upstream and peers are told; callers' listener
+    ///    closes when their requests in progress are finished.
     /// 3. Peers' listener closes when theirs are.
     /// 4. The node says goodbye.
     pub fn stop(self) {
@@ -164,6 +169,7 @@
         self.set(Stage::Leaving);
         thread::sleep(settings.linger);
         self.set(Stage::ClosingCallers { give_up_at });
+        thread::sleep(PEERS_LEARN_WITHIN);
         self.wait_for("entry");
         self.set(Stage::ClosingPeers { give_up_at });
         self.wait_for("guard");
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Account, get, hosts, mixed_load, processes, within};
+use common::{Account, get, hosts, mixed_load, processes, processes_and_entry, within};
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
 use mintridge_node::operators::Status;
@@ -48,6 +48,22 @@
     account.all_succeeded();
 }
 
+/// The only host of a service stops its node as planned. While callers of that node still
+/// learn that they should go elsewhere, callers of another node are served by the upstream
+/// as before; it is missing only while nothing can pass to it.
+#[tokio::test]
+async fn stop_serves_the_upstream_while_callers_leave() {
+    let scene = processes_and_entry(1).await;
+    scene.process(0).signal(Signal::TERM).expect("told to stop");
+    let stopping = |status: Status| status.stopping;
+    while !scene.status(0).await.is_some_and(stopping) {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let told = scene.call(1, &get("while-leaving")).await;
+    assert!(told.is_success(), "{told:?}");
+    assert_eq!(scene.runs("while-leaving"), 1);
+}
+
 /// The node that a caller speaks to gets SIGTERM while the caller's request runs: the
 /// caller gets its answer, whole.
 #[tokio::test]
