feat(logs): tell host, path and version of a request that no route takes

Change: one line with both; the last line of each request carries the version that it was read by, also when it was refused.

Ruled out: host and path in every line (callers' values belong where they decide something).

--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, header};
 use mintridge_core::claim::{Claim, Key, Mark};
 use mintridge_core::outcome::Reason;
-use mintridge_core::route::{Kind, Table, Version};
+use mintridge_core::route::{Kind, Table};
 
 use crate::configs::callers::Settings;
 use crate::headers::Head;
@@ -25,8 +25,6 @@
     pub head: Head,
     /// Upstreams to which it may be handed.
     pub attempts: u32,
-    /// Version of the routing table that placed it; 0 without one.
-    pub routes: Version,
 }
 
 /// What decides which service takes a request.
@@ -106,7 +104,6 @@
     target: Option<Duration>,
     priority: u8,
     attempts: u32,
-    routes: Version,
 }
 
 /// Reads the request; `number` identifies it within the fleet.
@@ -146,7 +143,6 @@
             report_to: None,
         },
         attempts: treatment.attempts,
-        routes: treatment.routes,
     })
 }
 
@@ -163,7 +159,6 @@
             target: None,
             priority: 0,
             attempts,
-            routes: Version::default(),
         }),
         Routing::Table { table, count } => {
             let host = host(parts).ok_or(Malformed::NoRoute)?;
@@ -177,7 +172,6 @@
                 target: Some(route.target_latency),
                 priority: route.priority,
                 attempts: route.attempts,
-                routes: table.version,
             })
         }
     }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
-use hyper::header::RETRY_AFTER;
+use hyper::header::{HOST, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use mintridge_core::attempts::Attempts;
@@ -214,6 +214,8 @@
     };
     trail.identified(&number);
     let routes = entry.context.latest.routes.borrow().clone();
+    let version = routes.as_ref().map_or(0, |known| known.table.version.0);
+    trail.read_by(version);
     let routing = match &routes {
         Some(document) => Routing::Table {
             table: &document.table,
@@ -229,9 +231,21 @@
     };
     let read = match arrival::read(settings, now, Arc::clone(&number), &parts, routing) {
         Ok(read) => read,
-        Err(error) => return entry.refuse_malformed(now, error, &number),
+        Err(error) => {
+            let host = parts.headers.get(HOST);
+            let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
+            let path = parts.uri.path();
+            log::info!(
+                request = &*number,
+                host_asked = host,
+                path = path,
+                routes_version = version;
+                "request not read by the routing table"
+            );
+            return entry.refuse_malformed(now, error, &number);
+        }
     };
-    trail.routed(&read.head.service, read.routes.0, read.head.deadline);
+    trail.routed(&read.head.service, read.head.deadline);
     let journey = Journey {
         request: read,
         parts,
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -105,10 +105,14 @@
         self.request = Arc::clone(request);
     }
 
-    /// It was read: a version of the routing table names its service and time.
-    pub fn routed(&mut self, service: &Arc<str>, routes: u64, deadline: Instant) {
-        self.service = Some(Arc::clone(service));
+    /// It is read by this version of the routing table; 0 without one.
+    pub const fn read_by(&mut self, routes: u64) {
         self.routes = routes;
+    }
+
+    /// It was read: its service is known, and until when it may be answered.
+    pub fn routed(&mut self, service: &Arc<str>, deadline: Instant) {
+        self.service = Some(Arc::clone(service));
         self.allowed = deadline.saturating_duration_since(self.began_at);
     }
 
