refactor(entry): usual names for what one request carries; one bounded line for what is not taken

Cause: a newcomer would stop at journey, travel and trail; a caller's malformed requests wrote lines without bound, and two for each. Change: Forwarding, forward and History; one line with host, path and version, within the quota. Behaviour is unchanged otherwise.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -35,7 +35,7 @@
 use crate::headers;
 use crate::link::Links;
 use crate::replay::Source;
-use crate::request_log::{self, RequestLog, Trail};
+use crate::request_log::{self, History, RequestLog};
 use crate::{reports, traces};
 
 /// When a caller is told to come back if no host offers its service.
@@ -82,7 +82,7 @@
     fn told(
         &self,
         asked_at: Instant,
-        journey: &Journey,
+        forwarding: &Forwarding,
         attempted: &Attempt,
     ) -> request_log::Attempt {
         let (report, reported_at) = self.known;
@@ -90,7 +90,7 @@
             host: Arc::clone(&self.host),
             report,
             report_age: asked_at.duration_since(reported_at),
-            only_in_time: journey.request.head.only_in_time,
+            only_in_time: forwarding.request.head.only_in_time,
             outcome: match attempted {
                 Attempt::Answered(_) => "answered",
                 Attempt::Refused { refusal, .. } => refusal.reason.as_str(),
@@ -109,7 +109,7 @@
 }
 
 /// What all attempts of one request share.
-struct Journey {
+struct Forwarding {
     request: arrival::Request,
     parts: Parts,
     source: Source,
@@ -187,12 +187,12 @@
     let now = Instant::now();
     let number = entry.number();
     let span = traces::root("entry", &entry.context, request.headers());
-    let mut trail = Trail::new(&entry.log, now, &number);
-    let served = serve(Arc::clone(&entry), now, number, request, &mut trail);
+    let mut history = History::new(&entry.log, now, &number);
+    let served = serve(Arc::clone(&entry), now, number, request, &mut history);
     let response = traces::within(span, served).await;
     entry.context.metrics.answered(now.elapsed(), &response);
     let refusal = problem::read(now, response.headers());
-    trail.answered(
+    history.answered(
         response.status(),
         refusal.map(|refusal| refusal.reason.as_str()),
     );
@@ -204,18 +204,18 @@
     now: Instant,
     number: Arc<str>,
     request: Request<Body>,
-    trail: &mut Trail,
+    history: &mut History,
 ) -> Response<Body> {
     let (parts, body) = request.into_parts();
     let settings = &entry.context.settings.callers;
     let number = match arrival::request_id(settings, &number, &parts.headers) {
         Ok(id) => id,
-        Err(error) => return entry.refuse_malformed(now, error, &number),
+        Err(error) => return entry.refuse_malformed(now, error, &number, &parts, 0),
     };
-    trail.identified(&number);
+    history.identified(&number);
     let routes = entry.context.latest.routes.borrow().clone();
     let version = routes.as_ref().map_or(0, |known| known.table.version.0);
-    trail.read_by(version);
+    history.read_by(version);
     let routing = match &routes {
         Some(document) => Routing::Table {
             table: &document.table,
@@ -231,22 +231,10 @@
     };
     let read = match arrival::read(settings, now, Arc::clone(&number), &parts, routing) {
         Ok(read) => read,
-        Err(error) => {
-            let host = parts.headers.get(HOST);
-            let host = host.and_then(|host| host.to_str().ok()).unwrap_or("");
-            let path = parts.uri.path();
-            log::info!(
-                request = &*number,
-                host_asked = host,
-                path = path,
-                routes_version = version;
-                "request not read by the routing table"
-            );
-            return entry.refuse_malformed(now, error, &number);
-        }
+        Err(error) => return entry.refuse_malformed(now, error, &number, &parts, version),
     };
-    trail.routed(&read.head.service, read.head.deadline);
-    let journey = Journey {
+    history.routed(&read.head.service, read.head.deadline);
+    let forwarding = Forwarding {
         request: read,
         parts,
         source: Source::new(body, settings.replay_most),
@@ -255,32 +243,36 @@
         may_have_run: false,
         failure: None,
     };
-    travel(&entry, journey, trail).await
+    forward(&entry, forwarding, history).await
 }
 
 /// Tries hosts until one answers or no further attempt may be made.
-async fn travel(entry: &Arc<Entry>, mut journey: Journey, trail: &mut Trail) -> Response<Body> {
+async fn forward(
+    entry: &Arc<Entry>,
+    mut forwarding: Forwarding,
+    history: &mut History,
+) -> Response<Body> {
     loop {
-        let Some(mut placed) = entry.place(&mut journey) else {
+        let Some(mut placed) = entry.place(&mut forwarding) else {
             let retry_at = Instant::now() + NO_UPSTREAM_RETRY;
             let none = Refusal::not_run(Reason::NoUpstream, retry_at);
-            return entry.give_up(journey, none);
+            return entry.give_up(forwarding, none);
         };
         let asked_at = Instant::now();
-        let attempted = attempt(entry, &journey, &mut placed).await;
-        trail.attempted(placed.told(asked_at, &journey, &attempted));
+        let attempted = attempt(entry, &forwarding, &mut placed).await;
+        history.attempted(placed.told(asked_at, &forwarding, &attempted));
         match attempted {
             Attempt::Answered(response) => {
-                journey.attempts.was_handed();
+                forwarding.attempts.was_handed();
                 if !entry.is_failure(&response) {
-                    return entry.pass_on(response, placed, &journey);
+                    return entry.pass_on(response, placed, &forwarding);
                 }
                 placed.ending = Ending::Avoid;
-                if !entry.may_retry(&journey, Progress::MayHaveRun) {
-                    return entry.pass_on(response, placed, &journey);
+                if !entry.may_retry(&forwarding, Progress::MayHaveRun) {
+                    return entry.pass_on(response, placed, &forwarding);
                 }
-                journey.may_have_run = true;
-                journey.failure = Some((response, placed));
+                forwarding.may_have_run = true;
+                forwarding.failure = Some((response, placed));
             }
             Attempt::Refused {
                 refusal,
@@ -288,17 +280,17 @@
                 claimed,
             } => {
                 let may_have_run = progress == Progress::MayHaveRun;
-                journey.claimed |= claimed;
-                journey.may_have_run |= may_have_run;
+                forwarding.claimed |= claimed;
+                forwarding.may_have_run |= may_have_run;
                 let again = if refusal.spared_upstreams() {
-                    entry.may_ask_another(&mut journey, &refusal)
+                    entry.may_ask_another(&mut forwarding, &refusal)
                 } else {
-                    journey.attempts.was_handed();
+                    forwarding.attempts.was_handed();
                     let elsewhere = may_have_run || refusal.reason.is_local();
-                    elsewhere && entry.may_retry(&journey, progress)
+                    elsewhere && entry.may_retry(&forwarding, progress)
                 };
                 if !again {
-                    return entry.give_up(journey, refusal);
+                    return entry.give_up(forwarding, refusal);
                 }
             }
         }
@@ -330,23 +322,36 @@
         listed && !response.headers().contains_key(RETRY_AFTER)
     }
 
+    /// Refuses what cannot be read as a request of a known route, or of a named service.
     fn refuse_malformed(
         &self,
         now: Instant,
         error: arrival::Malformed,
         number: &str,
+        parts: &Parts,
+        routes_version: u64,
     ) -> Response<Body> {
         self.context.metrics.bad_input("caller-request");
-        log::info!(request = number, error:% = error; "request not taken");
+        if self.log.admits(1) {
+            let host = parts.headers.get(HOST);
+            log::info!(
+                request = number,
+                error:% = error,
+                host_asked = host.and_then(|host| host.to_str().ok()).unwrap_or(""),
+                path = parts.uri.path(),
+                routes_version = routes_version;
+                "request not taken"
+            );
+        }
         self.refuse(&Refusal::not_run(error.reason(), now), number)
     }
 
     /// Whether another host may be asked for a request that no upstream has seen.
-    fn may_ask_another(&self, journey: &mut Journey, refusal: &Refusal) -> bool {
+    fn may_ask_another(&self, forwarding: &mut Forwarding, refusal: &Refusal) -> bool {
         let settings = &self.context.settings.retry;
-        let head = &journey.request.head;
+        let head = &forwarding.request.head;
         let others = |tried: &[Arc<str>]| self.placement.lock().has_untried(&head.service, tried);
-        let attempts = &mut journey.attempts;
+        let attempts = &mut forwarding.attempts;
         attempts.refused(settings, Instant::now(), head.deadline, refusal, others)
     }
 
@@ -378,16 +383,16 @@
     }
 
     /// Chooses a host that was not tried yet, and counts the request there.
-    fn place(self: &Arc<Self>, journey: &mut Journey) -> Option<Placed> {
+    fn place(self: &Arc<Self>, forwarding: &mut Forwarding) -> Option<Placed> {
         let retry = &self.context.settings.retry;
-        let service = &journey.request.head.service;
+        let service = &forwarding.request.head.service;
         let mut placement = self.placement.lock();
-        let host = placement.pick(Instant::now(), service, journey.attempts.tried())?;
+        let host = placement.pick(Instant::now(), service, forwarding.attempts.tried())?;
         let known = placement.known(service, &host)?;
         drop(placement);
         let service = Arc::clone(service);
-        journey.request.head.report_to = Some(self.context.addresses.peers);
-        journey.request.head.only_in_time = journey.attempts.asks(retry, &host);
+        forwarding.request.head.report_to = Some(self.context.addresses.peers);
+        forwarding.request.head.only_in_time = forwarding.attempts.asks(retry, &host);
         Some(Placed {
             entry: Arc::clone(self),
             service,
@@ -398,17 +403,17 @@
     }
 
     /// Whether another host may be tried; an answer in hand is not given up for none.
-    fn may_retry(&self, journey: &Journey, progress: Progress) -> bool {
-        let request = &journey.request;
+    fn may_retry(&self, forwarding: &Forwarding, progress: Progress) -> bool {
+        let request = &forwarding.request;
         let service = &request.head.service;
         if !self
             .placement
             .lock()
-            .has_untried(service, journey.attempts.tried())
+            .has_untried(service, forwarding.attempts.tried())
         {
             return false;
         }
-        if journey.attempts.handed() >= request.attempts {
+        if forwarding.attempts.handed() >= request.attempts {
             return false;
         }
         let deadline = request.head.deadline;
@@ -416,7 +421,7 @@
             budget.may_retry(
                 Instant::now(),
                 deadline,
-                journey.attempts.handed(),
+                forwarding.attempts.handed(),
                 progress,
                 request.head.repeatable,
             )
@@ -441,10 +446,10 @@
         &self,
         response: Response<Incoming>,
         placed: Placed,
-        journey: &Journey,
+        forwarding: &Forwarding,
     ) -> Response<Body> {
         if placed.ending == Ending::Answered {
-            self.with_budget(&journey.request.head.service, retry::Budget::earn);
+            self.with_budget(&forwarding.request.head.service, retry::Budget::earn);
         }
         let (mut parts, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
@@ -461,18 +466,18 @@
     /// Failure: a repeatable request runs on one host, breaks, and is refused by the
     /// next. Symptom: its caller is told of the last refusal alone, "not run", which is
     /// false. What any attempt may have done decides.
-    fn give_up(&self, mut journey: Journey, refusal: Refusal) -> Response<Body> {
-        if let Some((response, placed)) = journey.failure.take() {
-            return self.pass_on(response, placed, &journey);
+    fn give_up(&self, mut forwarding: Forwarding, refusal: Refusal) -> Response<Body> {
+        if let Some((response, placed)) = forwarding.failure.take() {
+            return self.pass_on(response, placed, &forwarding);
         }
-        let head = &journey.request.head;
-        let refusal = if journey.may_have_run {
+        let head = &forwarding.request.head;
+        let refusal = if forwarding.may_have_run {
             Refusal::unknown(refusal.reason, refusal.retry_at)
         } else {
             refusal
         };
         if let Some(claim) = &head.claim
-            && journey.claimed
+            && forwarding.claimed
             && refusal.outcome == Outcome::NotRun
         {
             let job = Job::Release(claim.clone());
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -11,7 +11,7 @@
 use mintridge_core::retry::{self, Progress};
 use mintridge_http::{Body, problem};
 
-use super::{Entry, Journey, Placed};
+use super::{Entry, Forwarding, Placed};
 use crate::context::Context;
 use crate::{headers, link, traces};
 
@@ -29,14 +29,14 @@
 }
 
 /// Sends the request to one host and waits for the head of its answer.
-pub async fn attempt(entry: &Arc<Entry>, journey: &Journey, placed: &mut Placed) -> Attempt {
+pub async fn attempt(entry: &Arc<Entry>, forwarding: &Forwarding, placed: &mut Placed) -> Attempt {
     let now = Instant::now();
-    let head = &journey.request.head;
+    let head = &forwarding.request.head;
     let address = entry.peers.lock().get(&placed.host).copied();
-    let request = journey
+    let request = forwarding
         .source
         .replay()
-        .and_then(|body| build(&entry.context, now, journey, Body::new(body)));
+        .and_then(|body| build(&entry.context, now, forwarding, Body::new(body)));
     let (Some(address), Some(request)) = (address, request) else {
         placed.ending = Ending::Avoid;
         return never_sent(now, Reason::NoUpstream);
@@ -64,19 +64,24 @@
     }
 }
 
-fn build(context: &Context, now: Instant, journey: &Journey, body: Body) -> Option<Request<Body>> {
+fn build(
+    context: &Context,
+    now: Instant,
+    forwarding: &Forwarding,
+    body: Body,
+) -> Option<Request<Body>> {
     let mut request = Request::new(body);
-    *request.method_mut() = journey.parts.method.clone();
-    *request.uri_mut() = peer_uri(&journey.parts)?;
+    *request.method_mut() = forwarding.parts.method.clone();
+    *request.uri_mut() = peer_uri(&forwarding.parts)?;
     let fields = request.headers_mut();
-    fields.clone_from(&journey.parts.headers);
+    fields.clone_from(&forwarding.parts.headers);
     headers::strip_hop_by_hop(fields);
     headers::strip_own(fields);
     let callers = &context.settings.callers;
     if let Some(name) = &callers.origin_header {
         headers::set(fields, name, &callers.origin);
     }
-    headers::write(now, &journey.request.head, fields);
+    headers::write(now, &forwarding.request.head, fields);
     traces::inject(fields);
     Some(request)
 }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -73,7 +73,7 @@
 
 /// What happened to one request, told when it is over.
 #[derive(Debug)]
-pub struct Trail {
+pub struct History {
     log: Arc<RequestLog>,
     request: Arc<str>,
     began_at: Instant,
@@ -84,7 +84,7 @@
     ended: bool,
 }
 
-impl Trail {
+impl History {
     /// A request has arrived.
     #[must_use]
     pub fn new(log: &Arc<RequestLog>, now: Instant, request: &Arc<str>) -> Self {
@@ -171,7 +171,7 @@
     }
 }
 
-impl Drop for Trail {
+impl Drop for History {
     /// A request whose caller left is dropped wherever it stands.
     fn drop(&mut self) {
         if !self.ended {
