--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -7,6 +7,7 @@
 
 use common::{Account, hosts, mixed_load, processes};
 use mintridge_core::preset::{InForce, Preset, Revision};
+use mintridge_node::settings::Settings;
 use mintridge_standin::scene::{Scene, author, wait_for};
 use mintridge_standin::store::Faults;
 use mintridge_store::keys::{IN_FORCE, SEEDS};
@@ -90,46 +91,41 @@
     until_revision(&scene, in_force.revision.0).await;
 }
 
-/// A node starts with an empty memory while the store is out: it knows a peer from its
-/// settings, and learns the preset in force and the members from it.
-#[tokio::test]
-async fn node_that_starts_during_an_outage_learns_from_peers() {
-    let mut scene = processes(hosts(3)).await;
+/// A preset is put in force, the store goes out, and the last node starts with an empty
+/// memory and these settings: it learns the preset in force and the members from peers.
+async fn last_node_learns_from_peers(mut scene: Scene, adjust: impl FnOnce(&mut Settings)) {
     let in_force = scene
         .put_in_force(preset(0.2), "operator")
         .await
         .expect("accepted");
     until_revision(&scene, in_force.revision.0).await;
     scene.store.set_faults(down());
-    scene.kill(2).await;
-    let peers = vec![scene.addresses(0).control, scene.addresses(1).control];
-    scene
-        .start_node_with(2, |settings| settings.peers = peers)
-        .expect("starts");
+    let last = scene.hosts.len() - 1;
+    scene.kill(last).await;
+    scene.start_node_with(last, adjust).expect("starts");
     until_revision(&scene, in_force.revision.0).await;
     scene.until_joined().await;
 }
 
+/// A node starts with an empty memory while the store is out: it knows a peer from its
+/// settings, and learns the preset in force and the members from it.
+#[tokio::test]
+async fn node_that_starts_during_an_outage_learns_from_peers() {
+    let scene = processes(hosts(3)).await;
+    let peers = vec![scene.addresses(0).control, scene.addresses(1).control];
+    last_node_learns_from_peers(scene, |settings| settings.peers = peers).await;
+}
+
 /// The same, where the settings name hosts by another of their ports.
 #[tokio::test]
 async fn node_that_starts_during_an_outage_finds_peers_by_their_hosts() {
-    let mut scene = processes(hosts(2)).await;
-    let in_force = scene
-        .put_in_force(preset(0.2), "operator")
-        .await
-        .expect("accepted");
-    until_revision(&scene, in_force.revision.0).await;
-    scene.store.set_faults(down());
-    scene.kill(1).await;
+    let scene = processes(hosts(2)).await;
     let named = scene.addresses(0);
-    scene
-        .start_node_with(1, |settings| {
-            settings.peers = vec![named.announcements];
-            settings.peers_port = Some(named.control.port());
-        })
-        .expect("starts");
-    until_revision(&scene, in_force.revision.0).await;
-    scene.until_joined().await;
+    last_node_learns_from_peers(scene, |settings| {
+        settings.peers = vec![named.announcements];
+        settings.peers_port = Some(named.control.port());
+    })
+    .await;
 }
 
 /// The store loses the entries by which nodes are found and does not say so, while it is out
