fix(store): end a call for silence, not because its answer is long

Cause: a call to the store had half a second in all. The whole configuration of a grown deployment is some 500 KB, 667 KB as the store sends it, and takes 0.53 s over a link of 10 Mbit/s: each read of it failed, and the node took the store for lost and read again. Found by reading, after the finding that large configurations spread too slowly.

Now the beginning of an answer is due within the timeout, each further part within the timeout after the one before, and the whole within 10 s.

Before: read_of_a_long_document_takes_longer_than_the_timeout failed (an answer of 40 KB in eight parts, 0.8 s in all, timeout 0.4 s). After: it passes, and an answer that stops midway is still given up on.

--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -19,6 +19,10 @@
 /// list of seeds is far smaller.
 const REPLY_MOST: usize = 8 * 1024 * 1024;
 
+/// An answer that keeps arriving is given up all the same after this long: ten times what the
+/// largest value of a store, a megabyte, takes at a megabyte a second.
+const ANSWER_MOST: Duration = Duration::from_secs(10);
+
 /// Why a call failed, sorted by what is known of its effect.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -92,7 +96,8 @@
 }
 
 impl Client {
-    /// A client in etcd's dialect whose calls give up after `timeout`.
+    /// A client in etcd's dialect whose calls give up on a store that sends nothing for
+    /// `timeout`.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         Self::with_dialect(address, timeout, etcd::DIALECT)
@@ -274,21 +279,28 @@
     }
 
     /// Sends a call and hands what arrives of the answer to `read` until it has enough.
+    ///
+    /// Failure: a long document takes longer over a narrow link than a call may take.
+    /// Symptom: every read of it is given up, and the node takes the store for lost. The
+    /// beginning of the answer is due within `within`; after that only silence ends the call.
     async fn exchange<T>(
         &self,
         call: Call,
         within: Duration,
         read: impl Fn(Answer<'_>) -> Result<Option<T>, Error>,
     ) -> Result<T, Error> {
-        let give_up_at = Instant::now() + within;
-        let response = tokio::time::timeout_at(give_up_at.into(), self.send(call))
+        let begun_by = Instant::now() + within;
+        let response = tokio::time::timeout_at(begun_by.into(), self.send(call))
             .await
             .map_err(|_| self.lost())??;
+        let given_up_at = begun_by.max(Instant::now()) + ANSWER_MOST;
         let status = response.status();
         let mut body = response.into_body();
         let mut arrived = BytesMut::new();
         loop {
-            let frame = tokio::time::timeout_at(give_up_at.into(), body.frame())
+            let silent_at = (Instant::now() + self.timeout).max(begun_by);
+            let wait_until = silent_at.min(given_up_at);
+            let frame = tokio::time::timeout_at(wait_until.into(), body.frame())
                 .await
                 .map_err(|_| self.lost())?;
             let complete = frame.is_none();
