perf(placement): expect any host to be slow as often as hosts are

What a host told of it was believed less as it aged, down to nothing: a host not heard for seconds counted as fast, ahead of one that had just said so and had a request or two more. Most reports are seconds old in quiet times.

Now what is told fades into what is expected of any host: a quarter of the penalty of a slow phase.

Two placement tests; the first fails without the change.

--- a/crates/core/src/configs/placement.rs
+++ b/crates/core/src/configs/placement.rs
@@ -26,6 +26,10 @@
     /// How long a slow phase of an upstream's host is expected to go on.
     #[serde(with = "humantime_serde")]
     pub slow_phase: Duration,
+    /// Share of the time that any host is expected to be slow, 0 to 1.
+    pub slow_share: f64,
+    /// How long work is expected to take on a slow host, in percent of the usual.
+    pub slow_percent: u32,
     /// A host that joined takes its full share only after this long.
     #[serde(with = "humantime_serde")]
     pub ramp: Duration,
@@ -45,6 +49,8 @@
             straggler_factor: 2.0,
             straggler_fades: Duration::from_secs(5),
             slow_phase: Duration::from_millis(150),
+            slow_share: 0.25,
+            slow_percent: 400,
             ramp: Duration::from_secs(5),
             avoid_for: Duration::from_millis(500),
             choices: 8,
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -298,15 +298,18 @@
     }
 }
 
-/// Extra time on a host that was slow when it was last heard, in seconds.
+/// Extra time expected because the host may be slow, in seconds.
 ///
-/// A slow phase ends by itself, so the report is believed less the older it is.
+/// Slow phases come and go by themselves, so what was told is believed less the older it is,
+/// and what is expected of any host takes its place: one that was told fast a moment ago is
+/// better than one of which nothing was heard for long.
 fn slow_of(settings: &Settings, candidate: &Candidate, service: f64, age: Duration) -> f64 {
-    let percent = candidate.report.slowness_percent;
     let service = Duration::from_secs_f64(service);
-    let penalty = slow_penalty(percent, service, settings.slow_phase);
+    let penalty = |percent| slow_penalty(percent, service, settings.slow_phase).as_secs_f64();
+    let told = penalty(candidate.report.slowness_percent);
+    let expected = penalty(settings.slow_percent) * settings.slow_share;
     let fresh = (-age.as_secs_f64() / settings.slow_phase.as_secs_f64()).exp();
-    penalty.as_secs_f64() * fresh
+    told * fresh + expected * (1.0 - fresh)
 }
 
 /// Requests expected at the upstream now.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -167,3 +167,51 @@
     assert_eq!(share(&mut placement, now), 0);
     assert!(share(&mut placement, now + Duration::from_secs(10)) >= 5);
 }
+
+/// A quiet time: a quarter of the hosts is slow at any moment, and most hosts were last
+/// heard seconds ago. What they said then says nothing now; one that was told fast a moment
+/// ago is the better choice, although it has two requests more.
+#[test]
+fn pick_prefers_a_host_just_told_fast_to_one_not_heard_for_long() {
+    let now = Instant::now();
+    let mut placement = placement(now, 4);
+    let told = Report {
+        service_micros: 120_000,
+        slowness_percent: 100,
+        ..report(0, 0)
+    };
+    for index in 0..4 {
+        placement.reported(now, SERVICE, &format!("host-{index}"), told);
+    }
+    let later = now + Duration::from_secs(3);
+    let told = Report {
+        in_flight: 2,
+        ..told
+    };
+    placement.reported(later, SERVICE, "host-2", told);
+    let chosen = placement.pick(later, SERVICE, &[]).expect("one is open");
+    assert_eq!(&*chosen, "host-2");
+}
+
+/// The same host a while later: nothing sets it apart any more, and its two requests do.
+#[test]
+fn pick_forgets_what_was_told_as_it_ages() {
+    let now = Instant::now();
+    let mut placement = placement(now, 2);
+    let told = Report {
+        service_micros: 120_000,
+        slowness_percent: 400,
+        ..report(0, 0)
+    };
+    placement.reported(now, SERVICE, "host-1", told);
+    let free = Report {
+        slowness_percent: 100,
+        ..told
+    };
+    placement.reported(now, SERVICE, "host-0", free);
+    let chosen = placement.pick(now, SERVICE, &[]).expect("one is open");
+    assert_eq!(&*chosen, "host-0");
+    let later = now + Duration::from_secs(3);
+    let spread = picks(&mut placement, later, 20);
+    assert!(spread.contains_key("host-1"), "{spread:?}");
+}
