refactor(entry): attempts, their order and one placed request in files of their own

entry.rs held the reading of requests, the loop over attempts, what each means and the bookkeeping of placed ones, 520 lines. The loop and its verdicts are now entry/forward.rs, a placed request entry/placed.rs.

One change of behaviour: an attempt that is dropped before it ended, because its caller left, says nothing of the host. It used to end a host's time of being avoided, as an answer does.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -44,6 +44,8 @@
     Full,
     /// It refused for another cause, or the link broke: avoid it for a while.
     Avoid,
+    /// It was given up before it ended, which says nothing of the host.
+    GivenUp,
 }
 
 /// Candidates of each service, with what this node knows of them.
@@ -137,7 +139,7 @@
         candidate.outstanding = candidate.outstanding.saturating_sub(1);
         match ending {
             Ending::Answered => candidate.avoid_until = None,
-            Ending::Full => {}
+            Ending::Full | Ending::GivenUp => {}
             Ending::Avoid => candidate.avoid_until = Some(avoid_until),
         }
     }
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -11,9 +11,21 @@
 use mintridge_core::retry::{self, Progress};
 use mintridge_http::{Body, problem};
 
-use super::{Entry, Forwarding, Placed};
+use super::Entry;
+use super::placed::Placed;
 use crate::context::Context;
-use crate::{headers, link, traces};
+use crate::replay::Source;
+use crate::{arrival, headers, link, traces};
+
+/// What all attempts of one request send.
+pub struct Sent {
+    /// The request as this node works on it.
+    pub request: arrival::Request,
+    /// Its head as the caller sent it.
+    pub parts: Parts,
+    /// Its body.
+    pub source: Source,
+}
 
 /// How one attempt ended.
 pub enum Attempt {
@@ -28,25 +40,40 @@
     },
 }
 
+impl Attempt {
+    /// The word for logs.
+    pub const fn outcome(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Refused { refusal, .. } => refusal.reason.as_str(),
+        }
+    }
+}
+
 /// Sends the request to one host and waits for the head of its answer.
-pub async fn attempt(entry: &Arc<Entry>, forwarding: &Forwarding, placed: &mut Placed) -> Attempt {
+pub async fn attempt(sent: &Sent, placed: &mut Placed) -> Attempt {
+    let entry = Arc::clone(&placed.entry);
     let now = Instant::now();
-    let head = &forwarding.request.head;
+    let head = &sent.request.head;
     let address = entry.peers.lock().get(&placed.host).copied();
-    let request = forwarding
-        .source
-        .replay()
-        .and_then(|body| build(&entry.context, now, forwarding, Body::new(body)));
+    let request = sent.source.replay().and_then(|body| {
+        let head = headers::Head {
+            only_in_time: placed.only_in_time,
+            report_to: Some(entry.context.addresses.peers),
+            ..head.clone()
+        };
+        build(&entry.context, now, &head, &sent.parts, Body::new(body))
+    });
     let (Some(address), Some(request)) = (address, request) else {
         placed.ending = Ending::Avoid;
         return never_sent(now, Reason::NoUpstream);
     };
     let until = head.deadline + entry.context.settings.callers.grace;
-    let sent = entry.links.send(address, request);
-    let answered = tokio::time::timeout_at(until.into(), sent).await;
+    let sending = entry.links.send(address, request);
+    let answered = tokio::time::timeout_at(until.into(), sending).await;
     let now = Instant::now();
     match answered {
-        Ok(Ok(response)) => read_answer(entry, now, placed, response),
+        Ok(Ok(response)) => read_answer(&entry, now, placed, response),
         Ok(Err(link::Error::NeverSent)) => {
             placed.ending = Ending::Avoid;
             never_sent(now, Reason::Unreachable)
@@ -67,21 +94,22 @@
 fn build(
     context: &Context,
     now: Instant,
-    forwarding: &Forwarding,
+    head: &headers::Head,
+    parts: &Parts,
     body: Body,
 ) -> Option<Request<Body>> {
     let mut request = Request::new(body);
-    *request.method_mut() = forwarding.parts.method.clone();
-    *request.uri_mut() = peer_uri(&forwarding.parts)?;
+    *request.method_mut() = parts.method.clone();
+    *request.uri_mut() = peer_uri(parts)?;
     let fields = request.headers_mut();
-    fields.clone_from(&forwarding.parts.headers);
+    fields.clone_from(&parts.headers);
     headers::strip_hop_by_hop(fields);
     headers::strip_own(fields);
     let callers = &context.settings.callers;
     if let Some(name) = &callers.origin_header {
         headers::set(fields, name, &callers.origin);
     }
-    headers::write(now, &forwarding.request.head, fields);
+    headers::write(now, head, fields);
     traces::inject(fields);
     Some(request)
 }
