perf(control): longer watches that end at different times, silent ones found by probes

Cause: each node that uses the store renewed its watch every 2 s, so that one fallen silent is noticed in time.

The probes themselves are not proved by a test: loopback answers them for any process.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,3 +38,4 @@
 pub mod request;
 pub mod retry;
 pub mod route;
+pub mod stagger;
--- /dev/null
+++ b/crates/core/tests/stagger.rs
@@ -0,0 +1,54 @@
+//! Waits of several nodes do not end together.
+
+use std::time::Duration;
+
+use mintridge_core::stagger::Stagger;
+use rstest::rstest;
+
+/// Six nodes begin to wait at the same moment, as after an outage of the store. Whatever the
+/// moment afterwards, one of them asks the store again soon; without the stagger all six ask
+/// together and the gap is always the full wait.
+#[rstest]
+#[case::six_nodes(6, 2_500, 4_000)]
+#[case::two_nodes(2, 5_000, 6_000)]
+fn next_leaves_no_long_gap(
+    #[case] nodes: u32,
+    #[case] mostly_millis: u64,
+    #[case] never_millis: u64,
+) {
+    let full = Duration::from_secs(6);
+    let mut ends: Vec<Duration> = Vec::new();
+    for node in 0..nodes {
+        let mut stagger = Stagger::new(&format!("host-{node}"));
+        let mut at = Duration::ZERO;
+        while at < Duration::from_mins(10) {
+            at += stagger.next(full);
+            ends.push(at);
+        }
+    }
+    ends.sort_unstable();
+    let settled = ends.iter().filter(|at| **at > full * 2);
+    let settled: Vec<&Duration> = settled.collect();
+    let gaps = settled
+        .windows(2)
+        .map(|pair| pair[1].saturating_sub(*pair[0]));
+    let mut gaps: Vec<Duration> = gaps.collect();
+    gaps.sort_unstable();
+    let mostly = gaps[gaps.len() * 9 / 10];
+    let longest = gaps[gaps.len() - 1];
+    assert!(mostly <= Duration::from_millis(mostly_millis), "{mostly:?}");
+    assert!(
+        longest <= Duration::from_millis(never_millis),
+        "{longest:?}"
+    );
+}
+
+#[test]
+fn next_stays_between_half_and_all() {
+    let full = Duration::from_secs(10);
+    let mut stagger = Stagger::new("host-1");
+    for _ in 0..1_000 {
+        let wait = stagger.next(full);
+        assert!(wait >= full / 2 && wait <= full, "{wait:?}");
+    }
+}
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use mintridge_core::preset::Revision;
+use mintridge_core::stagger::Stagger;
 use mintridge_store::client::Error;
 use mintridge_store::operation::{Change, Item};
 use mintridge_store::{keys, presets};
@@ -42,12 +43,13 @@
 
 async fn follow(control: Rc<Control>, kind: Kind, key: &str) {
     let mut lost = false;
+    let mut stagger = Stagger::new(control.context.host());
     loop {
         if !control.uses_store(Instant::now()) {
             tokio::time::sleep(LOOK_EVERY).await;
             continue;
         }
-        let ended = read_and_watch(&control, kind, key, &mut lost).await;
+        let ended = read_and_watch(&control, kind, key, &mut stagger, &mut lost).await;
         let Err(error) = ended else { continue };
         if !matches!(error, Error::Compacted | Error::Cut) {
             if !lost {
@@ -61,13 +63,15 @@
 
 /// Reads the document, then watches it until the next read is due.
 ///
-/// Failure: a watch falls silent without breaking. Symptom: a change is in force nowhere.
-/// Each watch is short, and the key is read beside it at a rate that does not follow the
-/// size of the fleet.
+/// Failure: a watch falls silent without breaking, or its answer is lost. Symptom: a change
+/// is in force nowhere. Silent connections are found by probes, and the watches of the few
+/// nodes that use the store end at different times: the next one brings what the others lost.
+/// Beside them the key is read at a rate that does not follow the size of the fleet.
 async fn read_and_watch(
     control: &Rc<Control>,
     kind: Kind,
     key: &str,
+    stagger: &mut Stagger,
     lost: &mut bool,
 ) -> Result<(), Error> {
     let settings = &control.context.settings.control;
@@ -85,7 +89,7 @@
         control.context.metrics.store_call("watch");
         let wait = match kind {
             Kind::Preset => read_again_at.saturating_duration_since(Instant::now()),
-            Kind::Routes => settings.watch_for,
+            Kind::Routes => stagger.next(settings.watch_for),
         };
         let changes = control.store.changes(key, read_at, wait).await?;
         read_at = changes.read_at.max(read_at);
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -23,6 +23,15 @@
 /// largest value of a store, a megabyte, takes at a megabyte a second.
 const ANSWER_MOST: Duration = Duration::from_secs(10);
 
+/// A connection on which a watch waits falls silent for good when something on the way loses
+/// track of it. Probes of TCP find out within two seconds, so that a watch can be long and a
+/// change still arrives within seconds of such a loss.
+const SILENT_CHECKED_AFTER: Duration = Duration::from_secs(1);
+/// Pause between two such probes.
+const SILENT_CHECKED_EVERY: Duration = Duration::from_millis(500);
+/// Probes without an answer that end the connection.
+const SILENT_CHECKS: u32 = 2;
+
 /// Why a call failed, sorted by what is known of its effect.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -109,6 +118,9 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(timeout));
+        connector.set_keepalive(Some(SILENT_CHECKED_AFTER));
+        connector.set_keepalive_interval(Some(SILENT_CHECKED_EVERY));
+        connector.set_keepalive_retries(Some(SILENT_CHECKS));
         let http = HttpClient::builder(TokioExecutor::new())
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
