perf(admission): begin nothing on a host that is slow at this moment

A quarter of all hosts is in such a phase at any moment, so a quarter of the work took four times its time, and 1.75 times the slots. Nodes knew it only from the last answer, in quiet times seconds old, and counted the loss as what was left of the phase.

The budget is a share of the time of all slots.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -5,13 +5,19 @@
 //! request runs while the upstream has fewer than its limit. Beyond that it waits in
 //! [`crate::queue`], and it is refused at once, truthfully as not run, when its turn would
 //! come too late, so that its entry can place it elsewhere while there is time.
+//!
+//! A quarter of the hosts is several times slower at any moment, for some hundred
+//! milliseconds, and work that begins then is slow to its end: begun everywhere alike, work
+//! takes 1.75 times as much of the slots as it needs. So nothing begins on a host that is
+//! known to be slow, if it may go elsewhere, or if waiting for the end of the phase costs
+//! less; a phase that lasts much longer than usual is taken as the host's speed.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use crate::configs::admission::Settings;
 use crate::ewma::Ewma;
-use crate::load::{Report, Upstream, slow_penalty};
+use crate::load::{Report, Upstream, slow_loss, slow_penalty};
 use crate::outcome::{Reason, Refusal};
 use crate::queue::Queue;
 use crate::request::{Arrival, Id};
@@ -19,6 +25,10 @@
 /// One in so many of the limit may wait though it will miss its target.
 const LATE_PART: usize = 2;
 
+/// A slow phase that has lasted this many times the usual goes on, as far as can be known: one
+/// in sixty does, where each phase goes on with a chance of a quarter.
+const PASSING_PHASES: u32 = 3;
+
 /// What happens to a request that just arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -30,6 +40,9 @@
     Refuse(Refusal),
 }
 
+/// Work takes as long as usual, in the figure that upstreams tell.
+const USUAL_PERCENT: u32 = 100;
+
 /// What to do with a request that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -70,7 +83,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Slowness {
     percent: u32,
-    believed_until: Instant,
+    told_at: Instant,
+    /// When it was first told to be slow, if it has been ever since.
+    slow_since: Option<Instant>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,16 +126,35 @@
     /// The upstream told its load; true if it tells of another slowness than before.
     pub fn told(&mut self, now: Instant, load: &Upstream) -> bool {
         let before = self.slowness_percent(now);
+        let slow_since = self.slowness.and_then(|told| told.slow_since);
         self.slowness = load.slowness_percent.map(|percent| Slowness {
             percent,
-            believed_until: now + self.settings.slow_phase * 2,
+            told_at: now,
+            slow_since: (percent > USUAL_PERCENT).then(|| slow_since.unwrap_or(now)),
         });
         before != self.slowness_percent(now)
     }
 
+    /// Whether the upstream told lately how fast its host is.
+    #[must_use]
+    pub fn knows_pace(&self, now: Instant) -> bool {
+        let told_at = self.slowness.map(|told| told.told_at);
+        told_at.is_some_and(|at| now < at + self.settings.pace_fresh)
+    }
+
+    /// Whether requests wait for the end of a slow phase.
+    #[must_use]
+    pub fn is_held(&self, now: Instant) -> bool {
+        !self.queue.is_empty() && self.passing_percent(now) > USUAL_PERCENT
+    }
+
     /// Decides on a request that just arrived.
     pub fn arrive(&mut self, now: Instant, arrival: Arrival, weight: f64) -> Decision {
-        if self.can_run() && self.queue.is_empty() {
+        let slow = self.passing_percent(now) > USUAL_PERCENT;
+        if slow && arrival.only_in_time {
+            return Decision::Refuse(self.refusal(now, Reason::Late));
+        }
+        if self.can_run() && self.queue.is_empty() && self.may_begin(now, &arrival) {
             self.queue.charge(&arrival, weight);
             self.run(now, &arrival);
             return Decision::Admit;
@@ -204,20 +238,30 @@
             return None;
         }
         let (times, mean) = (&self.service_times, self.service_time.mean());
-        let arrival = self
-            .queue
-            .pop(now, |arrival| needed(times, mean, arrival))?;
+        let percent = self.passing_percent(now);
+        let phase = self.settings.slow_phase;
+        let arrival = self.queue.pop(
+            now,
+            |arrival| needed(times, mean, arrival),
+            |needed| slow_loss(percent, needed) <= phase,
+        )?;
         self.run(now, &arrival);
         Some(Action::Admit(arrival.id))
     }
 
-    /// When a waiting request must be refused unless its turn comes before.
+    /// When a waiting request must be refused unless its turn comes before, or what was told
+    /// of a slow phase is no longer believed.
     #[must_use]
     pub fn wake_at(&self) -> Option<Instant> {
-        self.queue
-            .iter()
-            .map(|arrival| latest_start(arrival, self.needed(arrival)))
-            .min()
+        let latest_starts = self.queue.iter();
+        let latest_starts =
+            latest_starts.map(|arrival| latest_start(arrival, self.needed(arrival)));
+        let first = latest_starts.min()?;
+        let believed_until = self
+            .slowness
+            .filter(|told| told.percent > USUAL_PERCENT)
+            .map(|told| told.told_at + self.settings.slow_phase);
+        Some(believed_until.map_or(first, |until| first.min(until)))
     }
 
     /// The load at this moment.
@@ -247,10 +291,27 @@
     }
 
     fn slowness_percent(&self, now: Instant) -> u32 {
-        let told = self.slowness.filter(|told| now < told.believed_until);
+        let believed = |told: &Slowness| now < told.told_at + self.settings.slow_phase;
+        let told = self.slowness.filter(believed);
         told.map_or(0, |told| told.percent)
     }
 
+    /// How slow the host is in a phase that will pass; 0 if it is not, or not known to be.
+    fn passing_percent(&self, now: Instant) -> u32 {
+        let phase = self.settings.slow_phase * PASSING_PHASES;
+        let slow_since = self.slowness.and_then(|told| told.slow_since);
+        if slow_since.is_some_and(|since| now > since + phase) {
+            return 0;
+        }
+        self.slowness_percent(now)
+    }
+
+    /// Whether a request begins now, or waits for the end of a slow phase.
+    fn may_begin(&self, now: Instant, arrival: &Arrival) -> bool {
+        let loss = slow_loss(self.passing_percent(now), self.needed(arrival));
+        loss <= self.settings.slow_phase
+    }
+
     /// Extra time of a request that begins at this moment.
     fn slow_penalty(&self, now: Instant) -> Duration {
         let percent = self.slowness_percent(now);
--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -14,6 +14,10 @@
     /// How long a slow phase of the upstream's host is expected to go on.
     #[serde(with = "humantime_serde")]
     pub slow_phase: Duration,
+    /// What the upstream told of its host's speed is taken as present for this long; after
+    /// that it is asked before a request begins, as far as the budget for measuring allows.
+    #[serde(with = "humantime_serde")]
+    pub pace_fresh: Duration,
     /// Requests that may wait, per slot of the upstream.
     pub queue_per_slot: f64,
     /// Requests that may wait whatever the number of slots.
@@ -39,6 +43,7 @@
         Self {
             slots_share: 1.0,
             slow_phase: Duration::from_millis(150),
+            pace_fresh: Duration::from_millis(50),
             queue_per_slot: 2.0,
             queue_least: 4,
             service_time_initial: Duration::from_millis(20),
--- a/crates/core/src/configs/probe.rs
+++ b/crates/core/src/configs/probe.rs
@@ -11,12 +11,16 @@
     /// A probe unanswered for this long has failed; also the size of the budget's bucket.
     #[serde(with = "humantime_serde")]
     pub timeout: Duration,
+    /// Least cost of a probe, however soon it is answered.
+    #[serde(with = "humantime_serde")]
+    pub cost_least: Duration,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Self {
             timeout: Duration::from_millis(25),
+            cost_least: Duration::ZERO,
         }
     }
 }
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -25,18 +25,18 @@
 /// Extra time that one request takes on a host that is slow at this moment.
 ///
 /// Load pattern: neighbours on the same machine slow a host down several times, for a few
-/// hundred milliseconds, again and again. Work that begins in such a phase loses what the
-/// phase still lasts, or is slow to its end if it is shorter. `phase` is how long a slow
+/// hundred milliseconds, again and again. Work that begins in such a phase is slow to its end,
+/// whenever the phase ends; or it waits for the end of the phase. `phase` is how long a slow
 /// phase is expected to go on.
 #[must_use]
 pub fn slow_penalty(slowness_percent: u32, service: Duration, phase: Duration) -> Duration {
-    let slowness = f64::from(slowness_percent) / 100.0;
-    if slowness <= 1.0 {
-        return Duration::ZERO;
-    }
-    let to_the_end = service.mul_f64(slowness - 1.0);
-    let lost_in_phase = phase.mul_f64(1.0 - 1.0 / slowness);
-    to_the_end.min(lost_in_phase)
+    slow_loss(slowness_percent, service).min(phase)
+}
+
+/// Extra time that work takes if it begins on a host that is slow at this moment.
+#[must_use]
+pub fn slow_loss(slowness_percent: u32, service: Duration) -> Duration {
+    service.mul_f64(f64::from(slowness_percent.saturating_sub(100)) / 100.0)
 }
 
 /// A report does not have the form written by [`fmt::Display`].
--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -1,4 +1,4 @@
-//! What measuring may cost: a token bucket in time of the upstream.
+//! What measuring may cost: a token bucket in time of the upstream's slots.
 
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 pub struct Budget {
     settings: Settings,
     share: f64,
+    slots: u32,
     tokens: Duration,
     refilled_at: Instant,
     spent: Duration,
@@ -34,6 +35,7 @@
             tokens: settings.timeout,
             settings,
             share,
+            slots: 1,
             refilled_at: now,
             spent: Duration::ZERO,
         }
@@ -45,6 +47,12 @@
         self.share = share;
     }
 
+    /// Takes the number of slots whose time is shared.
+    pub fn set_slots(&mut self, now: Instant, slots: u32) {
+        self.refill(now);
+        self.slots = slots.max(1);
+    }
+
     /// Reserves one probe, or tells when there will be enough.
     ///
     /// # Errors
@@ -62,12 +70,14 @@
         }
         let missing = reserved.saturating_sub(self.tokens);
         Err(Some(
-            now + missing.div_f64(self.share) + Duration::from_nanos(1),
+            now + missing.div_f64(self.earned_share()) + Duration::from_nanos(1),
         ))
     }
 
-    /// Gives back what a finished probe did not use.
+    /// Gives back what a finished probe did not use; each is charged with the least cost at
+    /// least, since the upstream works on it also where nobody waits.
     pub fn settle(&mut self, reservation: &Reservation, used: Duration) {
+        let used = used.max(self.settings.cost_least);
         let unused = reservation.reserved.saturating_sub(used);
         self.spent -= unused;
         self.tokens = (self.tokens + unused).min(self.settings.timeout);
@@ -79,8 +89,14 @@
         self.spent
     }
 
+    /// Slot time earned in a unit of time.
+    fn earned_share(&self) -> f64 {
+        self.share * f64::from(self.slots)
+    }
+
     fn refill(&mut self, now: Instant) {
-        let earned = now.duration_since(self.refilled_at).mul_f64(self.share);
+        let since = now.duration_since(self.refilled_at);
+        let earned = since.mul_f64(self.earned_share());
         self.tokens = (self.tokens + earned).min(self.settings.timeout);
         self.refilled_at = now;
     }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -63,12 +63,19 @@
         self.length += 1;
     }
 
-    /// Takes the request whose turn it is; `needed` is the time that one needs.
-    pub fn pop(&mut self, now: Instant, needed: impl Fn(&Arrival) -> Duration) -> Option<Arrival> {
+    /// Takes the request whose turn it is; `needed` is the time that one needs, and
+    /// `may_begin` tells whether one that needs so much may begin now.
+    pub fn pop(
+        &mut self,
+        now: Instant,
+        needed: impl Fn(&Arrival) -> Duration,
+        may_begin: impl Fn(Duration) -> bool,
+    ) -> Option<Arrival> {
+        let open = |arrival: &Arrival| may_begin(needed(arrival));
         let timely = |arrival: &Arrival| now + needed(arrival) <= arrival.target;
         let (key, index) = self
-            .first(|arrival| timely(arrival).then_some(arrival.target))
-            .or_else(|| self.first(|arrival| Some(arrival.deadline)))?;
+            .first(|arrival| (open(arrival) && timely(arrival)).then_some(arrival.target))
+            .or_else(|| self.first(|arrival| open(arrival).then_some(arrival.deadline)))?;
         let lane = self.lanes.get_mut(&key)?;
         let arrival = lane.waiting.remove(index);
         let weight = lane.weight;
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -2,6 +2,7 @@
 
 mod discovery;
 mod follow;
+mod pace;
 mod probing;
 mod reporting;
 mod slot;
@@ -55,6 +56,9 @@
     state: Mutex<State>,
     queued: Notify,
     reporting: Reporting,
+    pace: pace::Pace,
+    /// Requests wait for the end of a slow phase.
+    pace_held: Notify,
     /// Who the upstream is has to be found out.
     unknown_upstream: Notify,
     upstream: Upstream,
@@ -84,6 +88,7 @@
     tokio::spawn(probing::when_due(Arc::clone(&guard)));
     tokio::spawn(reporting::run(Arc::clone(&guard)));
     tokio::spawn(discovery::run(Arc::clone(&guard)));
+    tokio::spawn(pace::while_held(Arc::clone(&guard)));
     let handler = Function::new(guard, |guard, request| -> Answer {
         Box::pin(answer(guard, request))
     });
@@ -201,6 +206,8 @@
             }),
             queued: Notify::new(),
             reporting: Reporting::default(),
+            pace: pace::Pace::default(),
+            pace_held: Notify::new(),
             unknown_upstream: Notify::new(),
             upstream: Upstream::new(settings, context.adapter.load),
             log: RequestLog::new(&settings.logs),
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -62,6 +62,7 @@
             .gate
             .announced(now, announcement.state == Announced::Draining);
         state.admission.set_slots(announcement.slots.max(1));
+        state.budget.set_slots(now, announcement.slots);
         state.announcement = Some(announcement);
     }
 
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -8,7 +8,7 @@
 use mintridge_core::request::{Arrival, Id};
 use tokio::sync::oneshot;
 
-use super::Guard;
+use super::{Guard, pace};
 use crate::headers::Head;
 
 /// A slot of the upstream, given back when dropped.
@@ -55,12 +55,14 @@
 
 /// Waits for a slot.
 pub async fn admit(guard: &Arc<Guard>, head: &Head) -> Result<Slot, Refusal> {
+    pace::refresh(guard).await;
     let (mut place, admitted) = match enter(guard, head)? {
         Entered::Admitted(slot) => return Ok(slot),
         Entered::Queued(place, admitted) => (place, admitted),
     };
     guard.pump();
     guard.queued.notify_one();
+    guard.pace_held.notify_one();
     let Ok(settled) = admitted.await else {
         return Err(guard.not_run(Reason::Busy));
     };
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -43,6 +43,7 @@
     refusals: Family<RefusalLabels, Counter>,
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
+    pace_asked: Counter,
     claims: Family<KindLabels, Counter>,
     store_calls: Family<KindLabels, Counter>,
     probes: Family<KindLabels, Counter>,
@@ -67,6 +68,7 @@
             refusals: Family::default(),
             guard_refusals: Family::default(),
             retries: Counter::default(),
+            pace_asked: Counter::default(),
             claims: Family::default(),
             store_calls: Family::default(),
             probes: Family::default(),
@@ -101,6 +103,11 @@
         let help = "Refusals given to peers by the guard of this upstream";
         registry.register("guard_refusals", help, self.guard_refusals.clone());
         registry.register("retries", "Second attempts made", self.retries.clone());
+        registry.register(
+            "pace_asked",
+            "Times the upstream was asked how fast its host is",
+            self.pace_asked.clone(),
+        );
         let help = "Claims on idempotency keys by verdict";
         registry.register("claims", help, self.claims.clone());
         registry.register(
@@ -156,6 +163,11 @@
         self.retries.inc();
     }
 
+    /// The upstream was asked how fast its host is.
+    pub fn pace_asked(&self) {
+        self.pace_asked.inc();
+    }
+
     /// A claim was answered.
     pub fn claim(&self, verdict: ClaimVerdict) {
         let kind = match verdict {
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -12,7 +12,8 @@
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{
-    ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, TRANSFER_ENCODING,
+    ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue,
+    TRANSFER_ENCODING,
 };
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -139,6 +140,42 @@
         self.sort(&asked, response, busy).await
     }
 
+    /// Asks something small that is no caller's request, over a connection kept open.
+    ///
+    /// An answer that does not name the instance may belong to an earlier request; it ends its
+    /// connection.
+    ///
+    /// # Errors
+    /// If no answer came.
+    pub async fn ask(&self, address: SocketAddr, path: &str) -> Result<Parts, Error> {
+        let mut request = Request::new(reply::empty());
+        *request.uri_mut() = path.parse().map_err(|_| Error::NeverSent)?;
+        let host = HeaderValue::try_from(address.to_string()).map_err(|_| Error::NeverSent)?;
+        request.headers_mut().insert(HOST, host);
+        let mut connection = self.connection(address).await?;
+        let sent = connection.sender.send_request(request).await;
+        let response = sent.map_err(Error::Broken)?;
+        connection.unused_after = self.unused_after(response.headers());
+        let (parts, body) = response.into_parts();
+        if self.instance(&parts.headers).is_none() {
+            return Err(Error::Foreign);
+        }
+        body.collect().await.map_err(Error::Broken)?;
+        let busy = Busy {
+            idle: Arc::clone(&self.idle),
+            idle_most: self.idle_most,
+            connection,
+        };
+        busy.keep();
+        Ok(parts)
+    }
+
+    /// Whether answers tell the load.
+    #[must_use]
+    pub const fn tells_load(&self) -> bool {
+        self.names.load_header.is_some()
+    }
+
     /// The load that an answer tells.
     #[must_use]
     pub fn load(&self, headers: &HeaderMap) -> Option<Load> {
