test(soak): a randomized soak over real processes, judged from outside

Nodes run as processes, each behind relays for its peers and its store. A seed draws what happens, in series that overlap: stops, hangups, leaving upstreams, new presets; kills, pauses, cut, silent and one-way networks, connections that fall silent for good; a store that is down, slow, silent, stale, loses replies or writes late. Every third seed is planned work alone. Checked from what callers, upstreams and operators see: no unrepeatable request runs twice, "not run" is true, answers are their request's own, nothing reverts, a leaving upstream is left alone after four seconds, planned work cuts off nothing, and the fleet serves everybody within fifteen seconds of the last fault.

The callers of the bench tell a connection that could not be opened from one that broke: the first sends nothing and is no cut.

Not there: clocks that step, storage of its own (the nodes have none), a soak of the routing table.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -79,6 +79,8 @@
         /// When to come back, in seconds.
         retry_after: Option<u64>,
     },
+    /// No connection could be opened, so nothing was sent.
+    NoConnection,
     /// The answer visibly broke, or there was none.
     Broken {
         /// Whether its head arrived.
@@ -195,8 +197,10 @@
         let Some(request) = request(address, call) else {
             return Told::Broken { begun: false };
         };
-        let Ok(response) = self.client.request(request).await else {
-            return Told::Broken { begun: false };
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Told::NoConnection,
+            Err(_) => return Told::Broken { begun: false },
         };
         head_came(Instant::now());
         read(response).await
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -87,6 +87,7 @@
             Told::Broken { begun: true } => String::from("broken off"),
             Told::Broken { begun: false } => String::from("no answer"),
             Told::Silence => String::from("silence"),
+            Told::NoConnection => String::from("no connection"),
         };
         *self.outcomes.entry(outcome).or_default() += 1;
     }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -165,5 +165,8 @@
 
 /// Whether an answer visibly broke.
 pub const fn is_broken(told: &Told) -> bool {
-    matches!(told, Told::Broken { .. } | Told::Silence)
+    matches!(
+        told,
+        Told::NoConnection | Told::Broken { .. } | Told::Silence
+    )
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod process;
 pub mod relay;
 pub mod scene;
+pub mod soak;
 pub mod store;
 pub mod tables;
 pub mod upstream;
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -76,6 +76,11 @@
         Ok(kill_process(pid, signal)?)
     }
 
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     /// Waits for its end.
     ///
     /// # Errors
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -23,6 +23,8 @@
     Cut,
     /// Nothing passes, and nobody is told; new connections hang too.
     Silent,
+    /// What callers send passes, and nothing comes back.
+    NoAnswers,
 }
 
 /// A relay from one address to another.
@@ -84,13 +86,21 @@
         let (far_read, far_write) = far.into_split();
         let cut = weather.clone();
         tokio::select! {
-            () = pump(near_read, far_write, weather.clone(), lost.clone()) => {}
-            () = pump(far_read, near_write, weather, lost) => {}
+            () = pump(near_read, far_write, weather.clone(), lost.clone(), passes_there) => {}
+            () = pump(far_read, near_write, weather, lost, passes_back) => {}
             () = until_cut(cut) => {}
         }
     }
 }
 
+fn passes_there(weather: &Weather) -> bool {
+    *weather != Weather::Silent
+}
+
+fn passes_back(weather: &Weather) -> bool {
+    !matches!(weather, Weather::Silent | Weather::NoAnswers)
+}
+
 async fn until_cut(mut weather: watch::Receiver<Weather>) {
     let _ = weather.wait_for(|now| *now == Weather::Cut).await;
 }
@@ -100,17 +110,14 @@
     mut to: OwnedWriteHalf,
     mut weather: watch::Receiver<Weather>,
     lost: watch::Receiver<bool>,
+    passes: fn(&Weather) -> bool,
 ) {
     let mut chunk = vec![0; CHUNK];
     while let Ok(read @ 1..) = from.read(&mut chunk).await {
         if *lost.borrow() {
             std::future::pending::<()>().await;
         }
-        if weather
-            .wait_for(|now| *now != Weather::Silent)
-            .await
-            .is_err()
-        {
+        if weather.wait_for(passes).await.is_err() {
             return;
         }
         if to.write_all(&chunk[..read]).await.is_err() {
--- /dev/null
+++ b/crates/standin/src/soak.rs
@@ -0,0 +1,166 @@
+//! A randomized soak: real nodes as processes, faults from outside them in series that
+//! overlap, and the promises checked while it runs.
+//!
+//! [`plan`] draws from a seed what happens, [`field`] does it, [`callers`] send requests
+//! meanwhile, and [`promises`] says what must hold. A run ends with every fault undone and the
+//! fleet serving again.
+
+pub mod callers;
+pub mod field;
+pub mod plan;
+pub mod promises;
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use self::callers::{Sent, Targets};
+use self::field::Field;
+use self::plan::{Entry, Mode};
+use self::promises::Broken;
+use crate::scene::Error;
+
+/// How often the fleet is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// Requests sent after the last fault.
+const AFTERWARDS: Duration = Duration::from_secs(1);
+/// Time for the fleet to serve everybody again after the last fault: suspicions are over
+/// within a few rounds of exchanges, announcements come every second.
+const RECOVERS_WITHIN: Duration = Duration::from_secs(15);
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's binary.
+    pub binary: PathBuf,
+    /// Draws the plan and the load.
+    pub seed: u64,
+    /// Hosts.
+    pub hosts: usize,
+    /// Time of load with faults.
+    pub load: Duration,
+    /// Requests a second.
+    pub rate: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            binary: PathBuf::from("target/debug/mintridge-node"),
+            seed: 1,
+            hosts: 5,
+            load: Duration::from_secs(10),
+            rate: 120.0,
+        }
+    }
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Requests sent.
+    pub sent: usize,
+    /// How many of them succeeded.
+    pub succeeded: usize,
+    /// Promises broken.
+    pub broken: Vec<Broken>,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+/// If a socket or node cannot be started.
+pub async fn run(settings: &Settings) -> Result<Outcome, Error> {
+    let plan = plan::draw(settings.seed, settings.hosts, settings.load);
+    let mut field = Field::start(settings.binary.clone(), settings.hosts).await?;
+    let mut broken = Vec::new();
+    let began = Instant::now();
+    let sending = tokio::spawn(callers::run(
+        settings.seed,
+        format!("seed-{}", settings.seed),
+        Targets::clone(&field.targets),
+        settings.rate,
+        began + settings.load,
+    ));
+    play(&mut field, &plan.entries, began, &mut broken).await?;
+    let sent = sending.await.unwrap_or_default();
+    recover(&mut field, settings, &mut broken).await?;
+    broken.append(&mut field.versions.broken);
+    broken.extend(promises::of_answers(&sent, &runs(&field)));
+    if plan.mode == Mode::Planned {
+        broken.extend(promises::of_planned_work(&sent));
+    }
+    Ok(Outcome {
+        sent: sent.len(),
+        succeeded: sent.iter().filter(|sent| sent.told.is_success()).count(),
+        broken,
+    })
+}
+
+/// Begins and ends what is planned, in order of time.
+async fn play(
+    field: &mut Field,
+    entries: &[Entry],
+    began: Instant,
+    broken: &mut Vec<Broken>,
+) -> Result<(), Error> {
+    let mut to_begin = entries.iter().peekable();
+    let mut to_end: Vec<&Entry> = Vec::new();
+    while to_begin.peek().is_some() || !to_end.is_empty() || field.is_stopping() {
+        let now = began.elapsed();
+        while let Some(entry) = to_begin.next_if(|entry| now >= entry.at) {
+            field.begin(entry).await;
+            to_end.push(entry);
+        }
+        let (due, later): (Vec<&Entry>, _) = to_end.iter().partition(|entry| now >= entry.until);
+        for entry in due {
+            field.end(entry).await?;
+        }
+        to_end = later;
+        field.look(broken).await?;
+        field.look_at_versions().await;
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Ok(())
+}
+
+/// Waits until the fleet serves again, and counts what fails after that.
+async fn recover(
+    field: &mut Field,
+    settings: &Settings,
+    broken: &mut Vec<Broken>,
+) -> Result<(), Error> {
+    let give_up_at = Instant::now() + RECOVERS_WITHIN;
+    loop {
+        field.look(broken).await?;
+        let sent = callers::run(
+            settings.seed,
+            format!("after-{}-{:?}", settings.seed, Instant::now()),
+            Targets::clone(&field.targets),
+            settings.rate,
+            Instant::now() + AFTERWARDS,
+        )
+        .await;
+        let failed = |sent: &&Sent| !sent.told.is_success();
+        let failed = sent.iter().filter(failed).count();
+        if failed == 0 && !sent.is_empty() {
+            return Ok(());
+        }
+        if Instant::now() > give_up_at {
+            let sent = sent.len();
+            broken.push(Broken::NotRecovered { sent, failed });
+            return Ok(());
+        }
+    }
+}
+
+/// Runs of all requests, over all upstreams.
+fn runs(field: &Field) -> HashMap<String, u32> {
+    let mut runs: HashMap<String, u32> = HashMap::new();
+    for host in &field.scene.hosts {
+        for (id, count) in host.upstream.account().runs {
+            *runs.entry(id).or_default() += count;
+        }
+    }
+    runs
+}
--- /dev/null
+++ b/crates/standin/tests/soak.rs
@@ -0,0 +1,136 @@
+//! The soak's own judgement: each promise is seen to break when it does.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use mintridge_bench::caller::{Call, Told};
+use mintridge_core::outcome::{Outcome, Reason};
+use mintridge_standin::soak::callers::Sent;
+use mintridge_standin::soak::plan::{Event, Mode, draw};
+use mintridge_standin::soak::promises::{
+    Broken, LEAVES_WITHIN, Leaving, Versions, of_answers, of_planned_work,
+};
+use rstest::rstest;
+
+const LOAD: Duration = Duration::from_secs(30);
+
+fn sent(method: Method, told: Told) -> Sent {
+    let call = Call {
+        id: String::from("a"),
+        method,
+        ..Call::default()
+    };
+    Sent { call, told }
+}
+
+fn answer_of(id: &str) -> Told {
+    let body = format!(
+        r#"{{"host":"h","id":"{id}","client_account":"c","left_millis":"1","body_bytes":0,"body_digest":""}}"#
+    );
+    Told::Answer {
+        status: StatusCode::OK,
+        host: String::from("h"),
+        body: Bytes::from(body),
+    }
+}
+
+const fn refused(outcome: Outcome) -> Told {
+    Told::Refused {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        outcome,
+        reason: Reason::Late,
+        retry_after: None,
+    }
+}
+
+fn id() -> String {
+    String::from("a")
+}
+
+#[rstest]
+#[case::own_answer(Method::POST, answer_of("a"), 1, None)]
+#[case::not_run(Method::POST, refused(Outcome::NotRun), 0, None)]
+#[case::unknown_ran(Method::POST, refused(Outcome::Unknown), 1, None)]
+#[case::repeatable_twice(Method::GET, answer_of("a"), 2, None)]
+#[case::unrepeatable_twice(Method::POST, answer_of("a"), 2, Some(Broken::RanTwice { id: id(), runs: 2 }))]
+#[case::not_run_ran(Method::GET, refused(Outcome::NotRun), 1, Some(Broken::RanThough { id: id() }))]
+#[case::foreign(Method::GET, answer_of("b"), 1, Some(Broken::Foreign { id: id() }))]
+fn of_answers_sees(
+    #[case] method: Method,
+    #[case] told: Told,
+    #[case] runs: u32,
+    #[case] expected: Option<Broken>,
+) {
+    let runs = HashMap::from([(id(), runs)]);
+    let broken = of_answers(&[sent(method, told)], &runs);
+    assert_eq!(broken, expected.into_iter().collect::<Vec<_>>());
+}
+
+#[rstest]
+#[case::answered(answer_of("a"), false)]
+#[case::refused(refused(Outcome::NotRun), false)]
+#[case::process_gone(Told::NoConnection, false)]
+#[case::cut(Told::Broken { begun: false }, true)]
+#[case::cut_midway(Told::Broken { begun: true }, true)]
+#[case::silence(Told::Silence, true)]
+#[case::unknown(refused(Outcome::Unknown), true)]
+fn of_planned_work_sees(#[case] told: Told, #[case] cut: bool) {
+    let broken = of_planned_work(&[sent(Method::GET, told)]);
+    assert_eq!(!broken.is_empty(), cut);
+}
+
+#[test]
+fn versions_see_a_reversal_within_one_process() {
+    let mut versions = Versions::default();
+    for (process, version) in [(1, 3), (1, 4), (2, 0), (2, 4)] {
+        versions.seen("h", process, version);
+    }
+    assert_eq!(versions.broken, []);
+    versions.seen("h", 2, 3);
+    let reverted = Broken::Reverted {
+        host: String::from("h"),
+        before: 4,
+        after: 3,
+    };
+    assert_eq!(versions.broken, [reverted]);
+}
+
+#[test]
+fn leaving_sees_requests_after_its_time() {
+    let now = Instant::now();
+    let mut leaving = Leaving::new(String::from("h"), now);
+    assert_eq!(leaving.seen(now, 10), None);
+    assert_eq!(leaving.seen(now + LEAVES_WITHIN, 12), None);
+    let later = now + LEAVES_WITHIN + Duration::from_secs(1);
+    let expected = Broken::ServedAfterLeaving {
+        host: String::from("h"),
+        requests: 1,
+    };
+    assert_eq!(leaving.seen(later, 13), Some(expected));
+}
+
+#[test]
+fn draw_gives_one_plan_for_one_seed() {
+    for seed in 0..6 {
+        let plan = draw(seed, 5, LOAD);
+        assert_eq!(plan, draw(seed, 5, LOAD));
+        assert_ne!(plan.entries, draw(seed + 6, 5, LOAD).entries);
+        assert!(plan.entries.len() > 30, "{}", plan.entries.len());
+    }
+}
+
+#[test]
+fn draw_gives_planned_work_alone_to_every_third_seed() {
+    let plan = draw(3, 5, LOAD);
+    assert_eq!(plan.mode, Mode::Planned);
+    let planned = |event| {
+        matches!(
+            event,
+            Event::Stop | Event::Hangup | Event::Drain | Event::Change
+        )
+    };
+    assert!(plan.entries.iter().all(|entry| planned(entry.event)));
+    assert_eq!(draw(4, 5, LOAD).mode, Mode::Mixed);
+}
--- a/crates/try/src/main.rs
+++ b/crates/try/src/main.rs
@@ -133,5 +133,8 @@
 }
 
 const fn is_broken(told: &Told) -> bool {
-    matches!(told, Told::Broken { .. } | Told::Silence)
+    matches!(
+        told,
+        Told::NoConnection | Told::Broken { .. } | Told::Silence
+    )
 }
