perf(admission): measure a slow phase beside the host's usual pace

Cause: a host whose upstream has just begun tells 200 for three seconds. That was taken as a slow phase: after a loss of all power every host sent requests on to hosts that did the same, four hops each, in the seconds that decide the worst windows.

Now a phase is slow beside what the host usually tells; the first word is its usual pace up to 200, and another instance starts anew.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -10,7 +10,9 @@
 //! milliseconds, and work that begins then is slow to its end: begun everywhere alike, work
 //! takes 1.75 times as much of the slots as it needs. So nothing begins on a host that is
 //! known to be slow, if it may go elsewhere, or if waiting for the end of the phase costs
-//! less; a phase that lasts much longer than usual is taken as the host's speed.
+//! less. What counts is the host's pace beside its usual one: a host that is cold after a
+//! start, or whose neighbours have moved in for good, is slower than others, but waiting does
+//! not help, and so a phase that lasts much longer than usual is taken as the usual pace.
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -40,8 +42,11 @@
     Refuse(Refusal),
 }
 
-/// Work takes as long as usual, in the figure that upstreams tell.
-const USUAL_PERCENT: u32 = 100;
+/// A host is in a slow phase when work takes this many percent of what it usually takes there.
+const SLOW_PERCENT: u32 = 150;
+/// An upstream that has just begun takes up to twice the usual, so the first word of a host is
+/// its usual pace up to this.
+const COLD_PERCENT: u32 = 200;
 
 /// What to do with a request that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -84,10 +89,49 @@
 struct Slowness {
     percent: u32,
     told_at: Instant,
+    /// What it tells when it is in no slow phase.
+    usual_percent: u32,
     /// When it was first told to be slow, if it has been ever since.
     slow_since: Option<Instant>,
 }
 
+impl Slowness {
+    /// What is told now, after `before`; a phase that outlasts `passing` is the usual pace.
+    fn told(before: Option<Self>, now: Instant, percent: u32, passing: Duration) -> Self {
+        let usual_percent = before.map_or(COLD_PERCENT, |told| told.usual_percent);
+        let told = Self {
+            percent,
+            told_at: now,
+            usual_percent: usual_percent.min(percent),
+            slow_since: None,
+        };
+        if told.beside_usual() < SLOW_PERCENT {
+            return told;
+        }
+        let slow_since = before.and_then(|told| told.slow_since).unwrap_or(now);
+        if now > slow_since + passing {
+            return Self {
+                usual_percent: percent,
+                ..told
+            };
+        }
+        Self {
+            slow_since: Some(slow_since),
+            ..told
+        }
+    }
+
+    /// How long work takes, in percent of what it usually takes on this host.
+    const fn beside_usual(&self) -> u32 {
+        let usual = if self.usual_percent == 0 {
+            1
+        } else {
+            self.usual_percent
+        };
+        self.percent.saturating_mul(100) / usual
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Running {
     since: Instant,
@@ -126,15 +170,17 @@
     /// The upstream told its load; true if it tells of another slowness than before.
     pub fn told(&mut self, now: Instant, load: &Upstream) -> bool {
         let before = self.slowness_percent(now);
-        let slow_since = self.slowness.and_then(|told| told.slow_since);
-        self.slowness = load.slowness_percent.map(|percent| Slowness {
-            percent,
-            told_at: now,
-            slow_since: (percent > USUAL_PERCENT).then(|| slow_since.unwrap_or(now)),
-        });
+        let passing = self.settings.slow_phase * PASSING_PHASES;
+        let told = load.slowness_percent;
+        self.slowness = told.map(|percent| Slowness::told(self.slowness, now, percent, passing));
         before != self.slowness_percent(now)
     }
 
+    /// Another instance of the upstream has begun: it is cold, and what was usual before is not.
+    pub const fn restarted(&mut self) {
+        self.slowness = None;
+    }
+
     /// Whether the upstream told lately how fast its host is.
     #[must_use]
     pub fn knows_pace(&self, now: Instant) -> bool {
@@ -145,13 +191,12 @@
     /// Whether requests wait for the end of a slow phase.
     #[must_use]
     pub fn is_held(&self, now: Instant) -> bool {
-        !self.queue.is_empty() && self.passing_percent(now) > USUAL_PERCENT
+        !self.queue.is_empty() && self.slow_percent(now).is_some()
     }
 
     /// Decides on a request that just arrived.
     pub fn arrive(&mut self, now: Instant, arrival: Arrival, weight: f64) -> Decision {
-        let slow = self.passing_percent(now) > USUAL_PERCENT;
-        if slow && arrival.only_in_time {
+        if self.slow_percent(now).is_some() && arrival.only_in_time {
             return Decision::Refuse(self.refusal(now, Reason::Late));
         }
         if self.can_run() && self.queue.is_empty() && self.may_begin(now, &arrival) {
@@ -238,7 +283,7 @@
             return None;
         }
         let (times, mean) = (&self.service_times, self.service_time.mean());
-        let percent = self.passing_percent(now);
+        let percent = self.slow_percent(now).unwrap_or(0);
         let phase = self.settings.slow_phase;
         let arrival = self.queue.pop(
             now,
@@ -259,7 +304,7 @@
         let first = latest_starts.min()?;
         let believed_until = self
             .slowness
-            .filter(|told| told.percent > USUAL_PERCENT)
+            .filter(|told| told.slow_since.is_some())
             .map(|told| told.told_at + self.settings.slow_phase);
         Some(believed_until.map_or(first, |until| first.min(until)))
     }
@@ -296,25 +341,22 @@
         told.map_or(0, |told| told.percent)
     }
 
-    /// How slow the host is in a phase that will pass; 0 if it is not, or not known to be.
-    fn passing_percent(&self, now: Instant) -> u32 {
-        let phase = self.settings.slow_phase * PASSING_PHASES;
-        let slow_since = self.slowness.and_then(|told| told.slow_since);
-        if slow_since.is_some_and(|since| now > since + phase) {
-            return 0;
-        }
-        self.slowness_percent(now)
+    /// How long work takes, in percent of the usual on this host, if it is in a slow phase.
+    fn slow_percent(&self, now: Instant) -> Option<u32> {
+        let believed = |told: &Slowness| now < told.told_at + self.settings.slow_phase;
+        let told = self.slowness.filter(believed)?;
+        told.slow_since.map(|_| told.beside_usual())
     }
 
     /// Whether a request begins now, or waits for the end of a slow phase.
     fn may_begin(&self, now: Instant, arrival: &Arrival) -> bool {
-        let loss = slow_loss(self.passing_percent(now), self.needed(arrival));
-        loss <= self.settings.slow_phase
+        let percent = self.slow_percent(now).unwrap_or(0);
+        slow_loss(percent, self.needed(arrival)) <= self.settings.slow_phase
     }
 
-    /// Extra time of a request that begins at this moment.
+    /// Extra time of a request that begins at this moment, or waits for the end of the phase.
     fn slow_penalty(&self, now: Instant) -> Duration {
-        let percent = self.slowness_percent(now);
+        let percent = self.slow_percent(now).unwrap_or(0);
         slow_penalty(percent, self.service_time.mean(), self.settings.slow_phase)
     }
 
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -294,6 +294,7 @@
         ..Settings::default()
     };
     let mut admission = Admission::new(settings, 4);
+    admission.told(now, &slowness(100));
     assert!(admission.told(now, &slowness(400)));
     assert!(!admission.told(now, &slowness(400)), "nothing new");
     admission
@@ -363,3 +364,21 @@
     admission.told(now, &slowness(400));
     assert_eq!(admission.poll(now), Some(Action::Admit(Id(0))));
 }
+
+/// An upstream has just begun and is cold: it takes twice as long for seconds, and four times
+/// that in a slow phase. Waiting does not make it warm, so requests begin there at twice the
+/// usual; only the slow phase is waited for.
+#[rstest]
+#[case::cold(200, Decision::Admit)]
+#[case::cold_and_slow(800, Decision::Queue)]
+fn arrive_on_a_cold_host(#[case] percent: u32, #[case] expected: Decision) {
+    let now = Instant::now();
+    let mut admission = told_slow(now);
+    admission.restarted();
+    admission.told(now, &slowness(200));
+    admission.told(now, &slowness(percent));
+    let deadline = now + Duration::from_secs(10);
+    let decision = admission.arrive(now, with_target(0, deadline, deadline, false), 1.0);
+    assert_eq!(decision, expected);
+    assert_eq!(admission.report(now).slowness_percent, percent);
+}
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -51,6 +51,7 @@
             return;
         }
         if before.as_ref() != Some(&announcement.instance) {
+            state.admission.restarted();
             log::info!(
                 instance = &*announcement.instance,
                 service = &*announcement.service,
--- a/crates/node/tests/pace.rs
+++ b/crates/node/tests/pace.rs
@@ -69,7 +69,7 @@
     settings.upstream.instance_header = Some("x-instance".to_owned());
     settings.upstream.load_header = Some("x-load".to_owned());
     settings.admission.slow_phase = Duration::from_secs(20);
-    settings.admission.service_time_initial = Duration::from_secs(10);
+    settings.admission.service_time_initial = Duration::from_secs(25);
     settings.admission.pace_fresh = Duration::from_millis(1);
     settings.probe.timeout = Duration::from_secs(1);
     let node = node::start(settings, Adapter::default()).expect("it starts");
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -93,11 +93,11 @@
     }
 }
 
-fn passes_there(weather: &Weather) -> bool {
-    *weather != Weather::Silent
+fn passes_there(weather: Weather) -> bool {
+    weather != Weather::Silent
 }
 
-fn passes_back(weather: &Weather) -> bool {
+const fn passes_back(weather: Weather) -> bool {
     !matches!(weather, Weather::Silent | Weather::NoAnswers)
 }
 
@@ -110,14 +110,14 @@
     mut to: OwnedWriteHalf,
     mut weather: watch::Receiver<Weather>,
     lost: watch::Receiver<bool>,
-    passes: fn(&Weather) -> bool,
+    passes: fn(Weather) -> bool,
 ) {
     let mut chunk = vec![0; CHUNK];
     while let Ok(read @ 1..) = from.read(&mut chunk).await {
         if *lost.borrow() {
             std::future::pending::<()>().await;
         }
-        if weather.wait_for(passes).await.is_err() {
+        if weather.wait_for(|now| passes(*now)).await.is_err() {
             return;
         }
         if to.write_all(&chunk[..read]).await.is_err() {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -10,7 +10,7 @@
 pub mod plan;
 pub mod promises;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -155,8 +155,8 @@
 }
 
 /// Runs of all requests, over all upstreams.
-fn runs(field: &Field) -> HashMap<String, u32> {
-    let mut runs: HashMap<String, u32> = HashMap::new();
+fn runs(field: &Field) -> BTreeMap<String, u32> {
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
     for host in &field.scene.hosts {
         for (id, count) in host.upstream.account().runs {
             *runs.entry(id).or_default() += count;
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -1,6 +1,6 @@
 //! What must hold in every run, from what callers, upstreams and operators see.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use mintridge_bench::caller::Told;
@@ -72,7 +72,7 @@
 
 /// Checks what callers were told against what ran.
 #[must_use]
-pub fn of_answers(sent: &[Sent], runs: &HashMap<String, u32>) -> Vec<Broken> {
+pub fn of_answers(sent: &[Sent], runs: &BTreeMap<String, u32>) -> Vec<Broken> {
     let mut broken = Vec::new();
     for Sent { call, told, .. } in sent {
         let id = call.id.clone();
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -1,6 +1,6 @@
 //! The soak's own judgement: each promise is seen to break when it does.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -63,7 +63,7 @@
     #[case] runs: u32,
     #[case] expected: Option<Broken>,
 ) {
-    let runs = HashMap::from([(id(), runs)]);
+    let runs = BTreeMap::from([(id(), runs)]);
     let broken = of_answers(&[sent(method, told)], &runs);
     assert_eq!(broken, expected.into_iter().collect::<Vec<_>>());
 }
