--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -48,6 +48,31 @@
     );
 }
 
+/// A quiet time: the upstream is asked how fast its host is before nearly every request. It
+/// answers at once and is charged 6 ms all the same; of twelve slots the questions take no
+/// more than the share, ten a second.
+#[test]
+fn reserve_keeps_quick_questions_under_the_share_of_all_slots() {
+    let settings = configs::probe::Settings {
+        cost_least: Duration::from_millis(6),
+        ..settings()
+    };
+    let began = Instant::now();
+    let mut budget = Budget::new(settings, SHARE, began);
+    budget.set_slots(began, 12);
+    let mut asked = 0;
+    for milli in 0..60_000 {
+        let now = began + Duration::from_millis(milli);
+        if let Ok(reservation) = budget.reserve(now) {
+            budget.settle(&reservation, Duration::from_millis(1));
+            asked += 1;
+        }
+    }
+    assert!((590..=605).contains(&asked), "{asked} questions");
+    let allowed = TIMEOUT + Duration::from_mins(1).mul_f64(SHARE * 12.0);
+    assert!(budget.spent() <= allowed, "{:?}", budget.spent());
+}
+
 #[test]
 fn reserve_with_no_share_allows_only_the_first() {
     let now = Instant::now();
