feat(node): read the settings again on a hangup and when their file has changed

Cause: a hangup was taken and logged, and nothing was read; operators had to restart a node for any change. The platform changes settings with a signal or without.

The sections that decide about requests (admission, logs, placement, retry) change at once, others at the next start, and the log lists both. A file that does not pass the checks is named with its value and changes nothing; it is complained of once. Counted by kind.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -158,6 +158,12 @@
         }
     }
 
+    /// Takes other settings.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+        self.limit = most_of(&self.settings, self.slots);
+    }
+
     /// Takes the number of slots that the upstream announced.
     pub fn set_slots(&mut self, slots: u32) {
         if slots == self.slots {
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Takes other settings.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Takes the upstreams that may be chosen now; knowledge of those that stay is kept.
     pub fn update(&mut self, now: Instant, upstreams: &[Upstream]) {
         let first = self.services.is_empty();
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Takes other settings.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.tokens = self.tokens.min(settings.burst);
+        self.settings = settings;
+    }
+
     /// Takes the share that the preset in force grants.
     pub const fn set_share(&mut self, share: f64) {
         self.share = share;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -106,6 +106,9 @@
     pub seen: watch::Sender<Vec<Seen>>,
     /// From control: when the last exchange or read that succeeded was begun.
     pub refreshed: watch::Sender<Instant>,
+    /// From the settings file, as it was last accepted; [`crate::reload::LIVE`] tells which
+    /// sections of it count.
+    pub settings: watch::Sender<Arc<Settings>>,
     /// From the node's owner.
     pub stage: watch::Sender<Stage>,
 }
@@ -113,7 +116,7 @@
 /// Built once at the start and passed to every duty.
 #[derive(Debug)]
 pub struct Context {
-    /// The settings.
+    /// The settings at the start.
     pub settings: Settings,
     /// How the node's surroundings speak.
     pub adapter: Adapter,
@@ -136,6 +139,12 @@
         &self.settings.host
     }
 
+    /// The settings as they were last accepted.
+    #[must_use]
+    pub fn live(&self) -> Arc<Settings> {
+        Arc::clone(&self.latest.settings.borrow())
+    }
+
     /// The preset in force here.
     #[must_use]
     pub fn in_force(&self) -> Arc<InForce> {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -70,6 +70,7 @@
     let entry = Arc::new(Entry::new(Arc::clone(&context)));
     let view = context.latest.view.subscribe();
     tokio::spawn(follow_view(Arc::clone(&entry), view));
+    tokio::spawn(follow_settings(Arc::clone(&entry)));
     tokio::spawn(publish_often(Arc::clone(&entry)));
     tokio::spawn(take_reports(Arc::clone(&entry)));
     let limits = server::Limits {
@@ -111,6 +112,22 @@
     }
 }
 
+/// Takes each settings file that was accepted.
+async fn follow_settings(entry: Arc<Entry>) {
+    let mut settings = entry.context.latest.settings.subscribe();
+    while settings.changed().await.is_ok() {
+        let current = Arc::clone(&settings.borrow_and_update());
+        entry
+            .placement
+            .lock()
+            .set_settings(current.placement.clone());
+        entry.log.set_settings(&current.logs);
+        for budget in entry.budgets.lock().values_mut() {
+            budget.set_settings(current.retry.clone());
+        }
+    }
+}
+
 async fn take_reports(entry: Arc<Entry>) {
     reports::receive(&entry.context, |datagram, report| {
         let mut placement = entry.placement.lock();
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -124,7 +124,7 @@
     /// passed on, so that a refusal at depth is not tried again at every level above.
     fn is_failure(&self, response: &Response<Incoming>) -> bool {
         let status = response.status().as_u16();
-        let listed = self.context.settings.retry.on_statuses.contains(&status);
+        let listed = self.context.live().retry.on_statuses.contains(&status);
         listed && !response.headers().contains_key(RETRY_AFTER)
     }
 
@@ -136,7 +136,7 @@
         let host = placement.pick(now, service, forwarding.attempts.tried())?;
         let known = placement.known(service, &host)?;
         drop(placement);
-        let retry = &self.context.settings.retry;
+        let retry = &self.context.live().retry;
         let only_in_time = forwarding.attempts.asks(retry, &host);
         Some(Placed {
             entry: Arc::clone(self),
@@ -151,7 +151,7 @@
 
     /// Whether another host may be asked for a request that no upstream has seen.
     fn may_ask_another(&self, forwarding: &mut Forwarding, refusal: &Refusal) -> bool {
-        let settings = &self.context.settings.retry;
+        let settings = &self.context.live().retry;
         let head = &forwarding.sent.request.head;
         let others = |tried: &[Arc<str>]| self.placement.lock().has_untried(&head.service, tried);
         let attempts = &mut forwarding.attempts;
@@ -193,7 +193,7 @@
         let mut budgets = self.budgets.lock();
         let budget = budgets.entry(Arc::clone(service)).or_insert_with(|| {
             let share = self.context.in_force().preset.retry_share;
-            retry::Budget::new(self.context.settings.retry.clone(), share)
+            retry::Budget::new(self.context.live().retry.clone(), share)
         });
         act(budget)
     }
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -17,6 +17,7 @@
 pub fn start(guard: &Arc<Guard>, announcements: mpsc::Receiver<Heard>) {
     tokio::spawn(take_announcements(Arc::clone(guard), announcements));
     tokio::spawn(follow_view(Arc::clone(guard)));
+    tokio::spawn(follow_settings(Arc::clone(guard)));
     tokio::spawn(follow_stage(Arc::clone(guard)));
     tokio::spawn(follow_refreshed(Arc::clone(guard)));
     tokio::spawn(refuse_late(Arc::clone(guard)));
@@ -90,6 +91,18 @@
     }
 }
 
+/// Takes each settings file that was accepted.
+async fn follow_settings(guard: Arc<Guard>) {
+    let mut settings = guard.context.latest.settings.subscribe();
+    while settings.changed().await.is_ok() {
+        let current = Arc::clone(&settings.borrow_and_update());
+        let admission = current.admission.clone();
+        guard.state.lock().admission.set_settings(admission);
+        guard.log.set_settings(&current.logs);
+        guard.pump();
+    }
+}
+
 async fn follow_stage(guard: Arc<Guard>) {
     let mut stage = guard.context.latest.stage.subscribe();
     let closing = |stage: &Stage| !matches!(stage, Stage::Serving | Stage::Leaving);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod operators;
 pub mod packed;
 pub mod program;
+pub mod reload;
 pub mod replay;
 pub mod reports;
 pub mod request_log;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -34,6 +34,17 @@
     kind: &'static str,
 }
 
+/// What became of a settings file that was read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reload {
+    /// It differed and was taken.
+    Taken,
+    /// It did not pass the checks.
+    Rejected,
+    /// It says what is in force.
+    Unchanged,
+}
+
 /// All counters of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -44,6 +55,7 @@
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
     pace_asked: Counter,
+    reloads: Family<KindLabels, Counter>,
     claims: Family<KindLabels, Counter>,
     store_calls: Family<KindLabels, Counter>,
     probes: Family<KindLabels, Counter>,
@@ -69,6 +81,7 @@
             guard_refusals: Family::default(),
             retries: Counter::default(),
             pace_asked: Counter::default(),
+            reloads: Family::default(),
             claims: Family::default(),
             store_calls: Family::default(),
             probes: Family::default(),
@@ -103,6 +116,7 @@
         let help = "Refusals given to peers by the guard of this upstream";
         registry.register("guard_refusals", help, self.guard_refusals.clone());
         registry.register("retries", "Second attempts made", self.retries.clone());
+        registry.register("reloads", "Settings files read again", self.reloads.clone());
         registry.register(
             "pace_asked",
             "Times the upstream was asked how fast its host is",
@@ -163,6 +177,16 @@
         self.retries.inc();
     }
 
+    /// A settings file was read again.
+    pub fn reload(&self, reload: Reload) {
+        let kind = match reload {
+            Reload::Taken => "taken",
+            Reload::Rejected => "rejected",
+            Reload::Unchanged => "unchanged",
+        };
+        self.reloads.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// The upstream was asked how fast its host is.
     pub fn pace_asked(&self) {
         self.pace_asked.inc();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -78,6 +78,7 @@
     if settings.traces.sampled {
         traces::start();
     }
+    let latest = latest(&settings);
     let context = Arc::new(Context {
         settings,
         adapter,
@@ -85,7 +86,7 @@
         incarnation: unix_millis(),
         metrics: Metrics::default(),
         rings,
-        latest: latest(),
+        latest,
     });
     let inputs = Inputs {
         callers: callers.0,
@@ -111,8 +112,9 @@
     Ok(Node { context, duties })
 }
 
-fn latest() -> Latest {
+fn latest(settings: &Settings) -> Latest {
     Latest {
+        settings: watch::Sender::new(Arc::new(settings.clone())),
         view: watch::Sender::new(Arc::new(View::default())),
         routes: watch::Sender::new(None),
         upstream: watch::Sender::new(None),
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,5 +1,6 @@
 //! What the process does around the node: arguments, settings, logs, signals.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
@@ -7,7 +8,7 @@
 
 use crate::adapter::Adapter;
 use crate::context::Context;
-use crate::{flags, logs, node, settings};
+use crate::{flags, logs, node, reload, settings};
 
 /// Exit code for wrong arguments or settings.
 const EXIT_SETTINGS: u8 = 2;
@@ -33,7 +34,7 @@
     }
     logs::start(&settings.logs, &settings.host);
     match node::start(settings, adapter) {
-        Ok(node) => until_stopped(node),
+        Ok(node) => until_stopped(node, arguments.settings),
         Err(error) => {
             eprintln!("{error:?}");
             ExitCode::from(EXIT_START)
@@ -42,7 +43,7 @@
 }
 
 /// Waits for a signal and stops as planned; a second signal ends at once.
-fn until_stopped(node: node::Node) -> ExitCode {
+fn until_stopped(node: node::Node, settings: PathBuf) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
@@ -58,7 +59,7 @@
         ) else {
             return ExitCode::from(EXIT_START);
         };
-        tokio::spawn(reload(hangup, Arc::clone(&context)));
+        tokio::spawn(reload::run(Arc::clone(&context), settings, hangup));
         next(&mut terminate, &mut interrupt).await;
         let stopping = tokio::task::spawn_blocking(move || node.stop());
         tokio::select! {
@@ -68,18 +69,6 @@
     })
 }
 
-/// Failure: operators change settings and signal it, and the default of the signal ends the
-/// process. Symptom: requests in progress are cut. The signal is taken and logged; settings
-/// are read at the start only.
-async fn reload(mut hangup: Signal, context: Arc<Context>) {
-    while hangup.recv().await.is_some() {
-        log::warn!(
-            host = &**context.host();
-            "told to reload: settings are read at the start only and stay as they are"
-        );
-    }
-}
-
 async fn next(terminate: &mut Signal, interrupt: &mut Signal) {
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -16,7 +16,7 @@
 #[derive(Debug)]
 pub struct RequestLog {
     quota: Mutex<Quota>,
-    sample_one_in: u64,
+    sample_one_in: AtomicU64,
     seen: AtomicU64,
 }
 
@@ -29,11 +29,19 @@
                 settings.request_lines_per_second,
                 Instant::now(),
             )),
-            sample_one_in: settings.sample_one_in,
+            sample_one_in: AtomicU64::new(settings.sample_one_in),
             seen: AtomicU64::new(0),
         }
     }
 
+    /// Takes other settings.
+    pub fn set_settings(&self, settings: &Settings) {
+        let lines = settings.request_lines_per_second;
+        *self.quota.lock() = Quota::new(lines, Instant::now());
+        let sample_one_in = settings.sample_one_in;
+        self.sample_one_in.store(sample_one_in, Ordering::Relaxed);
+    }
+
     /// Whether so many lines may be written now.
     pub fn admits(&self, lines: usize) -> bool {
         let lines = u32::try_from(lines).unwrap_or(u32::MAX);
@@ -48,7 +56,8 @@
 
     fn samples(&self) -> bool {
         let seen = self.seen.fetch_add(1, Ordering::Relaxed);
-        self.sample_one_in > 0 && seen.is_multiple_of(self.sample_one_in)
+        let sample_one_in = self.sample_one_in.load(Ordering::Relaxed);
+        sample_one_in > 0 && seen.is_multiple_of(sample_one_in)
     }
 }
 
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -60,6 +60,22 @@
         &self.addresses
     }
 
+    /// Writes other text into its settings file, which it may read again.
+    ///
+    /// # Errors
+    /// If the file cannot be written.
+    pub fn rewrite_settings(&self, text: &str) -> io::Result<()> {
+        fs::write(&self.settings, text)
+    }
+
+    /// Its settings file as it stands.
+    ///
+    /// # Errors
+    /// If the file cannot be read.
+    pub fn settings(&self) -> io::Result<String> {
+        fs::read_to_string(&self.settings)
+    }
+
     /// Its number.
     #[must_use]
     pub fn id(&self) -> u32 {
