test(soak): a request that crosses the close of an idle connection is no cut

HTTP/1.1 has no way to close an idle connection that a request cannot cross, and the users' rule does not count one that was not passed on. The check was wrong in that; it is replaced by one as strict where it can tell: a request that ran is a cut, an answer that began is a cut, silence is, and of requests that ended without a word and did not run two in a run of 1,200 are let pass, the third is a cut.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -14,6 +14,9 @@
 #[rstest]
 #[case::mixed(1)]
 #[case::planned(3)]
+// Failed once in seven plays, before the check knew of it: a request crossed the close of an
+// idle connection and did not run.
+#[case::crossed_a_close(141)]
 #[tokio::test(flavor = "multi_thread")]
 async fn run_keeps_every_promise(#[case] seed: u64) {
     let settings = Settings {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -86,9 +86,10 @@
     let sent = sending.await.unwrap_or_default();
     recover(&mut field, settings, &mut broken).await?;
     broken.append(&mut field.versions.broken);
-    broken.extend(promises::of_answers(&sent, &runs(&field)));
+    let runs = runs(&field);
+    broken.extend(promises::of_answers(&sent, &runs));
     if plan.mode == Mode::Planned {
-        broken.extend(promises::of_planned_work(&sent));
+        broken.extend(promises::of_planned_work(&sent, &runs));
     }
     Ok(Outcome {
         sent: sent.len(),
