fix(http): answer a request that takes longer than the time for a header section

Cause: on a connection with pipelined requests the reading side waits for the next header section as soon as it has read a request. When the time for that ran out (5 s by default) the connection ended with all its requests in progress, and their callers got no answer. Found by a test of an unknown outcome, whose caller was cut at 5.003 s.

Ruled out: the caller's own timeout (it waits longer), the deadline (the node logged the caller as gone before it).

Before: serve_answers_a_request_longer_than_the_time_for_a_header ends with a closed connection. After: the answer comes.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -88,6 +88,10 @@
 }
 
 /// Reads requests and works on them; returns when the caller has gone.
+///
+/// Failure: a request takes longer than the next may be awaited. Symptom: the time for a header
+/// section runs out while nothing is sent, and the request in progress is dropped without an
+/// answer. The time ends the reading alone; what was read is answered.
 async fn read<F, R>(
     stream: &Arc<TcpStream>,
     builder: &http1::Builder,
@@ -147,7 +151,9 @@
     };
     if let Err(error) = ended {
         log::debug!(error:% = error; "caller's connection broke");
-        return;
+        if !error.is_timeout() {
+            return;
+        }
     }
     drop(sender);
     until_gone(stream).await;
--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -57,6 +57,10 @@
 }
 
 fn start() -> Server {
+    start_with(Limits::default())
+}
+
+fn start_with(limits: Limits) -> Server {
     let seen = Arc::new(Seen::default());
     let phase = watch::Sender::new(Phase::Open);
     let (of_server, receiver) = (Arc::clone(&seen), phase.subscribe());
@@ -74,7 +78,7 @@
                 Box::pin(answer(seen, request))
             });
             let protocol = Protocol::Pipelined(8);
-            serve(listener, handler, protocol, Limits::default(), receiver).await;
+            serve(listener, handler, protocol, limits, receiver).await;
         });
     });
     Server {
@@ -122,6 +126,22 @@
     }
 }
 
+/// A request takes longer than a header section may take to arrive, and its caller sends
+/// nothing else meanwhile. The time for the next request runs out; the answer to this one
+/// still comes, and only then does the connection end.
+#[test]
+fn serve_answers_a_request_longer_than_the_time_for_a_header() {
+    let server = start_with(Limits {
+        header_within: Duration::from_millis(100),
+        ..Limits::default()
+    });
+    let mut stream = connect(&server);
+    stream.write_all(get("600").as_bytes()).expect("sent");
+    let text = answers(&mut stream, 1);
+    assert_eq!(bodies(&text), ["600:"]);
+    assert_eq!(server.seen.dropped.load(Ordering::SeqCst), 0);
+}
+
 /// A caller sends a slow request and two quick ones at once. All three are worked on
 /// together, and the answers come in the order of the requests.
 #[test]
