--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -53,6 +53,14 @@
 /// # Errors
 /// If a file cannot be read, or no line tells of the request.
 pub fn run(context: &Context, request: &str, files: &[PathBuf]) -> Result<(), Error> {
+    output::print(context.json, &read(request, files)?, text)
+}
+
+/// Reads the story of a request from the logs.
+///
+/// # Errors
+/// If a file cannot be read, or no line tells of the request.
+pub fn read(request: &str, files: &[PathBuf]) -> Result<Story, Error> {
     let mut story = Story::default();
     for file in files {
         for line in BufReader::new(File::open(file)?).split(b'\n') {
@@ -63,7 +71,7 @@
         return Err(Error::NoSuchRequest(request.to_owned()));
     }
     story.events.sort();
-    output::print(context.json, &story, text)
+    Ok(story)
 }
 
 /// Collectors put their own words before a line; it begins with its first brace.
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -4,19 +4,25 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::{env, fs, io, thread};
 
 use mintridge_node::context::Addresses;
 use mintridge_node::settings::Settings;
+use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
+/// Lines kept of the logs of one process: minutes of a test in which many requests fail.
+const LINES_MOST: usize = 10_000;
+
 /// A running process; killed when dropped.
 #[derive(Debug)]
 pub struct Process {
     child: Child,
     addresses: Addresses,
     settings: PathBuf,
+    logs: Arc<Mutex<Vec<String>>>,
 }
 
 impl Process {
@@ -40,17 +46,24 @@
             eprintln!("{line}");
         };
         let show = env::var_os("SHOW_NODE_LOGS").is_some();
+        let logs = Arc::new(Mutex::new(Vec::new()));
+        let kept = Arc::clone(&logs);
         thread::spawn(move || {
             for line in lines.map_while(Result::ok) {
                 if show {
                     eprintln!("{line}");
                 }
+                let mut kept = kept.lock();
+                if kept.len() < LINES_MOST {
+                    kept.push(line);
+                }
             }
         });
         Ok(Self {
             child,
             addresses,
             settings: file,
+            logs,
         })
     }
 
@@ -76,6 +89,12 @@
         fs::read_to_string(&self.settings)
     }
 
+    /// What it has written since its start, up to a bound.
+    #[must_use]
+    pub fn logs(&self) -> Vec<String> {
+        self.logs.lock().clone()
+    }
+
     /// Its number.
     #[must_use]
     pub fn id(&self) -> u32 {
