fix(guard): probes in doubt keep their own budget beside questions after the pace

Cause: one budget for both had been made a share of the time of all slots, so probes of a doubtful upstream could take twelve times what they did: with all upstreams failing and probes that hang 850 ms where 115 ms are allowed.

Now probes in doubt have the share of one slot's time, as before, and the questions that of the others: together a share of the time of all slots.

--- a/crates/core/src/probe.rs
+++ b/crates/core/src/probe.rs
@@ -50,13 +50,13 @@
     /// Takes the number of slots whose time is shared.
     pub fn set_slots(&mut self, now: Instant, slots: u32) {
         self.refill(now);
-        self.slots = slots.max(1);
+        self.slots = slots;
     }
 
     /// Reserves one probe, or tells when there will be enough.
     ///
     /// # Errors
-    /// The instant at which to ask again; `None` while the share is zero.
+    /// The instant at which to ask again; `None` while nothing is earned.
     pub fn reserve(&mut self, now: Instant) -> Result<Reservation, Option<Instant>> {
         self.refill(now);
         let reserved = self.settings.timeout;
@@ -65,7 +65,7 @@
             self.spent += reserved;
             return Ok(Reservation { reserved });
         }
-        if self.share <= 0.0 {
+        if self.earned_share() <= 0.0 {
             return Err(None);
         }
         let missing = reserved.saturating_sub(self.tokens);
--- a/crates/core/tests/measuring.rs
+++ b/crates/core/tests/measuring.rs
@@ -73,6 +73,17 @@
     assert!(budget.spent() <= allowed, "{:?}", budget.spent());
 }
 
+#[test]
+fn reserve_with_no_slots_earns_nothing() {
+    let now = Instant::now();
+    let mut budget = Budget::new(settings(), SHARE, now);
+    budget.set_slots(now, 0);
+    let first = budget.reserve(now).expect("the first is there");
+    budget.settle(&first, TIMEOUT);
+    let later = now + Duration::from_hours(1);
+    assert_eq!(budget.reserve(later).err(), Some(None));
+}
+
 #[test]
 fn reserve_with_no_share_allows_only_the_first() {
     let now = Instant::now();
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -70,7 +70,11 @@
     admission: Admission,
     gate: Gate,
     health: Health,
+    /// For probes in doubt: a share of the time of one slot.
     budget: probe::Budget,
+    /// For questions after the pace: the same share of the time of all other slots, so that
+    /// both together stay within it.
+    pace_budget: probe::Budget,
     announcement: Option<Announcement>,
     instance: instance::Register,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
@@ -199,6 +203,7 @@
                 gate: Gate::new(settings.gate.clone(), now),
                 health: Health::new(settings.health.clone()),
                 budget: probe::Budget::new(settings.probe.clone(), share, now),
+                pace_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 announcement: None,
                 instance: instance::Register::default(),
                 waiters: HashMap::new(),
@@ -459,6 +464,7 @@
         let mut state = self.state.lock();
         state.gate.set_preset_drain(now, leaving);
         state.budget.set_share(now, preset.probe_share);
+        state.pace_budget.set_share(now, preset.probe_share);
         drop(state);
         self.publish();
     }
@@ -476,11 +482,12 @@
             slots: announcement.slots,
             leaving,
         });
+        let spent = state.budget.spent() + state.pace_budget.spent();
         let guarded = Guarded {
             load: state.admission.report(now),
             closed,
             doubtful: !state.health.is_ready(),
-            probe_micros: u64::try_from(state.budget.spent().as_micros()).unwrap_or(u64::MAX),
+            probe_micros: u64::try_from(spent.as_micros()).unwrap_or(u64::MAX),
         };
         drop(state);
         self.context.metrics.guarded(&guarded);
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -64,7 +64,8 @@
             .gate
             .announced(now, announcement.state == Announced::Draining);
         state.admission.set_slots(announcement.slots.max(1));
-        state.budget.set_slots(now, announcement.slots);
+        let other_slots = announcement.slots.saturating_sub(1);
+        state.pace_budget.set_slots(now, other_slots);
         state.announcement = Some(announcement);
     }
 
--- a/crates/node/src/guard/pace.rs
+++ b/crates/node/src/guard/pace.rs
@@ -44,7 +44,11 @@
         .ask(announcement.address, &announcement.health_path);
     let answered = tokio::time::timeout(ASK_WITHIN, asked).await;
     let now = Instant::now();
-    guard.state.lock().budget.settle(&reservation, now - began);
+    guard
+        .state
+        .lock()
+        .pace_budget
+        .settle(&reservation, now - began);
     guard.context.metrics.pace_asked();
     match answered {
         Ok(Ok(parts)) => guard.told(now, guard.upstream.load(&parts.headers).as_ref()),
@@ -74,6 +78,6 @@
 fn reserve(guard: &Guard, now: Instant) -> Option<(Announcement, Reservation)> {
     let mut state = guard.state.lock();
     let announcement = state.announcement.clone()?;
-    let reservation = state.budget.reserve(now).ok()?;
+    let reservation = state.pace_budget.reserve(now).ok()?;
     Some((announcement, reservation))
 }
