--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -14,7 +14,7 @@
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::Reason;
 use mintridge_node::operators::Status;
-use mintridge_standin::relay::{Relay, Weather};
+use mintridge_standin::relay::{Condition, Relay};
 use mintridge_standin::scene::{Scene, loopback, wait_for};
 use mintridge_standin::upstream::{Manner, Result as Answer};
 use rstest::rstest;
@@ -290,11 +290,11 @@
 #[tokio::test]
 async fn cut_link_is_not_run_and_heals() {
     let (scene, relay) = relayed().await;
-    relay.set(Weather::Cut);
+    relay.set(Condition::Cut);
     let told = scene.call(ENTRY, &post("cut", "key")).await;
     assert!(told.is_not_run(), "{told:?}");
     assert_eq!(scene.runs("cut"), 0);
-    relay.set(Weather::Clear);
+    relay.set(Condition::Normal);
     loop {
         if scene.call(ENTRY, &get("healed")).await.is_success() {
             break;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -15,10 +15,10 @@
 /// State of the network.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Weather {
+pub enum Condition {
     /// Everything passes.
     #[default]
-    Clear,
+    Normal,
     /// Open connections are broken and new ones refused.
     Cut,
     /// Nothing passes, and nobody is told; new connections hang too.
@@ -30,23 +30,23 @@
 /// A relay from one address to another.
 #[derive(Debug)]
 pub struct Relay {
-    weather: watch::Sender<Weather>,
+    condition: watch::Sender<Condition>,
     lost: Mutex<watch::Sender<bool>>,
 }
 
 impl Default for Relay {
     fn default() -> Self {
         Self {
-            weather: watch::Sender::new(Weather::Clear),
+            condition: watch::Sender::new(Condition::Normal),
             lost: Mutex::new(watch::Sender::new(false)),
         }
     }
 }
 
 impl Relay {
-    /// Changes the weather for all connections, present and future.
-    pub fn set(&self, weather: Weather) {
-        self.weather.send_replace(weather);
+    /// Changes the condition for all connections, present and future.
+    pub fn set(&self, condition: Condition) {
+        self.condition.send_replace(condition);
     }
 
     /// Loses track of the connections open now: they stay open and nothing passes on
@@ -66,15 +66,15 @@
     }
 
     async fn carry(&self, near: TcpStream, target: SocketAddr) {
-        let mut weather = self.weather.subscribe();
-        if weather
-            .wait_for(|now| *now != Weather::Silent)
+        let mut condition = self.condition.subscribe();
+        if condition
+            .wait_for(|now| *now != Condition::Silent)
             .await
             .is_err()
         {
             return;
         }
-        if *weather.borrow() == Weather::Cut {
+        if *condition.borrow() == Condition::Cut {
             return;
         }
         let Ok(far) = TcpStream::connect(target).await else {
@@ -84,40 +84,40 @@
         let lost = self.lost.lock().subscribe();
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
-        let cut = weather.clone();
+        let cut = condition.clone();
         tokio::select! {
-            () = pump(near_read, far_write, weather.clone(), lost.clone(), passes_there) => {}
-            () = pump(far_read, near_write, weather, lost, passes_back) => {}
+            () = pump(near_read, far_write, condition.clone(), lost.clone(), passes_there) => {}
+            () = pump(far_read, near_write, condition, lost, passes_back) => {}
             () = until_cut(cut) => {}
         }
     }
 }
 
-fn passes_there(weather: Weather) -> bool {
-    weather != Weather::Silent
+fn passes_there(condition: Condition) -> bool {
+    condition != Condition::Silent
 }
 
-const fn passes_back(weather: Weather) -> bool {
-    !matches!(weather, Weather::Silent | Weather::NoAnswers)
+const fn passes_back(condition: Condition) -> bool {
+    !matches!(condition, Condition::Silent | Condition::NoAnswers)
 }
 
-async fn until_cut(mut weather: watch::Receiver<Weather>) {
-    let _ = weather.wait_for(|now| *now == Weather::Cut).await;
+async fn until_cut(mut condition: watch::Receiver<Condition>) {
+    let _ = condition.wait_for(|now| *now == Condition::Cut).await;
 }
 
 async fn pump(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
-    mut weather: watch::Receiver<Weather>,
+    mut condition: watch::Receiver<Condition>,
     lost: watch::Receiver<bool>,
-    passes: fn(Weather) -> bool,
+    passes: fn(Condition) -> bool,
 ) {
     let mut chunk = vec![0; CHUNK];
     while let Ok(read @ 1..) = from.read(&mut chunk).await {
         if *lost.borrow() {
             std::future::pending::<()>().await;
         }
-        if weather.wait_for(|now| passes(*now)).await.is_err() {
+        if condition.wait_for(|now| passes(*now)).await.is_err() {
             return;
         }
         if to.write_all(&chunk[..read]).await.is_err() {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -1,12 +1,12 @@
 //! A randomized soak: real nodes as processes, faults from outside them in series that
 //! overlap, and the promises checked while it runs.
 //!
-//! [`plan`] draws from a seed what happens, [`field`] does it, [`callers`] send requests
+//! [`plan`] draws from a seed what happens, [`fleet`] does it, [`callers`] send requests
 //! meanwhile, and [`promises`] says what must hold. A run ends with every fault undone and the
 //! fleet serving again.
 
 pub mod callers;
-pub mod field;
+pub mod fleet;
 pub mod plan;
 pub mod promises;
 
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use self::callers::{Sent, Targets};
-use self::field::Field;
+use self::fleet::Fleet;
 use self::plan::{Entry, Mode};
 use self::promises::Broken;
 use crate::scene::Error;
@@ -72,21 +72,21 @@
 /// If a socket or node cannot be started.
 pub async fn run(settings: &Settings) -> Result<Outcome, Error> {
     let plan = plan::draw(settings.seed, settings.hosts, settings.load);
-    let mut field = Field::start(settings.binary.clone(), settings.hosts).await?;
+    let mut fleet = Fleet::start(settings.binary.clone(), settings.hosts).await?;
     let mut broken = Vec::new();
     let began = Instant::now();
     let sending = tokio::spawn(callers::run(
         settings.seed,
         format!("seed-{}", settings.seed),
-        Targets::clone(&field.targets),
+        Targets::clone(&fleet.targets),
         settings.rate,
         began + settings.load,
     ));
-    play(&mut field, &plan.entries, began, &mut broken).await?;
+    play(&mut fleet, &plan.entries, began, &mut broken).await?;
     let sent = sending.await.unwrap_or_default();
-    recover(&mut field, settings, &mut broken).await?;
-    broken.append(&mut field.versions.broken);
-    let runs = runs(&field);
+    recover(&mut fleet, settings, &mut broken).await?;
+    broken.append(&mut fleet.versions.broken);
+    let runs = runs(&fleet);
     broken.extend(promises::of_answers(&sent, &runs));
     if plan.mode == Mode::Planned {
         broken.extend(promises::of_planned_work(&sent, &runs));
@@ -100,26 +100,26 @@
 
 /// Begins and ends what is planned, in order of time.
 async fn play(
-    field: &mut Field,
+    fleet: &mut Fleet,
     entries: &[Entry],
     began: Instant,
     broken: &mut Vec<Broken>,
 ) -> Result<(), Error> {
     let mut to_begin = entries.iter().peekable();
     let mut to_end: Vec<&Entry> = Vec::new();
-    while to_begin.peek().is_some() || !to_end.is_empty() || field.is_stopping() {
+    while to_begin.peek().is_some() || !to_end.is_empty() || fleet.is_stopping() {
         let now = began.elapsed();
         while let Some(entry) = to_begin.next_if(|entry| now >= entry.at) {
-            field.begin(entry).await;
+            fleet.begin(entry).await;
             to_end.push(entry);
         }
         let (due, later): (Vec<&Entry>, _) = to_end.iter().partition(|entry| now >= entry.until);
         for entry in due {
-            field.end(entry).await?;
+            fleet.end(entry).await?;
         }
         to_end = later;
-        field.look(broken).await?;
-        field.look_at_versions().await;
+        fleet.look(broken).await?;
+        fleet.look_at_versions().await;
         tokio::time::sleep(LOOK_EVERY).await;
     }
     Ok(())
@@ -127,17 +127,17 @@
 
 /// Waits until the fleet serves again, and counts what fails after that.
 async fn recover(
-    field: &mut Field,
+    fleet: &mut Fleet,
     settings: &Settings,
     broken: &mut Vec<Broken>,
 ) -> Result<(), Error> {
     let give_up_at = Instant::now() + RECOVERS_WITHIN;
     loop {
-        field.look(broken).await?;
+        fleet.look(broken).await?;
         let sent = callers::run(
             settings.seed,
             format!("after-{}-{:?}", settings.seed, Instant::now()),
-            Targets::clone(&field.targets),
+            Targets::clone(&fleet.targets),
             settings.rate,
             Instant::now() + AFTERWARDS,
         )
@@ -156,9 +156,9 @@
 }
 
 /// Runs of all requests, over all upstreams.
-fn runs(field: &Field) -> BTreeMap<String, u32> {
+fn runs(fleet: &Fleet) -> BTreeMap<String, u32> {
     let mut runs: BTreeMap<String, u32> = BTreeMap::new();
-    for host in &field.scene.hosts {
+    for host in &fleet.scene.hosts {
         for (id, count) in host.upstream.account().runs {
             *runs.entry(id).or_default() += count;
         }
--- a/crates/standin/src/soak/field.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -12,7 +12,7 @@
 use super::callers::Targets;
 use super::plan::{Entry, Event};
 use super::promises::{Broken, Leaving, Versions};
-use crate::relay::{Relay, Weather};
+use crate::relay::{Condition, Relay};
 use crate::scene::{Error, Plan, Running, Scene, loopback};
 use crate::store::Faults;
 
@@ -28,7 +28,7 @@
 }
 
 /// The fleet.
-pub struct Field {
+pub struct Fleet {
     /// Hosts, upstreams and the store.
     pub scene: Scene,
     /// Where callers find the nodes.
@@ -43,7 +43,7 @@
     faults: Faults,
 }
 
-impl Field {
+impl Fleet {
     /// Starts so many hosts.
     ///
     /// # Errors
@@ -56,7 +56,7 @@
             ..Plan::default()
         })
         .await?;
-        let mut field = Self {
+        let mut fleet = Self {
             scene,
             targets: Targets::default(),
             versions: Versions::default(),
@@ -67,10 +67,10 @@
             faults: Faults::default(),
         };
         for index in 0..hosts {
-            field.add(index).await?;
+            fleet.add(index).await?;
         }
-        field.scene.until_joined().await;
-        Ok(field)
+        fleet.scene.until_joined().await;
+        Ok(fleet)
     }
 
     async fn add(&mut self, index: usize) -> Result<(), Error> {
@@ -154,9 +154,9 @@
                 self.scene.kill(host).await;
             }
             Event::Pause if self.is_up(host) => self.signal(host, Signal::STOP),
-            Event::Peers(weather) => self.networks[host].peers.set(weather),
+            Event::Peers(condition) => self.networks[host].peers.set(condition),
             Event::LosePeers => self.networks[host].peers.lose_open_connections(),
-            Event::StoreLink(weather) => self.networks[host].store.set(weather),
+            Event::StoreLink(condition) => self.networks[host].store.set(condition),
             event => self.store_fault(event, true),
         }
     }
@@ -176,8 +176,8 @@
             Event::Pause if self.scene.hosts[host].node.is_some() => {
                 self.signal(host, Signal::CONT);
             }
-            Event::Peers(_) => self.networks[host].peers.set(Weather::Clear),
-            Event::StoreLink(_) => self.networks[host].store.set(Weather::Clear),
+            Event::Peers(_) => self.networks[host].peers.set(Condition::Normal),
+            Event::StoreLink(_) => self.networks[host].store.set(Condition::Normal),
             event => self.store_fault(event, false),
         }
         Ok(())
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::relay::Weather;
+use crate::relay::Condition;
 
 /// Quiet time at the beginning, so that the first fault meets open connections.
 const FIRST_AT: Duration = Duration::from_millis(700);
@@ -39,11 +39,11 @@
     /// A node is paused until the end.
     Pause,
     /// The network before a node behaves so until the end.
-    Peers(Weather),
+    Peers(Condition),
     /// Connections to a node that are open now fall silent for good.
     LosePeers,
     /// The network between a node and the store behaves so until the end.
-    StoreLink(Weather),
+    StoreLink(Condition),
     /// The store is down until the end.
     StoreDown,
     /// Calls to the store take so many milliseconds longer until the end.
@@ -121,11 +121,11 @@
     match rng.random_range(0..14) {
         0 => Event::Kill,
         1 => Event::Pause,
-        2 => Event::Peers(Weather::Cut),
-        3 => Event::Peers(Weather::Silent),
-        4 => Event::Peers(Weather::NoAnswers),
+        2 => Event::Peers(Condition::Cut),
+        3 => Event::Peers(Condition::Silent),
+        4 => Event::Peers(Condition::NoAnswers),
         5 => Event::LosePeers,
-        6 => Event::StoreLink(Weather::Silent),
+        6 => Event::StoreLink(Condition::Silent),
         7 => Event::StoreDown,
         8 => Event::StoreSlow(rng.random_range(50..400)),
         9 => Event::StoreLosesReplies(rng.random_range(1..6)),
