--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -30,6 +30,11 @@
 /// A slow phase that has lasted this many times the usual goes on, as far as can be known: one
 /// in sixty does, where each phase goes on with a chance of a quarter.
 const PASSING_PHASES: u32 = 3;
+/// A host is in a slow phase when work takes this many percent of what it usually takes there.
+const SLOW_PERCENT: u32 = 150;
+/// An upstream that has just begun takes up to twice the usual, so the first word of a host is
+/// its usual pace up to this.
+const COLD_PERCENT: u32 = 200;
 
 /// What happens to a request that just arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,12 +47,6 @@
     Refuse(Refusal),
 }
 
-/// A host is in a slow phase when work takes this many percent of what it usually takes there.
-const SLOW_PERCENT: u32 = 150;
-/// An upstream that has just begun takes up to twice the usual, so the first word of a host is
-/// its usual pace up to this.
-const COLD_PERCENT: u32 = 200;
-
 /// What to do with a request that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
@@ -122,13 +121,13 @@
     }
 
     /// How long work takes, in percent of what it usually takes on this host.
-    const fn beside_usual(&self) -> u32 {
-        let usual = if self.usual_percent == 0 {
-            1
-        } else {
-            self.usual_percent
-        };
-        self.percent.saturating_mul(100) / usual
+    fn beside_usual(&self) -> u32 {
+        self.percent.saturating_mul(100) / self.usual_percent.max(1)
+    }
+
+    /// When it is no longer believed: a phase may have begun or ended since.
+    fn believed_until(&self, settings: &Settings) -> Instant {
+        self.told_at + settings.slow_phase
     }
 }
 
@@ -205,7 +204,8 @@
         if self.slow_percent(now).is_some() && arrival.only_in_time {
             return Decision::Refuse(self.refusal(now, Reason::Late));
         }
-        if self.can_run() && self.queue.is_empty() && self.may_begin(now, &arrival) {
+        let may_begin = self.beginning(now);
+        if self.can_run() && self.queue.is_empty() && may_begin(self.needed(&arrival)) {
             self.queue.charge(&arrival, weight);
             self.run(now, &arrival);
             return Decision::Admit;
@@ -289,13 +289,10 @@
             return None;
         }
         let (times, mean) = (&self.service_times, self.service_time.mean());
-        let percent = self.slow_percent(now).unwrap_or(0);
-        let phase = self.settings.slow_phase;
-        let arrival = self.queue.pop(
-            now,
-            |arrival| needed(times, mean, arrival),
-            |needed| slow_loss(percent, needed) <= phase,
-        )?;
+        let may_begin = self.beginning(now);
+        let arrival = self
+            .queue
+            .pop(now, |arrival| needed(times, mean, arrival), may_begin)?;
         self.run(now, &arrival);
         Some(Action::Admit(arrival.id))
     }
@@ -311,7 +308,7 @@
         let believed_until = self
             .slowness
             .filter(|told| told.slow_since.is_some())
-            .map(|told| told.told_at + self.settings.slow_phase);
+            .map(|told| told.believed_until(&self.settings));
         Some(believed_until.map_or(first, |until| first.min(until)))
     }
 
@@ -341,23 +338,28 @@
         Refusal::not_run(reason, now + wait)
     }
 
+    /// What the host told, while it is believed.
+    fn believed(&self, now: Instant) -> Option<Slowness> {
+        self.slowness
+            .filter(|told| now < told.believed_until(&self.settings))
+    }
+
     fn slowness_percent(&self, now: Instant) -> u32 {
-        let believed = |told: &Slowness| now < told.told_at + self.settings.slow_phase;
-        let told = self.slowness.filter(believed);
-        told.map_or(0, |told| told.percent)
+        self.believed(now).map_or(0, |told| told.percent)
     }
 
     /// How long work takes, in percent of the usual on this host, if it is in a slow phase.
     fn slow_percent(&self, now: Instant) -> Option<u32> {
-        let believed = |told: &Slowness| now < told.told_at + self.settings.slow_phase;
-        let told = self.slowness.filter(believed)?;
+        let told = self.believed(now)?;
         told.slow_since.map(|_| told.beside_usual())
     }
 
-    /// Whether a request begins now, or waits for the end of a slow phase.
-    fn may_begin(&self, now: Instant, arrival: &Arrival) -> bool {
+    /// What tells whether a request that needs so much time begins now, or waits for the end of
+    /// a slow phase.
+    fn beginning(&self, now: Instant) -> impl Fn(Duration) -> bool + use<> {
         let percent = self.slow_percent(now).unwrap_or(0);
-        slow_loss(percent, self.needed(arrival)) <= self.settings.slow_phase
+        let phase = self.settings.slow_phase;
+        move |needed| slow_loss(percent, needed) <= phase
     }
 
     /// Extra time of a request that begins at this moment, or waits for the end of the phase.
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -191,13 +191,19 @@
     /// table. Symptom: requests go where operators no longer send them. Only higher
     /// versions are taken, wherever they come from.
     pub fn offer(&mut self, offered: Document) -> Offered {
-        if offered.table.version <= self.version() {
+        if !self.is_older_than(offered.table.version) {
             return Offered::NotNewer;
         }
         self.current = Some(Arc::new(offered));
         Offered::Taken
     }
 
+    /// Whether a table of this version would be taken, for a look before the work of reading it.
+    #[must_use]
+    pub fn is_older_than(&self, version: Version) -> bool {
+        self.version() < version
+    }
+
     /// The document in force here; `None` until the first is known.
     #[must_use]
     pub const fn current(&self) -> Option<&Arc<Document>> {
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -301,17 +301,13 @@
     ) -> Poll<io::Result<()>> {
         let mut scratch = [0_u8; SCRATCH];
         let room = buffer.remaining().min(SCRATCH);
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read(&mut scratch[..room]) {
-                Ok(read) => {
-                    buffer.put_slice(&scratch[..read]);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        let stream = &self.stream;
+        let read = ready!(when_ready(
+            || stream.poll_read_ready(cx),
+            || stream.try_read(&mut scratch[..room]),
+        ))?;
+        buffer.put_slice(&scratch[..read]);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -339,6 +335,20 @@
     }
 }
 
+/// Tries as often as the socket says that it is ready; it may turn out not to be.
+fn when_ready<T>(
+    mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
+    mut act: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(poll_ready())?;
+        match act() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
+        }
+    }
+}
+
 /// The socket as the writing side sees it: stubs are read in place of requests.
 struct WriteSide {
     stream: Arc<TcpStream>,
@@ -366,13 +376,10 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        when_ready(
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write(bytes),
+        )
     }
 
     fn poll_write_vectored(
@@ -380,13 +387,10 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write_vectored(buffers) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        when_ready(
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write_vectored(buffers),
+        )
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -186,8 +186,8 @@
                 return;
             }
         };
-        let version = table.version.0;
-        if table.version <= self.state.borrow().routes.version() {
+        let version = table.version;
+        if !self.state.borrow().routes.is_older_than(version) {
             return;
         }
         let packed = match packed.map_or_else(|| packed::pack(source), Ok) {
@@ -199,12 +199,10 @@
         };
         let document = Document { table, packed };
         let mut state = self.state.borrow_mut();
-        if state.routes.offer(document) == route::Offered::NotNewer {
-            return;
-        }
+        state.routes.offer(document);
         let current = state.routes.current().cloned();
         drop(state);
-        log::info!(from = from, version = version; "routing table in force");
+        log::info!(from = from, version = version.0; "routing table in force");
         log::debug!(document:? = current; "contents of the routing table");
         self.context.latest.routes.send_replace(current);
         self.news.notify_one();
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -284,7 +284,11 @@
     if let Some(document) = theirs.in_force {
         control.offer(document);
     }
-    let is_newer = theirs.versions.routes > control.state.borrow().routes.version();
+    let is_newer = control
+        .state
+        .borrow()
+        .routes
+        .is_older_than(theirs.versions.routes);
     if let Some(packed) = theirs.routes.filter(|_| is_newer) {
         take_routes(control, packed);
     }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -86,13 +86,12 @@
                     return Verdict::PassOn(Box::new((response, placed)));
                 }
                 placed.ending = Ending::Avoid;
+                if !self.may_retry(forwarding, Progress::MayHaveRun) {
+                    return Verdict::PassOn(Box::new((response, placed)));
+                }
                 forwarding.may_have_run = true;
                 forwarding.failure = Some((response, placed));
-                if self.may_retry(forwarding, Progress::MayHaveRun) {
-                    return Verdict::Again;
-                }
-                let now = Instant::now();
-                Verdict::GiveUp(Refusal::unknown(Reason::LinkLost, now))
+                Verdict::Again
             }
             Attempt::Refused {
                 refusal,
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -131,12 +131,7 @@
                 Error::Broken(error.into_error())
             }
         })?;
-        connection.unused_after = self.unused_after(response.headers());
-        let busy = Busy {
-            idle: Arc::clone(&self.idle),
-            idle_most: self.idle_most,
-            connection,
-        };
+        let busy = self.busy(connection, response.headers());
         self.sort(&asked, response, busy).await
     }
 
@@ -155,17 +150,12 @@
         let mut connection = self.connection(address).await?;
         let sent = connection.sender.send_request(request).await;
         let response = sent.map_err(Error::Broken)?;
-        connection.unused_after = self.unused_after(response.headers());
+        let busy = self.busy(connection, response.headers());
         let (parts, body) = response.into_parts();
         if self.instance(&parts.headers).is_none() {
             return Err(Error::Foreign);
         }
         body.collect().await.map_err(Error::Broken)?;
-        let busy = Busy {
-            idle: Arc::clone(&self.idle),
-            idle_most: self.idle_most,
-            connection,
-        };
         busy.keep();
         Ok(parts)
     }
@@ -189,6 +179,18 @@
         named(headers, self.names.instance_header.as_deref()).map(Arc::from)
     }
 
+    /// A connection on which an answer with these headers has begun.
+    fn busy(&self, connection: Idle, headers: &HeaderMap) -> Busy {
+        Busy {
+            idle: Arc::clone(&self.idle),
+            idle_most: self.idle_most,
+            connection: Idle {
+                unused_after: self.unused_after(headers),
+                ..connection
+            },
+        }
+    }
+
     async fn connection(&self, address: SocketAddr) -> Result<Idle, Error> {
         if let Some(kept) = self.take_idle(address) {
             return Ok(kept);
