--- a/crates/node/tests/explain.rs
+++ b/crates/node/tests/explain.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use std::{env, fs, process};
+use std::{env, fs};
 
 use common::{Plan, Scene, add_entry, bare_post, hosts, processes, within};
 use mintridge_core::route::{Table, Version};
@@ -62,19 +62,14 @@
     }
 }
 
-/// The logs of one node, as a file.
+/// The logs of one node, as a file named after a port that no other node has.
 fn written(scene: &Scene, index: usize) -> PathBuf {
-    let name = format!("mintridge-logs-{}-{index}", process::id());
-    let nonce = rand_name();
-    let path = env::temp_dir().join(format!("{name}-{nonce}"));
+    let port = scene.addresses(index).callers.port();
+    let path = env::temp_dir().join(format!("mintridge-logs-{port}"));
     fs::write(&path, scene.process(index).logs().join("\n")).expect("written");
     path
 }
 
-fn rand_name() -> String {
-    format!("{:?}", Instant::now()).replace(|letter: char| !letter.is_ascii_digit(), "")
-}
-
 /// A caller's request finds the only slot taken by work that will not end in its time. It is
 /// refused at once; the logs tell the load that decided it.
 #[tokio::test]
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -30,6 +30,21 @@
         .await;
 }
 
+/// Puts ana's preset in force and ben's after it; what the store held in between, and the
+/// latest.
+async fn two_in_force(scene: &Scene) -> (Vec<u8>, InForce) {
+    scene
+        .put_in_force(preset(0.2), "ana")
+        .await
+        .expect("accepted");
+    let old = scene.store.value(IN_FORCE).expect("written");
+    let latest = scene
+        .put_in_force(preset(0.3), "ben")
+        .await
+        .expect("accepted");
+    (old, latest)
+}
+
 fn down() -> Faults {
     Faults {
         down: true,
@@ -247,15 +262,7 @@
 #[tokio::test]
 async fn nothing_old_or_wrong_reverts_what_is_in_force() {
     let scene = processes(hosts(3)).await;
-    scene
-        .put_in_force(preset(0.2), "ana")
-        .await
-        .expect("accepted");
-    let old = scene.store.value(IN_FORCE).expect("written");
-    scene
-        .put_in_force(preset(0.3), "ben")
-        .await
-        .expect("accepted");
+    let (old, _) = two_in_force(&scene).await;
     until_revision(&scene, 2).await;
     scene.store.replay(IN_FORCE, &old);
     scene.store.overwrite(IN_FORCE, &old);
@@ -289,15 +296,7 @@
 #[tokio::test]
 async fn store_from_before_is_brought_up_to_date(#[case] revision: Option<u64>) {
     let scene = processes(hosts(3)).await;
-    scene
-        .put_in_force(preset(0.2), "ana")
-        .await
-        .expect("accepted");
-    let old = scene.store.value(IN_FORCE).expect("written");
-    let latest = scene
-        .put_in_force(preset(0.3), "ben")
-        .await
-        .expect("accepted");
+    let (old, latest) = two_in_force(&scene).await;
     until_revision(&scene, latest.revision.0).await;
     match revision {
         Some(0) => scene.store.overwrite(IN_FORCE, b"{ not a preset"),
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -1,11 +1,13 @@
 //! The fleet of a run: real nodes as processes, each behind relays, and what is done to them.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
+use mintridge_node::settings::Settings;
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
@@ -27,7 +29,7 @@
     store_address: SocketAddr,
 }
 
-/// The fleet.
+/// Nodes and upstreams, with the networks between them.
 pub struct Fleet {
     /// Hosts, upstreams and the store.
     pub scene: Scene,
@@ -48,7 +50,7 @@
     ///
     /// # Errors
     /// If a socket or node cannot be started.
-    pub async fn start(binary: std::path::PathBuf, hosts: usize) -> Result<Self, Error> {
+    pub async fn start(binary: PathBuf, hosts: usize) -> Result<Self, Error> {
         let scene = Scene::start(Plan {
             services: Vec::new(),
             adjust: |settings| settings.node.linger = Duration::from_millis(800),
@@ -88,10 +90,13 @@
         let zone = ZONES[index % ZONES.len()];
         let behaviour = Plan::default().behaviour;
         self.scene
-            .add_with(&name, SERVICE, zone, behaviour, |settings| {
-                settings.listeners.peers_public = Some(peers);
-                settings.store.address = store_address;
-            })
+            .add_with(
+                &name,
+                SERVICE,
+                zone,
+                behaviour,
+                behind(peers, store_address),
+            )
             .await?;
         self.networks.push(network);
         self.targets.lock().push(None);
@@ -103,10 +108,8 @@
     async fn start_node(&mut self, index: usize) -> Result<(), Error> {
         let (listener, peers) = loopback().await?;
         let store_address = self.networks[index].store_address;
-        self.scene.start_node_with(index, |settings| {
-            settings.listeners.peers_public = Some(peers);
-            settings.store.address = store_address;
-        })?;
+        self.scene
+            .start_node_with(index, behind(peers, store_address))?;
         self.connect(index, listener);
         Ok(())
     }
@@ -263,3 +266,11 @@
         !self.stopping.is_empty()
     }
 }
+
+/// Puts a node behind its relays.
+fn behind(peers: SocketAddr, store: SocketAddr) -> impl FnOnce(&mut Settings) {
+    move |settings| {
+        settings.listeners.peers_public = Some(peers);
+        settings.store.address = store;
+    }
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,24 +1,18 @@
-//! The platform's store: compare-and-swap, leases, watches, and faults on command.
+//! The platform's store: compare-and-swap, leases, watches, and faults on command. [`serving`]
+//! speaks for it over HTTP.
+
+mod serving;
 
 use std::collections::BTreeMap;
-use std::io;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use futures_util::stream;
-use http_body_util::StreamBody;
-use hyper::body::Frame;
-use hyper::{Request, Response, StatusCode};
-use mintridge_http::handler::{Answer, Function};
-use mintridge_http::server::{Limits, Phase, Protocol, serve};
-use mintridge_http::{Body, reply};
 use mintridge_store::wire;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use tokio::sync::{broadcast, watch};
 
+pub use self::serving::run;
+
 /// Path that reads and replaces the faults.
 pub const FAULTS: &str = "/standin/faults";
 /// Path that reads the counters.
@@ -323,214 +317,9 @@
         .collect()
 }
 
-/// Serves until `phase` closes.
-pub async fn run(listener: TcpListener, store: Arc<Store>, phase: watch::Receiver<Phase>) {
-    let limits = Limits {
-        connections: 65_536,
-        ..Limits::default()
-    };
-    let handler = Function::new(store, |store, request| -> Answer {
-        Box::pin(answer(store, request))
-    });
-    serve(listener, handler, Protocol::Http1, limits, phase).await;
-}
-
-async fn answer(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
-    let path = request.uri().path().to_owned();
-    match path.as_str() {
-        FAULTS => return set_faults(&store, request).await,
-        CALLS => return reply::json(StatusCode::OK, &store.calls()),
-        _ => {}
-    }
-    let faults = store.inner.lock().faults.clone();
-    if faults.slow_millis > 0 {
-        tokio::time::sleep(Duration::from_millis(faults.slow_millis)).await;
-    }
-    count(&store, &path);
-    if store.inner.lock().faults.down {
-        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
-    }
-    match path.as_str() {
-        wire::RANGE => range(&store, request).await,
-        wire::TXN => txn(store, request).await,
-        wire::GRANT | wire::KEEP_ALIVE | wire::REVOKE => lease(&store, &path, request).await,
-        wire::WATCH => watch(&store, request).await,
-        _ => reply::text(StatusCode::NOT_FOUND, "no such path\n"),
-    }
-}
-
-fn count(store: &Store, path: &str) {
-    let calls = &mut store.inner.lock().calls;
-    match path {
-        wire::RANGE => calls.reads += 1,
-        wire::TXN => calls.writes += 1,
-        wire::WATCH => calls.watches += 1,
-        _ => calls.leases += 1,
-    }
-}
-
-async fn set_faults(store: &Store, request: Request<Body>) -> Response<Body> {
-    match reply::read_json::<Faults, _>(request.into_body(), BODY_MOST).await {
-        Ok(faults) => {
-            store.set_faults(faults);
-            reply::text(StatusCode::OK, "set\n")
-        }
-        Err(error) => bad(&error),
-    }
-}
-
-async fn range(store: &Store, request: Request<Body>) -> Response<Body> {
-    let range: wire::Range = match reply::read_json(request.into_body(), BODY_MOST).await {
-        Ok(range) => range,
-        Err(error) => return bad(&error),
-    };
-    let mut inner = store.inner.lock();
-    inner.data.lapse(Instant::now());
-    let keys = inner.snapshot.as_ref().unwrap_or(&inner.data.keys);
-    let found = wire::RangeReply {
-        header: inner.data.header(),
-        kvs: select(keys, &range),
-    };
-    reply::json(StatusCode::OK, &found)
-}
-
-async fn txn(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
-    let txn: wire::Txn = match reply::read_json(request.into_body(), BODY_MOST).await {
-        Ok(txn) => txn,
-        Err(error) => return bad(&error),
-    };
-    let largest = [txn.compare.len(), txn.success.len(), txn.failure.len()];
-    if largest
-        .into_iter()
-        .any(|length| length > wire::TXN_OPERATIONS_MOST)
-    {
-        return reply::text(
-            StatusCode::BAD_REQUEST,
-            "too many operations in txn request\n",
-        );
-    }
-    if take_one(&store, |faults| &mut faults.late_writes) {
-        let late = Duration::from_millis(store.inner.lock().faults.late_millis);
-        tokio::spawn(async move {
-            tokio::time::sleep(late).await;
-            store.write(txn);
-        });
-        return std::future::pending().await;
-    }
-    let reply = store.write(txn);
-    if take_one(&store, |faults| &mut faults.deny_writes) {
-        return reply::text(StatusCode::SERVICE_UNAVAILABLE, "request timed out\n");
-    }
-    if take_one(&store, |faults| &mut faults.lose_replies) {
-        return std::future::pending().await;
-    }
-    reply::json(StatusCode::OK, &reply)
-}
-
-fn take_one(store: &Store, field: impl Fn(&mut Faults) -> &mut u32) -> bool {
-    let mut inner = store.inner.lock();
-    let left = field(&mut inner.faults);
-    let taken = *left > 0;
-    *left = left.saturating_sub(1);
-    taken
-}
-
-async fn lease(store: &Store, path: &str, request: Request<Body>) -> Response<Body> {
-    let asked: wire::Lease = match reply::read_json(request.into_body(), BODY_MOST).await {
-        Ok(asked) => asked,
-        Err(error) => return bad(&error),
-    };
-    let data = &mut store.inner.lock().data;
-    match path {
-        wire::GRANT => reply::json(StatusCode::OK, &data.grant(asked.ttl)),
-        wire::KEEP_ALIVE => {
-            let result = data.renew(asked.id);
-            reply::json(StatusCode::OK, &wire::Streamed { result })
-        }
-        _ => {
-            data.revoke(asked.id);
-            reply::json(StatusCode::OK, &wire::RangeReply::default())
-        }
-    }
-}
-
-async fn watch(store: &Store, request: Request<Body>) -> Response<Body> {
-    let asked: wire::Watch = match reply::read_json(request.into_body(), BODY_MOST).await {
-        Ok(asked) => asked,
-        Err(error) => return bad(&error),
-    };
-    let asked = asked.create_request;
-    let watching = Watching {
-        events: store.events.subscribe(),
-        cut: store.cut.subscribe(),
-        missed: store.missed(&asked),
-        asked,
-        created: false,
-    };
-    let items = stream::unfold(watching, |mut watching| async move {
-        let item = watching.next().await?;
-        let mut written = serde_json::to_vec(&wire::Streamed { result: item }).ok()?;
-        written.push(b'\n');
-        let frame = Frame::data(Bytes::from(written));
-        Some((Ok::<_, io::Error>(frame), watching))
-    });
-    Response::new(Body::new(StreamBody::new(items)))
-}
-
-struct Watching {
-    asked: wire::WatchCreate,
-    /// Changes made before the watch was opened that it asks for.
-    missed: Vec<wire::KeyValue>,
-    events: broadcast::Receiver<wire::KeyValue>,
-    cut: watch::Receiver<u64>,
-    created: bool,
-}
-
-impl Watching {
-    async fn next(&mut self) -> Option<wire::WatchReply> {
-        if !self.created {
-            self.created = true;
-            return Some(wire::WatchReply {
-                created: true,
-                events: vec![],
-            });
-        }
-        if !self.missed.is_empty() {
-            let missed = std::mem::take(&mut self.missed);
-            return Some(wire::WatchReply {
-                created: false,
-                events: missed.into_iter().map(written).collect(),
-            });
-        }
-        loop {
-            let kv = tokio::select! {
-                event = self.events.recv() => event.ok()?,
-                _ = self.cut.changed() => return None,
-            };
-            if covers(&self.asked, &kv.key) {
-                return Some(wire::WatchReply {
-                    created: false,
-                    events: vec![written(kv)],
-                });
-            }
-        }
-    }
-}
-
-fn written(kv: wire::KeyValue) -> wire::Event {
-    wire::Event {
-        kind: wire::EventKind::Put,
-        kv,
-    }
-}
-
 fn covers(asked: &wire::WatchCreate, key: &[u8]) -> bool {
     if asked.range_end.is_empty() {
         return key == asked.key;
     }
     (asked.key.as_slice()..asked.range_end.as_slice()).contains(&key)
 }
-
-fn bad(error: &reply::BadBody) -> Response<Body> {
-    reply::text(StatusCode::BAD_REQUEST, format!("{error}\n"))
-}
