test(leaving): cut the entry off from what its own announcements bring back

Cause: the node that is to hear nobody had three of its four channels closed (rounds, exchanges of others, the store). The fourth is the push that it begins itself when its upstream is found: the answer of that exchange carries the news of peers. Beside load the upstream is found only after the other host drains, so the deaf entry learns of the drain and never tries it.

Ruled out earlier: the ramp.

Change: that node pushes to nobody, and the relay by which it joined is cut once it knows both hosts. The assertions stay as they were.

--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -10,7 +10,8 @@
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
 use mintridge_node::operators::Status;
-use mintridge_standin::scene::{Scene, wait_for};
+use mintridge_standin::relay::{Condition, Relay};
+use mintridge_standin::scene::{Scene, loopback, wait_for};
 use mintridge_standin::store::Faults;
 use rstest::rstest;
 use rustix::process::Signal;
@@ -214,16 +215,22 @@
 /// A node that is cut off from peers and store still believes what it knew: it goes on
 /// sending to a host that left. The guard there refuses as not run, the request goes to
 /// another host, and its caller notices nothing.
+///
+/// A node hears of others also when it tells them of its own upstream, which may be found
+/// only after the host drains: it tells nobody, and the one link by which it joined is cut.
 #[tokio::test]
 async fn entry_that_was_cut_off_sends_to_a_leaving_host_in_vain() {
     let mut scene = processes(hosts(2)).await;
-    let peers = vec![scene.addresses(0).control];
+    let (listener, joins_through) = loopback().await.expect("a free port");
+    let relay = Arc::new(Relay::default());
+    tokio::spawn(Arc::clone(&relay).run(listener, scene.addresses(0).control));
     scene
         .add_with("deaf", "other", "zone-a", <_>::default(), |settings| {
-            settings.peers = peers;
+            settings.peers = vec![joins_through];
             settings.membership.period = Duration::from_hours(1);
             settings.membership.answer_within = Duration::from_secs(20);
             settings.control.connections_most = 0;
+            settings.control.push_to = 0;
             settings.store.address = ([127, 0, 0, 1], 1).into();
         })
         .await
@@ -236,6 +243,7 @@
         others.count() == 2
     };
     scene.until_of(&[2], "it knows both", knows_both).await;
+    relay.set(Condition::Cut);
     scene.announce(0, State::Draining);
     scene
         .until_of(&[0], "its guard knows", |status| {
