test(window): let the other side's first words come before the upload

Cause: the size of the window is told in the first frame of the other side. The test sent its upload on a connection that had heard nothing yet, so on a busy machine the protocol's own window of 64 KB held, and the whole body of 60 KB was sent. The product does not: a new link answers a cheap request before it is used (link::Links::ready), by which that frame has come.

Change: the test checks its connection in the same way first. Its bound is as it was.

--- a/crates/http/tests/window.rs
+++ b/crates/http/tests/window.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hyper::body::{Body as HttpBody, Frame};
 use hyper::client::conn::http2;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use mintridge_http::handler::{Answer, Function};
 use mintridge_http::server::{Limits, Phase, Protocol, serve};
@@ -28,6 +28,15 @@
     taken: Arc<AtomicUsize>,
 }
 
+impl Upload {
+    /// A body of which nothing is left.
+    fn finished() -> Self {
+        Self {
+            taken: Arc::new(AtomicUsize::new(LENGTH)),
+        }
+    }
+}
+
 impl HttpBody for Upload {
     type Data = Bytes;
     type Error = Infallible;
@@ -44,8 +53,12 @@
     }
 }
 
-/// Refuses when told to, without a look at the body.
-async fn refuse(refused: Arc<Notify>, _: Request<Body>) -> Response<Body> {
+/// Answers a check of the link at once, and refuses anything else when told to, without a look
+/// at the body.
+async fn refuse(refused: Arc<Notify>, request: Request<Body>) -> Response<Body> {
+    if request.method() == Method::GET {
+        return reply::text(StatusCode::OK, "here\n");
+    }
     refused.notified().await;
     reply::text(StatusCode::SERVICE_UNAVAILABLE, "not here\n")
 }
@@ -53,6 +66,10 @@
 /// A request with an upload comes to a host that looks at its header section alone and refuses
 /// it a little later. Its caller sees a refusal; between the two a small part of the body has
 /// travelled, and the rest is still there for the next host.
+///
+/// How much may travel is told by the other side in its first words. A link is checked by a cheap
+/// request before it is used, so they have come; without one, on a busy machine, the whole body
+/// is sent before them.
 #[tokio::test(flavor = "multi_thread")]
 async fn serve_takes_little_of_a_body_that_nobody_reads() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -77,6 +94,9 @@
         .await
         .expect("HTTP/2");
     tokio::spawn(connection);
+    let check = Request::get("http://host/").body(Upload::finished());
+    let checked = sender.send_request(check.expect("a request")).await;
+    assert_eq!(checked.expect("an answer").status(), StatusCode::OK);
     let taken = Arc::new(AtomicUsize::new(0));
     let upload = Upload {
         taken: Arc::clone(&taken),
