fix(placement): take hosts heard of just after the start as warm

Cause: a node that starts hears of its hosts in two steps (the exchange in which it joins, then the table). Only those of the first were taken as there before it; those of the second were taken for new and compared with a chance of 5 in 100 at first. Seen in the state of a node whose test failed: both hosts known and open, and 20 of 20 requests sent to the one in another zone.

Change: for two seconds after the first host is known, hosts that are heard of are warm.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -19,6 +19,9 @@
 
 /// Chance that a host which has just joined is compared at all.
 const RAMP_LEAST: f64 = 0.05;
+/// A node hears of the hosts that are there within this time after the first of them: by the
+/// exchange in which it joins, the table that follows, and a few rounds.
+const LEARNS_FOR: Duration = Duration::from_secs(2);
 /// Cost added to a host to be avoided, in seconds: above any real wait.
 const AVOIDED_SECONDS: f64 = 60.0;
 
@@ -53,6 +56,8 @@
 pub struct Placement {
     settings: Settings,
     services: BTreeMap<Arc<str>, Vec<Candidate>>,
+    /// When the hosts that were there before this node are known; `None` until the first is.
+    learnt_at: Option<Instant>,
     rng: ChaCha8Rng,
 }
 
@@ -76,6 +81,7 @@
         Self {
             settings,
             services: BTreeMap::new(),
+            learnt_at: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -87,7 +93,11 @@
 
     /// Takes the upstreams that may be chosen now; knowledge of those that stay is kept.
     pub fn update(&mut self, now: Instant, upstreams: &[Upstream]) {
-        let first = self.services.is_empty();
+        if upstreams.is_empty() {
+            self.services.clear();
+            return;
+        }
+        let learnt_at = *self.learnt_at.get_or_insert(now + LEARNS_FOR);
         let mut old = std::mem::take(&mut self.services);
         for upstream in upstreams {
             let known = old
@@ -98,7 +108,7 @@
                     upstream: upstream.clone(),
                     ..known
                 },
-                None => self.join(now, upstream, first),
+                None => self.join(now, upstream, now < learnt_at),
             };
             self.services
                 .entry(Arc::clone(&upstream.service))
@@ -191,8 +201,11 @@
 
     /// A host that joins a running fleet is cold and takes its share slowly; one
     /// that is there when this node starts is taken as warm.
-    fn join(&self, now: Instant, upstream: &Upstream, first: bool) -> Candidate {
-        let ramp = if first {
+    ///
+    /// Failure: a node that starts hears of its hosts in two steps, and takes those of the second
+    /// for new. Symptom: for seconds nearly all of its requests go to the few of the first.
+    fn join(&self, now: Instant, upstream: &Upstream, was_there: bool) -> Candidate {
+        let ramp = if was_there {
             Duration::ZERO
         } else {
             self.settings.ramp
