perf(link): close links that were idle for five seconds

Cause: each node meets nearly every other now and then, and no link was ever closed: 28 to 34 MB and 663 to 828 open files of a node in a fleet of 312 to 407, some 75 KB for each further host.

Change: a link on which nothing was heard for five seconds is closed; a link that was idle for one second is checked by a request anyway, so a new one costs one trip more. A gauge counts open links.

--- a/crates/node/src/configs/link.rs
+++ b/crates/node/src/configs/link.rs
@@ -17,6 +17,10 @@
     /// Time for that check; a link that misses it is replaced.
     #[serde(with = "humantime_serde")]
     pub check_within: Duration,
+    /// A link that was silent for this long is closed. An open one holds some 35 KB on either
+    /// side, and a new one takes one more trip than the check of an old one.
+    #[serde(with = "humantime_serde")]
+    pub close_after_idle: Duration,
     /// How often a link with requests in progress is checked.
     #[serde(with = "humantime_serde")]
     pub ping_every: Duration,
@@ -31,6 +35,7 @@
             connect_within: Duration::from_millis(300),
             check_after_idle: Duration::from_secs(1),
             check_within: Duration::from_millis(250),
+            close_after_idle: Duration::from_secs(5),
             ping_every: Duration::from_millis(500),
             ping_within: Duration::from_millis(700),
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -139,6 +139,8 @@
 async fn publish_often(entry: Arc<Entry>) {
     loop {
         entry.publish();
+        let open = entry.links.close_idle(Instant::now());
+        entry.context.metrics.links(open);
         tokio::time::sleep(PUBLISH_EVERY).await;
     }
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -64,6 +64,26 @@
         self.slots.lock().retain(|address, _| in_use(address));
     }
 
+    /// Closes links that nothing was heard on for long; one that still carries a request ends
+    /// with it.
+    ///
+    /// Failure: in a fleet of hundreds each node meets nearly every other now and then. Symptom:
+    /// memory and open files of a node follow the size of the fleet.
+    ///
+    /// Returns how many are left.
+    pub fn close_idle(&self, now: Instant) -> usize {
+        let is_idle = |link: &Open| now > link.heard_at + self.settings.close_after_idle;
+        let mut slots = self.slots.lock();
+        slots.retain(|_, slot| {
+            // A link whose lock is held is in use at this moment.
+            let Ok(open) = slot.open.try_lock() else {
+                return true;
+            };
+            open.as_ref().is_some_and(|link| !is_idle(link))
+        });
+        slots.len()
+    }
+
     /// Sends a request and waits for the head of the response.
     ///
     /// # Errors
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -68,6 +68,7 @@
     limit: Gauge,
     probe_micros: Gauge,
     members: Gauge,
+    links: Gauge,
     revision: Gauge,
 }
 
@@ -94,6 +95,7 @@
             limit: Gauge::default(),
             probe_micros: Gauge::default(),
             members: Gauge::default(),
+            links: Gauge::default(),
             revision: Gauge::default(),
         };
         metrics.register();
@@ -150,6 +152,7 @@
         registry.register("probe_microseconds", help, self.probe_micros.clone());
         let help = "Hosts that are there, this one included";
         registry.register("members", help, self.members.clone());
+        registry.register("links", "Open links to peers", self.links.clone());
         let help = "Revision of the preset in force here";
         registry.register("preset_revision", help, self.revision.clone());
     }
@@ -248,6 +251,11 @@
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
     }
 
+    /// So many links to peers are open.
+    pub fn links(&self, open: usize) {
+        self.links.set(i64::try_from(open).unwrap_or(i64::MAX));
+    }
+
     /// All counters in the text format.
     ///
     /// # Errors
