fix(membership): a node that is cut off tells nobody whom it takes for dead

Cause: a peer that answered neither directly nor through relays was suspected and told to all, also where the relays did not answer either. A node that is cut off so takes everyone for dead, and once it is back it spreads that: each host is out of use everywhere until it has spoken up.

Change: what no other node confirms is this node's own guess. It counts for its own choice of hosts, is told to nobody, and is over with the first answer or the word of another. A node that takes all others for dead goes on asking those it has not forgotten, so it needs no store to find them again.

Test: core/membership unanswered_alone_is_told_to_nobody, which failed before.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -101,6 +101,8 @@
 struct Entry {
     record: Record,
     changes_at: Option<Instant>,
+    /// Whether its standing is what this node alone has seen, and is told to nobody.
+    own_guess: bool,
 }
 
 impl Table {
@@ -135,6 +137,17 @@
         std::iter::once(&self.own).chain(self.others().filter(|record| record.is_present()))
     }
 
+    /// Whether any other host is taken to be there.
+    #[must_use]
+    pub fn knows_peers(&self) -> bool {
+        self.others().any(Record::is_present)
+    }
+
+    /// Puts records into a random order.
+    pub fn shuffle(&mut self, records: &mut [Record]) {
+        records.shuffle(&mut self.rng);
+    }
+
     /// Takes the state of the upstream beside this node; true if it changed.
     pub fn set_upstream(&mut self, upstream: Option<Upstream>) -> bool {
         if self.own.upstream == upstream {
@@ -158,10 +171,11 @@
         if record.host == self.own.host {
             return self.refute(&record);
         }
-        if let Some(entry) = self.others.get(&record.host)
-            && !record.outweighs(&entry.record)
-        {
-            return false;
+        if let Some(entry) = self.others.get(&record.host) {
+            let speaks_up = entry.own_guess && record.version == entry.record.version;
+            if !speaks_up && !record.outweighs(&entry.record) {
+                return false;
+            }
         }
         let known = self.others.contains_key(&record.host);
         if !known && !record.is_present() {
@@ -169,8 +183,14 @@
         }
         let host = Arc::clone(&record.host);
         let changes_at = self.change_due(now, record.standing);
-        self.others
-            .insert(Arc::clone(&host), Entry { record, changes_at });
+        self.others.insert(
+            Arc::clone(&host),
+            Entry {
+                record,
+                changes_at,
+                own_guess: false,
+            },
+        );
         self.spread(host);
         true
     }
@@ -180,14 +200,19 @@
         let Some(entry) = self.others.get_mut(host) else {
             return;
         };
-        if entry.record.standing == Standing::Suspect {
+        if entry.own_guess || entry.record.standing == Standing::Suspect {
             entry.record.standing = Standing::Alive;
             entry.changes_at = None;
+            entry.own_guess = false;
         }
     }
 
-    /// A peer answered neither directly nor through others.
-    pub fn unanswered(&mut self, now: Instant, host: &str) {
+    /// A peer answered neither directly nor through others; `confirmed` if one of those said so.
+    ///
+    /// Failure: this node is cut off. Symptom: it takes all others for dead, one after the other,
+    /// and once it is back it tells them so; each is out of use everywhere until it has spoken
+    /// up. What no other node confirms counts here alone.
+    pub fn unanswered(&mut self, now: Instant, host: &str, confirmed: bool) {
         let due = self.change_due(now, Standing::Suspect);
         let Some(entry) = self.others.get_mut(host) else {
             return;
@@ -197,8 +222,11 @@
         }
         entry.record.standing = Standing::Suspect;
         entry.changes_at = due;
+        entry.own_guess = !confirmed;
         let host = Arc::clone(&entry.record.host);
-        self.spread(host);
+        if confirmed {
+            self.spread(host);
+        }
     }
 
     /// Turns suspects into dead and forgets the long dead; true if anything changed.
@@ -215,15 +243,20 @@
         !due.is_empty()
     }
 
-    /// The peer for the next round: each once in a random order before any again.
+    /// The peer for the next round: each once in a random order before any again. A node that
+    /// takes all others for dead asks those it has not forgotten: it may have been cut off.
     pub fn next_peer(&mut self) -> Option<Record> {
         if self.round.is_empty() {
             self.round = self.present_others();
+            if self.round.is_empty() {
+                self.round = self.others.keys().cloned().collect();
+            }
             self.round.shuffle(&mut self.rng);
         }
+        let alone = !self.knows_peers();
         while let Some(host) = self.round.pop() {
-            let present = self.others.get(&host).map(|entry| &entry.record);
-            if let Some(record) = present.filter(|record| record.is_present()) {
+            let known = self.others.get(&host).map(|entry| &entry.record);
+            if let Some(record) = known.filter(|record| alone || record.is_present()) {
                 return Some(record.clone());
             }
         }
@@ -322,7 +355,9 @@
         if entry.record.standing == Standing::Suspect {
             entry.record.standing = Standing::Dead;
             entry.changes_at = due;
-            self.spread(Arc::clone(host));
+            if !entry.own_guess {
+                self.spread(Arc::clone(host));
+            }
             return;
         }
         self.others.remove(host);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -93,7 +93,7 @@
     let now = Instant::now();
     let mut table = table("a", 1);
     table.merge(now, record("b", 1));
-    table.unanswered(now, "b");
+    table.unanswered(now, "b", true);
     assert_eq!(
         table.present().count(),
         2,
@@ -112,7 +112,7 @@
     let mut other = table("a", 1);
     let mut frozen = table("b", 2);
     other.merge(now, frozen.own().clone());
-    other.unanswered(now, "b");
+    other.unanswered(now, "b", true);
     other.tick(now + Duration::from_secs(3));
     let death = Record {
         standing: Standing::Dead,
@@ -186,3 +186,31 @@
     other.merge(now, before);
     assert_eq!(other.present().count(), 1);
 }
+
+/// A node is cut off for ten seconds: neither peers nor those it would ask about them answer. It
+/// takes them for dead, tells nobody so, and asks them again; the first answer brings each back,
+/// as does the word of another. If it told what it guessed, all hosts would be out of use
+/// everywhere until each had spoken up.
+#[test]
+fn unanswered_alone_is_told_to_nobody() {
+    let mut now = Instant::now();
+    let mut cut_off = table("a", 1);
+    for host in ["b", "c", "d"] {
+        cut_off.merge(now, record(host, 1));
+    }
+    while !cut_off.take_news().is_empty() {}
+    for host in ["b", "c", "d"] {
+        cut_off.unanswered(now, host, false);
+    }
+    now += Duration::from_secs(10);
+    cut_off.tick(now);
+    assert!(!cut_off.knows_peers());
+    assert_eq!(cut_off.take_news(), []);
+    let asked = cut_off.next_peer().expect("those it knew");
+    cut_off.answered(&asked.host);
+    assert!(cut_off.knows_peers());
+    for host in ["b", "c", "d"] {
+        cut_off.merge(now, record(host, 1));
+    }
+    assert_eq!(cut_off.present().count(), 4);
+}
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -64,18 +64,19 @@
         return;
     }
     let relays = control.state.borrow_mut().table.relays(&record.host);
+    let mut confirmed = false;
     for relay in relays {
-        if ask(&control, &relay, &record).await.unwrap_or(false) {
-            return;
+        match ask(&control, &relay, &record).await {
+            Ok(true) => return,
+            Ok(false) => confirmed = true,
+            Err(error) => log::debug!(relay = &*relay.host, error:% = error; "relay not asked"),
         }
     }
-    log::info!(host = &*record.host; "host does not answer");
+    log::info!(host = &*record.host, confirmed = confirmed; "host does not answer");
     let now = Instant::now();
-    control
-        .state
-        .borrow_mut()
-        .table
-        .unanswered(now, &record.host);
+    let mut state = control.state.borrow_mut();
+    state.table.unanswered(now, &record.host, confirmed);
+    drop(state);
     control.publish();
 }
 
