perf(bootstrap): ask peers before the store; regular use of it only once settled

Change (docs/design/starts.md): hosts named in the settings are asked together and again, the routing table is read after 40 to 80 ms if no peer brought it, the seeds are listed after 60 to 120 ms by a read that may lag, rarely while cut off; a node is a regular user after two seconds on the platform. A first start without names is spread over two seconds, few early. Regular users list the seeds by reads that may lag and watch for up to 12 s.

Test: core/bootstrap replays starts of 12, 300 and 510 nodes against a store that counts.

--- a/crates/core/src/configs.rs
+++ b/crates/core/src/configs.rs
@@ -3,6 +3,7 @@
 //! Durations are written with their unit, as in `"500ms"` or `"3s"`.
 
 pub mod admission;
+pub mod bootstrap;
 pub mod claim;
 pub mod gate;
 pub mod health;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,16 +11,18 @@
 //! |---|---|
 //! | which host? | [`placement`] |
 //! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
-//! | may it run now, or wait, and in which order? | [`admission`] by [`queue`], [`work`], [`pace`] and [`limit`], closed by [`gate`] and [`health`] |
+//! | may it run now, or wait, and in which order? | [`admission`] by [`queue`], [`shares`], [`work`], [`pace`] and [`limit`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
 //! | what is the caller told? | [`outcome`] |
 //!
 //! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
-//! in force) and [`probe`] (what measuring may cost).
+//! in force), [`bootstrap`] (when a node turns to the store) and [`probe`] (what measuring
+//! may cost).
 
 pub mod admission;
 pub mod attempts;
 pub mod audience;
+pub mod bootstrap;
 pub mod claim;
 pub mod configs;
 pub mod ewma;
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -10,8 +10,9 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
+use mintridge_core::bootstrap::{self, Bootstrap, Known, Named};
 use mintridge_core::membership::{Record, Standing, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
 use mintridge_core::route::{self, Document};
@@ -34,13 +35,13 @@
     state: RefCell<State>,
     /// Something changed that peers should hear at once.
     news: Notify,
-    started_at: Instant,
     /// The store answers again after an outage, in which entries may have lapsed.
     store_regained: Cell<bool>,
 }
 
 struct State {
     table: Table,
+    bootstrap: Bootstrap,
     register: Register,
     routes: route::Register,
     heard_at: Option<Instant>,
@@ -56,6 +57,7 @@
         .run_until(async {
             control.publish();
             tokio::task::spawn_local(peer::serve(Rc::clone(&control), listener));
+            tokio::task::spawn_local(exchange::join(Rc::clone(&control)));
             tokio::task::spawn_local(exchange::rounds(Rc::clone(&control)));
             tokio::task::spawn_local(exchange::pushes(Rc::clone(&control)));
             tokio::task::spawn_local(holder::work(Rc::clone(&control)));
@@ -113,7 +115,14 @@
             standing: Standing::Alive,
             upstream: None,
         };
-        let seed = context.incarnation ^ u64::from(context.addresses.control.port());
+        let seed = bootstrap::seed(context.host(), context.incarnation);
+        let bootstrap = Bootstrap::new(
+            settings.bootstrap.clone(),
+            settings.control.isolated_after,
+            Instant::now(),
+            named(&context),
+            seed,
+        );
         Self {
             store: Client::with_dialect(
                 settings.store.address,
@@ -122,6 +131,7 @@
             ),
             state: RefCell::new(State {
                 table: Table::new(settings.membership.clone(), own, seed),
+                bootstrap,
                 register: Register::default(),
                 routes: route::Register::default(),
                 heard_at: None,
@@ -129,7 +139,6 @@
                 seed_lease: None,
             }),
             news: Notify::new(),
-            started_at: Instant::now(),
             store_regained: Cell::new(false),
             context,
         }
@@ -248,16 +257,35 @@
         self.context.latest.refreshed.send_replace(asked_at);
     }
 
-    /// Whether this node uses the store itself: it is one of the few of its zone that do, or
-    /// it may be cut off from all others.
-    fn uses_store(&self, now: Instant) -> bool {
-        self.is_isolated(now) || self.state.borrow().table.is_holder()
+    /// What this node knows, as far as its use of the store depends on it.
+    fn known(&self) -> Known {
+        let state = self.state.borrow();
+        let needs_routes = self.context.settings.routes.key.is_some();
+        Known {
+            heard_at: state.heard_at,
+            peers: state.table.knows_peers(),
+            routes: !needs_routes || state.routes.current().is_some(),
+            holder: state.table.is_holder(),
+        }
     }
 
-    /// Whether no peer has been heard for a while.
-    fn is_isolated(&self, now: Instant) -> bool {
-        let limit: Duration = self.context.settings.control.isolated_after;
-        let heard_at = self.state.borrow().heard_at;
-        heard_at.is_none_or(|at| now.duration_since(at) > limit)
+    /// Whether this node follows the store: it is one of the few of its zone that do, or it may
+    /// be cut off from all others.
+    fn follows_store(&self, now: Instant) -> bool {
+        let known = self.known();
+        self.state.borrow().bootstrap.follows(now, known)
+    }
+}
+
+/// Which hosts the settings name to join through.
+fn named(context: &Context) -> Named {
+    let own = context.addresses.control;
+    let named = exchange::named(&context.settings);
+    if named.is_empty() {
+        Named::Nobody
+    } else if named.contains(&own) {
+        Named::Own
+    } else {
+        Named::Others
     }
 }
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -14,9 +14,16 @@
 use super::{Control, codec, peer};
 use crate::packed;
 use crate::peer_capnp::peer as peer_rpc;
+use crate::settings::Settings;
 
 /// Longest life of a connection for exchanges.
 pub const CONNECTION_MOST: Duration = Duration::from_secs(10);
+/// First pause between two attempts to join through the hosts named in the settings.
+const JOIN_AGAIN_LEAST: Duration = Duration::from_millis(50);
+/// Longest such pause.
+const JOIN_AGAIN_MOST: Duration = Duration::from_millis(500);
+/// Exchanges with differing tables before a node that has just started asks for a whole one.
+const PULL_AFTER_AT_START: u32 = 3;
 /// Pause after a failed accept.
 pub const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -52,7 +59,7 @@
             Some(record) => {
                 tokio::task::spawn_local(round(Rc::clone(&control), record));
             }
-            None => join(&control).await,
+            None => log::trace!("no peer is known"),
         }
     }
 }
@@ -98,19 +105,41 @@
     futures_util::future::join_all(exchanges).await;
 }
 
-/// Finds the fleet through the addresses in the settings.
-async fn join(control: &Rc<Control>) {
+/// Finds the fleet through the hosts named in the settings: asks all of them at once, again and
+/// again, until a peer is known.
+///
+/// Failure: all hosts start together, and a named one listens a moment later than this one asks.
+/// Symptom: asked once, or one after the other with a timeout each, nobody is found in time and
+/// the whole fleet turns to the store.
+pub async fn join(control: Rc<Control>) {
     let own = control.context.addresses.control;
-    let settings = &control.context.settings;
-    for named in &settings.peers {
-        let port = settings.peers_port.unwrap_or(named.port());
-        let address = SocketAddr::new(named.ip(), port);
-        if address != own && join_at(control, address).await.is_ok() {
-            return;
+    let mut named = named(&control.context.settings);
+    named.retain(|address| *address != own);
+    let mut pause = JOIN_AGAIN_LEAST;
+    while !named.is_empty() {
+        if !control.known().peers {
+            let joining = named
+                .iter()
+                .map(|address| Box::pin(join_at(&control, *address)));
+            let joined = futures_util::future::select_ok(joining).await;
+            if let Err(error) = joined {
+                log::debug!(error:% = error; "no named host answers");
+            }
         }
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(JOIN_AGAIN_MOST);
     }
 }
 
+/// Control addresses of the hosts named in the settings.
+pub fn named(settings: &Settings) -> Vec<SocketAddr> {
+    let port_of = |named: &SocketAddr| settings.peers_port.unwrap_or(named.port());
+    let named = settings.peers.iter();
+    named
+        .map(|named| SocketAddr::new(named.ip(), port_of(named)))
+        .collect()
+}
+
 /// Joins through one peer: an exchange, then its whole table.
 pub async fn join_at(control: &Rc<Control>, address: SocketAddr) -> Result<(), Error> {
     with(control, address).await?;
@@ -180,7 +209,8 @@
 ///
 /// Failure: a record was missed by all the rounds that spread it. Symptom: two nodes
 /// disagree for good. A lasting difference of the digests shows it; a short one is news
-/// on its way and costs nothing more.
+/// on its way and costs nothing more. A node that has just started may know a few of hundreds,
+/// and asks sooner.
 async fn compare(control: &Rc<Control>, address: SocketAddr, theirs: u64) {
     let pull_due = {
         let mut state = control.state.borrow_mut();
@@ -189,7 +219,13 @@
         } else {
             state.differing += 1;
         }
-        state.differing >= control.context.settings.control.pull_after
+        let settled = state.bootstrap.is_settled(Instant::now());
+        let pull_after = if settled {
+            control.context.settings.control.pull_after
+        } else {
+            PULL_AFTER_AT_START
+        };
+        state.differing >= pull_after
     };
     if !pull_due {
         return;
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -17,7 +17,7 @@
 use super::Control;
 
 /// How often a node looks whether it has begun to use the store.
-const LOOK_EVERY: Duration = Duration::from_millis(250);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
 /// Pause after a failed call: two fit into the time in which a change must be in force, and a
 /// store that is out is asked no more often than that.
 const AGAIN_AFTER: Duration = Duration::from_millis(600);
@@ -46,7 +46,10 @@
     let mut lost = false;
     let mut stagger = Stagger::new(control.context.host());
     loop {
-        if !control.uses_store(Instant::now()) {
+        if kind == Kind::Routes {
+            read_first(&control, key).await;
+        }
+        if !control.follows_store(Instant::now()) {
             tokio::time::sleep(LOOK_EVERY).await;
             continue;
         }
@@ -62,6 +65,23 @@
     }
 }
 
+/// Reads the routing table once, if it is time to do without peers that have it.
+async fn read_first(control: &Rc<Control>, key: &str) {
+    let now = Instant::now();
+    let known = control.known();
+    if !control.state.borrow().bootstrap.reads_routes(now, known) {
+        return;
+    }
+    control.context.metrics.store_call("read");
+    match control.store.read(key).await {
+        Ok((Some(item), _)) => control.offer_routes("store", &item.value, None),
+        Ok((None, _)) => log::info!(key = key; "no routing table in the store yet"),
+        Err(error) => log::info!(key = key, error:% = error; "routing table not read"),
+    }
+    let now = Instant::now();
+    control.state.borrow_mut().bootstrap.found_no_routes(now);
+}
+
 /// Reads the document, then watches it until the next read is due.
 ///
 /// Failure: a watch falls silent without breaking, or its answer is lost. Symptom: a change
@@ -86,7 +106,7 @@
     control.heard(asked_at);
     take_read(control, kind, found).await;
     let read_again_at = asked_at + settings.store_read_every;
-    while Instant::now() < read_again_at && control.uses_store(Instant::now()) {
+    while Instant::now() < read_again_at && control.follows_store(Instant::now()) {
         control.context.metrics.store_call("watch");
         let wait = match kind {
             Kind::Preset => read_again_at.saturating_duration_since(Instant::now()),
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -3,10 +3,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use mintridge_core::bootstrap::{self, Step};
 use mintridge_core::membership::Record;
 use mintridge_store::client::Error;
 use mintridge_store::keys;
-use mintridge_store::operation::{Item, Put, Swap};
+use mintridge_store::operation::{Freshness, Item, Put, Swap};
 
 use super::{Control, exchange};
 
@@ -16,33 +17,29 @@
 /// was away must be back within two seconds of its return, which holds two such pauses, a
 /// call that times out and the calls that write the entry.
 const SEEDS_AGAIN: Duration = Duration::from_millis(500);
-/// The same pause for a while after the start: all nodes may be starting, and those found in
-/// the list listen a moment later.
-const SEEDS_AGAIN_AT_START: Duration = Duration::from_millis(150);
-/// How long that is: some six calls; a fleet that starts at once must keep to the store's rates.
-const STARTS_FOR: Duration = Duration::from_secs(1);
-/// A node that hears nobody writes its entry only after this long: most hear a peer within
-/// a second of the start and turn out to be none of the few that need an entry.
-const ENTRY_WHEN_ALONE_AFTER: Duration = Duration::from_secs(2);
-
-/// Keeps the seeds, as long as this node holds.
-///
-/// A node that hears no peer reads the store too: it may be cut off from them alone.
+/// Entries joined at once by a node that knows nobody: one of them may be of a host that ended,
+/// and each that answers sends its whole table.
+const JOINED_AT_ONCE: usize = 3;
+
+/// Keeps the seeds, as long as this node follows the store, and looks for others there while it
+/// knows nobody.
 pub async fn work(control: Rc<Control>) {
-    let settings = &control.context.settings.control;
     let mut seeds_at = Instant::now();
     loop {
         let now = Instant::now();
         if control.store_regained.take() {
             seeds_at = now;
         }
-        if control.uses_store(now) && now >= seeds_at {
+        let known = control.known();
+        if control.state.borrow().bootstrap.looks(now, known) {
+            look_for_others(&control).await;
+            let now = Instant::now();
+            control.state.borrow_mut().bootstrap.found_nobody(now);
+        } else if control.follows_store(now) && now >= seeds_at {
             let kept = keep_seeds(&control).await;
-            let isolated = control.is_isolated(Instant::now());
-            let pause = if kept && !isolated {
+            let settings = &control.context.settings.control;
+            let pause = if kept {
                 settings.seeds_every
-            } else if now < control.started_at + STARTS_FOR {
-                SEEDS_AGAIN_AT_START
             } else {
                 SEEDS_AGAIN
             };
@@ -56,6 +53,47 @@
     }
 }
 
+/// Finds others by their entries, first by a read that may lag, and writes an entry if there is
+/// none.
+async fn look_for_others(control: &Rc<Control>) {
+    for freshness in [Freshness::MayLag, Freshness::Latest] {
+        let Some(found) = list_seeds(control, freshness).await else {
+            return;
+        };
+        let mut others: Vec<Record> = found
+            .iter()
+            .filter_map(|found| parse_seed(control, found))
+            .filter(|record| record.host != *control.context.host())
+            .collect();
+        match bootstrap::after_look(freshness == Freshness::Latest, others.len()) {
+            Step::Join => {
+                control.state.borrow_mut().table.shuffle(&mut others);
+                others.truncate(JOINED_AT_ONCE);
+                if join_all(control, &others).await {
+                    return;
+                }
+            }
+            Step::LookAtLatest => {}
+            Step::WriteEntry => {
+                keep_seed(control).await;
+            }
+        }
+    }
+}
+
+/// Joins through each of these at once; true if one answered.
+async fn join_all(control: &Rc<Control>, records: &[Record]) -> bool {
+    let joining = records.iter().map(|record| async {
+        let joined = exchange::join_at(control, record.control_address).await;
+        if let Err(error) = &joined {
+            log::debug!(host = &*record.host, error:% = error; "seed not joined");
+        }
+        joined.is_ok()
+    });
+    let joined = futures_util::future::join_all(joining).await;
+    joined.contains(&true)
+}
+
 /// Renews this node's entry and finds others; false if the store failed.
 ///
 /// Failure: the store is out, and each of the few nodes that use it asks for all it needs, twice
@@ -67,41 +105,52 @@
         return false;
     }
     let holder = control.state.borrow().table.is_holder();
-    let now = Instant::now();
-    let just_started = now < control.started_at + ENTRY_WHEN_ALONE_AFTER;
-    if !holder || (just_started && control.is_isolated(now)) {
-        return true;
-    }
-    keep_seed(control).await
+    !holder || keep_seed(control).await
 }
 
 /// Reads the seeds and joins those not known yet, which also merges two fleets that
 /// found themselves apart.
 ///
 /// Failure: the store takes entries away without ending their leases. Symptom: a node
-/// renews its lease and can no longer be found. Its own entry must be in the list.
+/// renews its lease and can no longer be found. Its own entry must be in the list; where a list
+/// that may lag lacks it, the latest one decides.
 async fn find_others(control: &Rc<Control>) -> bool {
-    control.context.metrics.store_call("seeds");
-    let found = match control.store.list(keys::SEEDS).await {
-        Ok(found) => found,
-        Err(error) => {
-            log::info!(error:% = error; "seeds not read");
-            return false;
-        }
-    };
     let own_key = keys::seed(control.context.host());
+    let Some(mut found) = list_seeds(control, Freshness::MayLag).await else {
+        return false;
+    };
+    if !found.iter().any(|item| item.key == own_key) {
+        let Some(latest) = list_seeds(control, Freshness::Latest).await else {
+            return false;
+        };
+        found = latest;
+    }
     if !found.iter().any(|item| item.key == own_key) {
         control.state.borrow_mut().seed_lease = None;
     }
-    for record in found.iter().filter_map(|found| parse_seed(control, found)) {
-        if knows(control, &record) {
-            continue;
-        }
-        if let Err(error) = exchange::join_at(control, record.control_address).await {
-            log::debug!(host = &*record.host, error:% = error; "seed not joined");
+    let unknown: Vec<Record> = found
+        .iter()
+        .filter_map(|found| parse_seed(control, found))
+        .filter(|record| !knows(control, record))
+        .collect();
+    join_all(control, &unknown).await;
+    true
+}
+
+/// The entries of all; `None` if the store failed.
+async fn list_seeds(control: &Rc<Control>, freshness: Freshness) -> Option<Vec<Item>> {
+    let kind = match freshness {
+        Freshness::Latest => "seeds",
+        Freshness::MayLag => "seeds-may-lag",
+    };
+    control.context.metrics.store_call(kind);
+    match control.store.list(keys::SEEDS, freshness).await {
+        Ok(found) => Some(found),
+        Err(error) => {
+            log::info!(error:% = error; "seeds not read");
+            None
         }
     }
-    true
 }
 
 fn parse_seed(control: &Control, found: &Item) -> Option<Record> {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -77,6 +77,9 @@
     /// Membership.
     #[serde(default)]
     pub membership: core::membership::Settings,
+    /// When a node that starts turns to the store.
+    #[serde(default)]
+    pub bootstrap: core::bootstrap::Settings,
     /// Choice of an upstream.
     #[serde(default)]
     pub placement: core::placement::Settings,
@@ -112,6 +115,7 @@
             gate: core::gate::Settings::default(),
             health: core::health::Settings::default(),
             membership: core::membership::Settings::default(),
+            bootstrap: core::bootstrap::Settings::default(),
             placement: core::placement::Settings::default(),
             probe: core::probe::Settings::default(),
             retry: core::retry::Settings::default(),
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::dialect::{Answer, Call, Dialect};
-use crate::operation::{Changes, Item, Operation, Reply, Swap};
+use crate::operation::{Changes, Freshness, Item, Operation, Reply, Swap};
 use crate::{etcd, wire};
 
 /// Largest reply taken, in bytes: the store's values are at most a megabyte, and a
@@ -161,7 +161,7 @@
     ///
     /// # Errors
     /// If a call fails.
-    pub async fn list(&self, prefix: &str) -> Result<Vec<Item>, Error> {
+    pub async fn list(&self, prefix: &str, freshness: Freshness) -> Result<Vec<Item>, Error> {
         let mut items: Vec<Item> = Vec::new();
         loop {
             let operation = Operation::List {
@@ -169,6 +169,7 @@
                 after: items
                     .last()
                     .map_or_else(String::new, |item| item.key.clone()),
+                freshness,
             };
             let Reply::Page(page) = self.run(&operation, self.timeout).await? else {
                 return Err(Error::Mismatch);
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -8,7 +8,7 @@
 
 use crate::client::Error;
 use crate::dialect::{Answer, Call, Dialect};
-use crate::operation::{Change, Changes, Item, Operation, Page, Reply, Swap, Unchanged};
+use crate::operation::{Change, Changes, Freshness, Item, Operation, Page, Reply, Swap, Unchanged};
 use crate::wire;
 
 /// etcd's v3 JSON API.
@@ -27,10 +27,13 @@
             };
             post(wire::RANGE, &range)
         }
-        Operation::List { prefix, .. } => {
+        Operation::List {
+            prefix, freshness, ..
+        } => {
             let range = wire::Range {
                 key: prefix.as_bytes().to_vec(),
                 range_end: wire::prefix_end(prefix.as_bytes()),
+                serializable: *freshness == Freshness::MayLag,
             };
             post(wire::RANGE, &range)
         }
--- a/crates/store/src/operation.rs
+++ b/crates/store/src/operation.rs
@@ -56,6 +56,16 @@
     pub deletes: Vec<String>,
 }
 
+/// How new what a read brings must be.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Freshness {
+    /// All writes that were acknowledged before.
+    #[default]
+    Latest,
+    /// It may lack the writes of the last seconds, and costs the store far less.
+    MayLag,
+}
+
 /// One call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
@@ -70,6 +80,8 @@
         prefix: String,
         /// The page begins after this key; empty for the first page.
         after: String,
+        /// How new the page must be.
+        freshness: Freshness,
     },
     /// Wait for a change of a key that begins with a prefix.
     Changes {
--- a/crates/store/src/presets.rs
+++ b/crates/store/src/presets.rs
@@ -7,7 +7,7 @@
 
 use crate::client::{Client, Error};
 use crate::keys;
-use crate::operation::{Put, Swap, Unchanged};
+use crate::operation::{Freshness, Put, Swap, Unchanged};
 
 /// Tries of a change whose reply was lost and that is found not to have taken effect.
 const SETTLE_TRIES: u32 = 3;
@@ -115,7 +115,7 @@
 /// # Errors
 /// If the store fails or holds something else there.
 pub async fn list(store: &Client) -> Result<Vec<Stored>, Error> {
-    let found = store.list(keys::PRESETS).await?;
+    let found = store.list(keys::PRESETS, Freshness::Latest).await?;
     found
         .into_iter()
         .map(|found| {
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -63,6 +63,9 @@
     /// End of the range, exclusive; empty for one key.
     #[serde_as(as = "Base64")]
     pub range_end: Vec<u8>,
+    /// Whether any member may answer by what it has, without asking the others.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub serializable: bool,
 }
 
 /// Reply to [`Range`].
