test(discovery): allow a question again for each wait that passed, and none once it knows

On a busy machine the answer is late.

Change: one question more is allowed for each 200 ms that passed beyond the usual, so at the usual pace the bound is what it was; and 400 ms later there must be none more, which was not checked.

--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -12,6 +12,8 @@
 use rstest::rstest;
 
 const WAIT_MOST: Duration = Duration::from_secs(30);
+/// How long the node waits for an answer, and between two questions.
+const ASK_AGAIN: Duration = Duration::from_millis(200);
 const READY: &str = "HTTP/1.1 200 OK\r\nx-instance: i-7\r\nx-load: {\"slots\":9}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 const NOT_READY: &str =
     "HTTP/1.1 503 No\r\nx-instance: i-7\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -35,6 +37,10 @@
 
 /// A node starts again beside an upstream that goes on: it takes requests for it at once,
 /// before the upstream's next announcement, and asks no more once it knows.
+///
+/// On a busy machine an answer may take longer than the 200 ms for which the node waits for it,
+/// and it asks again: one question more for each such time that has passed, and none at all after
+/// it knows.
 #[rstest]
 #[case::ready_at_once(&[READY], 1)]
 #[case::ready_later(&[NOT_READY, READY], 2)]
@@ -45,6 +51,7 @@
     settings.upstream.address = Some(address);
     settings.upstream.instance_header = Some("x-instance".to_owned());
     settings.upstream.load_header = Some("x-load".to_owned());
+    let started_at = Instant::now();
     let node = node::start(settings, Adapter::default()).expect("it starts");
     let give_up_at = Instant::now() + WAIT_MOST;
     loop {
@@ -55,6 +62,13 @@
         assert!(Instant::now() < give_up_at, "never found: {guarded:?}");
         std::thread::sleep(Duration::from_millis(5));
     }
-    assert_eq!(asked.load(Ordering::SeqCst), questions);
+    let known = asked.load(Ordering::SeqCst);
+    let usual = ASK_AGAIN * u32::try_from(questions - 1).expect("few");
+    let late = started_at.elapsed().saturating_sub(usual);
+    let repeated = usize::try_from(late.as_millis() / ASK_AGAIN.as_millis()).expect("few");
+    let expected = questions..=questions + repeated;
+    assert!(expected.contains(&known), "{known} questions, {expected:?}");
+    std::thread::sleep(ASK_AGAIN * 2);
+    assert_eq!(asked.load(Ordering::SeqCst), known);
     node.end();
 }
