feat(guard): tell what an upstream had in progress when it ended

Cause: the lines of a request carry the id of one attempt of its caller, which differs with each repeat, and no line told what was in progress in an upstream when it ended. So logs could not tell one request that ends upstreams from load that does.

Change: a fingerprint of method, host, path, client account and body, which repeats share, in the lines about requests; when a connection breaks and the upstream takes no new one, or it starts again unplanned, one line with the fingerprints of all that was in progress, and a counter. The connection tried for it is kept for the next request. No decision depends on it.

Ruled out: a broken connection alone as evidence; upstreams break off single answers. Found by its test: connections of one end break a millisecond apart and told it twice.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod claim;
 pub mod configs;
 pub mod ewma;
+pub mod fingerprint;
 pub mod gate;
 pub mod health;
 pub mod instance;
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,6 +14,7 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use mintridge_core::fingerprint;
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::placement::Placement;
@@ -196,6 +197,7 @@
         Err(error) => return entry.refuse_malformed(now, error, &number, &parts, version),
     };
     history.routed(&read.head.service, read.head.deadline);
+    history.repeats(fingerprint_of(&parts, &read.head.client_account));
     let sent = Sent {
         request: read,
         parts,
@@ -204,6 +206,18 @@
     forward(&entry, sent, history).await
 }
 
+/// Digest of a caller's request without its body.
+fn fingerprint_of(parts: &Parts, client_account: &str) -> u64 {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    fingerprint::head(
+        parts.method.as_str(),
+        host.unwrap_or(attempt::UNNAMED_HOST),
+        path,
+        client_account,
+    )
+}
+
 impl Entry {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -6,6 +6,7 @@
 mod pace;
 mod probing;
 mod reporting;
+mod runs;
 mod slot;
 
 use std::collections::HashMap;
@@ -38,6 +39,7 @@
 
 use self::hand_over::hand_over;
 use self::reporting::Reporting;
+use self::runs::Runs;
 use self::slot::admit;
 use crate::announcement::{Announcement, Heard};
 use crate::claims::Job;
@@ -77,6 +79,7 @@
     instance: instance::Register,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
+    runs: Runs,
 }
 
 /// Serves peers until the node closes their listener.
@@ -162,6 +165,7 @@
                 instance: instance::Register::new(settings.gate.announcement_lapses),
                 waiters: HashMap::new(),
                 next_id: 0,
+                runs: Runs::default(),
             }),
             queued: Notify::new(),
             reporting: Reporting::default(),
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -93,6 +93,7 @@
     /// The upstream has started again: what was learnt of the start before does not hold, and
     /// requests in it are lost.
     pub(super) fn restarted(&self, state: &mut State) {
+        self.ended_before_start(state);
         state.admission.restarted();
         state.health.restarted();
         self.upstream.restarted();
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -17,6 +17,7 @@
 use mintridge_http::Body;
 
 use super::Guard;
+use super::runs::Print;
 use super::slot::Slot;
 use crate::arrival::ANONYMOUS;
 use crate::body::Held;
@@ -33,9 +34,10 @@
 ) -> Result<Response<Body>, Refusal> {
     let handed_at = Instant::now();
     let address = guard.check_hand_over(handed_at, head)?;
-    let mut request = request;
+    let (print, mut request) = Print::begin(head, request);
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
+    let run = guard.run(slot.id, print.clone());
     let handed = traces::within(
         traces::hop("upstream"),
         guard.upstream.send(address, request),
@@ -49,13 +51,19 @@
             misdirected,
             load,
         })) => {
+            drop(run);
             guard.told(now, load.as_ref());
             if misdirected {
                 return Err(guard.misdirected(now, instance.as_ref()));
             }
             return Err(guard.shed(now, slot.id, load.as_ref()));
         }
-        Ok(Err(error)) => return Err(guard.failed(now, &error, &head.request)),
+        Ok(Err(error)) => {
+            if matches!(error, upstream::Error::Broken(_)) {
+                guard.broke(&run, address);
+            }
+            return Err(guard.failed(now, &error, &head.request, &print));
+        }
         Err(_) => return Err(guard.silent(now, in_left)),
     };
     guard.told(now, guard.upstream.load(&parts.headers).as_ref());
@@ -64,7 +72,7 @@
     headers::strip_own(&mut parts.headers);
     headers::write_load(&guard.report(now), &mut parts.headers);
     let idle = guard.context.settings.callers.body_idle;
-    let body = Held::new(body, slot, idle);
+    let body = Held::new(body, (run, slot), idle);
     Ok(Response::from_parts(parts, Body::new(body)))
 }
 
@@ -124,12 +132,23 @@
     }
 
     /// The upstream gave no answer: what that proves.
-    fn failed(&self, now: Instant, error: &upstream::Error, request: &str) -> Refusal {
+    fn failed(
+        &self,
+        now: Instant,
+        error: &upstream::Error,
+        request: &str,
+        print: &Print,
+    ) -> Refusal {
         if !matches!(error, upstream::Error::Restarted) {
             self.judge(now, Some(Verdict::Failed));
         }
         if self.log.admits(1) {
-            log::info!(request = request, error:% = error; "no answer of the upstream");
+            log::info!(
+                request = request,
+                fingerprint:% = print.fingerprint(),
+                error:% = error;
+                "no answer of the upstream"
+            );
         }
         match error {
             upstream::Error::NeverSent => self.not_run(Reason::Unreachable),
--- /dev/null
+++ b/crates/node/src/guard/runs.rs
@@ -0,0 +1,230 @@
+//! Requests in progress in the upstream, and whether the upstream ended under them.
+//!
+//! A broken connection alone says little: the network resets connections, and an upstream breaks
+//! off single answers. If it takes no new connection either, its process has ended with all that
+//! it had in progress. Silence proves nothing of a request, and neither does a planned stop.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::header::CONTENT_LENGTH;
+use mintridge_core::fingerprint::{self, Fingerprint};
+use mintridge_core::request::Id;
+use mintridge_http::Body;
+use parking_lot::Mutex;
+
+use super::Guard;
+use crate::headers::Head;
+use crate::upstream::Reach;
+
+/// Fingerprints in one line of the log; more requests than that are seldom in progress in one
+/// upstream, and the line tells how many there were.
+const FINGERPRINTS_TOLD: usize = 32;
+
+/// How it is known that the upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// A connection broke, and no new one was accepted.
+    Unreachable,
+    /// It has started again.
+    StartedAgain,
+}
+
+impl Evidence {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unreachable => "connection broken and no new one accepted",
+            Self::StartedAgain => "started again",
+        }
+    }
+}
+
+/// Requests that the upstream works on; those of an end that was told are taken out, so that a
+/// connection of theirs that is found broken later tells of no other end.
+#[derive(Default)]
+pub struct Runs {
+    open: HashMap<Id, Print>,
+    /// A new connection is being tried, to find out whether the upstream has ended.
+    checking: bool,
+}
+
+/// Fingerprint of a request whose body may still be passing.
+#[derive(Clone)]
+pub struct Print {
+    head: u64,
+    body: Arc<Mutex<fingerprint::Body>>,
+}
+
+impl Print {
+    /// Begins the fingerprint of a request; its body is digested as it passes.
+    pub fn begin(head: &Head, request: Request<Body>) -> (Self, Request<Body>) {
+        let digest = head_of(head, &request);
+        let (parts, body) = request.into_parts();
+        let declared = if body.is_end_stream() {
+            Some(0)
+        } else {
+            let length = parts.headers.get(CONTENT_LENGTH);
+            length.and_then(|length| length.to_str().ok()?.parse().ok())
+        };
+        let print = Self {
+            head: digest,
+            body: Arc::new(Mutex::new(fingerprint::Body::new(declared))),
+        };
+        let body = if declared == Some(0) {
+            body
+        } else {
+            Body::new(Digested {
+                body,
+                print: print.clone(),
+            })
+        };
+        (print, Request::from_parts(parts, body))
+    }
+
+    /// As far as it can be told by now.
+    pub fn fingerprint(&self) -> Fingerprint {
+        Fingerprint {
+            head: self.head,
+            body: self.body.lock().digest(),
+        }
+    }
+}
+
+/// Digest of the head of a peer's request.
+fn head_of(head: &Head, request: &Request<Body>) -> u64 {
+    let uri = request.uri();
+    let host = uri.authority().map_or("", |host| host.as_str());
+    let path = uri.path_and_query().map_or("/", |path| path.as_str());
+    fingerprint::head(request.method().as_str(), host, path, &head.client_account)
+}
+
+/// A body that is digested as it passes.
+struct Digested {
+    body: Body,
+    print: Print,
+}
+
+impl HttpBody for Digested {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        let mut digest = self.print.body.lock();
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    digest.take(data);
+                }
+            }
+            Poll::Ready(None) => digest.end(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => {}
+        }
+        drop(digest);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// A request that the upstream works on until this is dropped.
+pub struct Run {
+    guard: Arc<Guard>,
+    id: Id,
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.guard.state.lock().runs.open.remove(&self.id);
+    }
+}
+
+impl Guard {
+    /// The request that holds this slot is handed over.
+    pub(super) fn run(self: &Arc<Self>, id: Id, print: Print) -> Run {
+        self.state.lock().runs.open.insert(id, print);
+        Run {
+            guard: Arc::clone(self),
+            id,
+        }
+    }
+
+    /// A connection with a request on it broke: finds out whether the upstream has ended.
+    ///
+    /// All connections break within a moment when it does, and each wakes a request of its own. The
+    /// first of them finds all others still in progress, and one check tells for all.
+    pub(super) fn broke(self: &Arc<Self>, run: &Run, address: SocketAddr) {
+        let mut state = self.state.lock();
+        let runs = &mut state.runs;
+        if runs.checking || !runs.open.contains_key(&run.id) {
+            return;
+        }
+        runs.checking = true;
+        let in_progress: Vec<(Id, Print)> = runs
+            .open
+            .iter()
+            .map(|(id, print)| (*id, print.clone()))
+            .collect();
+        drop(state);
+        let guard = Arc::clone(self);
+        tokio::spawn(async move {
+            let reach = guard.upstream.reach(address).await;
+            let mut state = guard.state.lock();
+            state.runs.checking = false;
+            if reach != Reach::Refused || state.gate.is_leaving() {
+                return;
+            }
+            for (id, _) in &in_progress {
+                state.runs.open.remove(id);
+            }
+            drop(state);
+            let prints = in_progress.iter().map(|(_, print)| print.fingerprint());
+            guard.ended(&prints.collect::<Vec<_>>(), Evidence::Unreachable);
+        });
+    }
+
+    /// The upstream has started again: what was in progress at the end of the start before.
+    pub(super) fn ended_before_start(&self, state: &mut super::State) {
+        let in_progress: Vec<Fingerprint> = state
+            .runs
+            .open
+            .drain()
+            .map(|(_, print)| print.fingerprint())
+            .collect();
+        if !in_progress.is_empty() && !state.gate.is_leaving() {
+            self.ended(&in_progress, Evidence::StartedAgain);
+        }
+    }
+
+    /// The upstream ended, unplanned, with these requests in progress.
+    fn ended(&self, in_progress: &[Fingerprint], evidence: Evidence) {
+        self.context.metrics.upstream_ended();
+        let told: Vec<String> = in_progress
+            .iter()
+            .take(FINGERPRINTS_TOLD)
+            .map(ToString::to_string)
+            .collect();
+        log::warn!(
+            evidence = evidence.as_str(),
+            in_progress = in_progress.len(),
+            fingerprints = told.join(" ");
+            "upstream ended with requests in progress"
+        );
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,6 +54,7 @@
     refusals: Family<RefusalLabels, Counter>,
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
+    upstream_ends: Counter,
     pace_asked: Counter,
     reloads: Family<KindLabels, Counter>,
     claims: Family<KindLabels, Counter>,
@@ -81,6 +82,7 @@
             refusals: Family::default(),
             guard_refusals: Family::default(),
             retries: Counter::default(),
+            upstream_ends: Counter::default(),
             pace_asked: Counter::default(),
             reloads: Family::default(),
             claims: Family::default(),
@@ -118,6 +120,8 @@
         let help = "Refusals given to peers by the guard of this upstream";
         registry.register("guard_refusals", help, self.guard_refusals.clone());
         registry.register("retries", "Second attempts made", self.retries.clone());
+        let help = "Ends of the upstream, unplanned, with requests in progress";
+        registry.register("upstream_ends", help, self.upstream_ends.clone());
         registry.register("reloads", "Settings files read again", self.reloads.clone());
         registry.register(
             "pace_asked",
@@ -180,6 +184,11 @@
         self.retries.inc();
     }
 
+    /// The upstream ended, unplanned, with requests in progress.
+    pub fn upstream_ended(&self) {
+        self.upstream_ends.inc();
+    }
+
     /// A settings file was read again.
     pub fn reload(&self, reload: Reload) {
         let kind = match reload {
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -87,6 +87,8 @@
     request: Arc<str>,
     began_at: Instant,
     service: Option<Arc<str>>,
+    /// Digest of the request without its body, which repeats of it share.
+    fingerprint: u64,
     routes: u64,
     allowed: Duration,
     attempts: Vec<Attempt>,
@@ -102,6 +104,7 @@
             request: Arc::clone(request),
             began_at: now,
             service: None,
+            fingerprint: 0,
             routes: 0,
             allowed: Duration::ZERO,
             attempts: Vec::new(),
@@ -125,6 +128,11 @@
         self.allowed = deadline.saturating_duration_since(self.began_at);
     }
 
+    /// Repeats of it share this digest of all but the body.
+    pub const fn repeats(&mut self, fingerprint: u64) {
+        self.fingerprint = fingerprint;
+    }
+
     /// An attempt has ended.
     pub fn attempted(&mut self, attempt: Attempt) {
         self.attempts.push(attempt);
@@ -150,6 +158,7 @@
         log::info!(
             request = &*self.request,
             service = self.service.as_deref().unwrap_or(""),
+            fingerprint = format!("{:016x}", self.fingerprint),
             routes_version = self.routes,
             attempts = self.attempts.len(),
             allowed_ms = millis(self.allowed),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -47,6 +47,17 @@
     Foreign,
 }
 
+/// Whether the upstream takes a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// It does.
+    Open,
+    /// Nothing listens at its address.
+    Refused,
+    /// It does not say: its host may be cut off, without power or paused.
+    Silent,
+}
+
 /// What came back.
 pub enum Received {
     /// The upstream's answer to this request.
@@ -190,6 +201,21 @@
         Ok(parts)
     }
 
+    /// Tries a new connection; one that opens is kept for the next request.
+    pub async fn reach(&self, address: SocketAddr) -> Reach {
+        let connecting = tokio::time::timeout(self.connect_within, TcpStream::connect(address));
+        match connecting.await {
+            Err(_) => Reach::Silent,
+            Ok(Err(_)) => Reach::Refused,
+            Ok(Ok(stream)) => {
+                if let Some(connection) = self.take_in(address, stream).await {
+                    self.idle.lock().push(connection);
+                }
+                Reach::Open
+            }
+        }
+    }
+
     /// Whether answers tell the load.
     #[must_use]
     pub const fn tells_load(&self) -> bool {
@@ -227,17 +253,22 @@
         }
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            http1::handshake(TokioIo::new(stream)).await.ok()
+            self.take_in(address, stream).await
         };
         let connected = tokio::time::timeout(self.connect_within, connecting).await;
-        let (sender, connection) = connected.ok().flatten().ok_or(Error::NeverSent)?;
+        connected.ok().flatten().ok_or(Error::NeverSent)
+    }
+
+    /// Makes a connection of an open stream.
+    async fn take_in(&self, address: SocketAddr, stream: TcpStream) -> Option<Idle> {
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!(upstream:% = address, error:% = error; "connection ended");
             }
         });
-        Ok(Idle {
+        Some(Idle {
             address,
             sender,
             unused_after: Instant::now() + self.idle_for,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod scene;
 pub mod soak;
 pub mod store;
+pub mod supervisor;
 pub mod tables;
 pub mod upstream;
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -31,7 +31,7 @@
 use crate::process::Process;
 use crate::store::Store;
 use crate::upstream::{Behaviour, Upstream};
-use crate::{announcer, store, upstream};
+use crate::{announcer, store, supervisor, upstream};
 
 /// Generous limit on any wait for a condition.
 const WAIT_MOST: Duration = Duration::from_mins(1);
@@ -201,11 +201,10 @@
         adjust: impl FnOnce(&mut Settings),
     ) -> Result<(), Error> {
         let (listener, upstream_address) = loopback().await?;
+        let listener = listener.into_std()?;
         let slots = u32::try_from(behaviour.slots).unwrap_or(u32::MAX);
         let upstream = Arc::new(Upstream::new(name, behaviour));
         let phase = watch::Sender::new(Phase::Open);
-        let serving = upstream::run(listener, Arc::clone(&upstream), phase.subscribe());
-        tokio::spawn(serving);
         let announcement = watch::Sender::new(Arc::new(Announcement {
             service: Arc::from(service),
             address: upstream_address,
@@ -214,6 +213,12 @@
             state: State::Ready,
             ..Announcement::default()
         }));
+        supervisor::start(
+            listener,
+            Arc::clone(&upstream),
+            phase.subscribe(),
+            announcement.clone(),
+        );
         self.hosts.push(Host {
             name: Arc::from(name),
             service: Arc::from(service),
@@ -452,6 +457,13 @@
         presets::activate(&store, "preset", &author).await
     }
 
+    /// Times that upstreams crashed.
+    #[must_use]
+    pub fn crashes(&self) -> u64 {
+        let accounts = self.hosts.iter().map(|host| host.upstream.account());
+        accounts.map(|account| account.crashes).sum()
+    }
+
     /// Times a request ran, over all upstreams.
     #[must_use]
     pub fn runs(&self, id: &str) -> u32 {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -19,7 +19,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 /// Header by which a caller numbers its request for the account.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -75,6 +75,10 @@
     pub manner: Manner,
     /// Probes are never answered.
     pub hang_probes: bool,
+    /// A request for this path ends the whole process half way through its service time.
+    pub crashes_on: Option<String>,
+    /// How long the process is down after a crash.
+    pub down_millis: u64,
 }
 
 impl Default for Behaviour {
@@ -84,6 +88,8 @@
             slots: 12,
             manner: Manner::Serve,
             hang_probes: false,
+            crashes_on: None,
+            down_millis: 1_000,
         }
     }
 }
@@ -101,6 +107,8 @@
     pub open_most: u64,
     /// Requests open now.
     pub open: u64,
+    /// Times the process crashed.
+    pub crashes: u64,
 }
 
 /// An upstream, shared by its connections.
@@ -108,6 +116,7 @@
 pub struct Upstream {
     name: Arc<str>,
     state: Mutex<State>,
+    crash: Notify,
 }
 
 #[derive(Debug)]
@@ -153,6 +162,7 @@
                 behaviour,
                 account: Account::default(),
             }),
+            crash: Notify::new(),
         }
     }
 
@@ -176,6 +186,11 @@
         self.state.lock().behaviour.clone()
     }
 
+    /// Waits for the next crash.
+    pub async fn crashed(&self) {
+        self.crash.notified().await;
+    }
+
     /// What ran so far.
     #[must_use]
     pub fn account(&self) -> Account {
@@ -231,7 +246,14 @@
     request: Request<Body>,
     id: String,
 ) -> Response<Body> {
-    tokio::time::sleep(Duration::from_micros(behaviour.service_micros)).await;
+    let service_time = Duration::from_micros(behaviour.service_micros);
+    if behaviour.crashes_on.as_deref() == Some(request.uri().path()) {
+        tokio::time::sleep(service_time / 2).await;
+        upstream.state.lock().account.crashes += 1;
+        upstream.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
+    tokio::time::sleep(service_time).await;
     if behaviour.manner == Manner::Silent {
         std::future::pending::<()>().await;
     }
