fix(guard): give a request one fingerprint through whichever node it comes

Now the host counts, without its port, where it chooses the route, and the service elsewhere.

No decision depends on it yet.

--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -5,8 +5,10 @@
 
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::{Method, header};
 use mintridge_core::claim::{Claim, Key, Mark};
+use mintridge_core::fingerprint;
 use mintridge_core::outcome::Reason;
 use mintridge_core::route::{Kind, Table};
 
@@ -191,7 +193,32 @@
 /// The host that the request names, without its port.
 fn host(parts: &Parts) -> Option<&str> {
     let host = parts.headers.get(header::HOST)?.to_str().ok()?;
-    Some(host.rsplit_once(':').map_or(host, |(name, _)| name))
+    Some(without_port(host))
+}
+
+fn without_port(host: &str) -> &str {
+    host.rsplit_once(':').map_or(host, |(name, _)| name)
+}
+
+/// Digest of a request without its body, the same for each repeat of it through any node.
+///
+/// `host` is the one that the caller named. It tells requests apart where it chooses the route;
+/// where the caller names a service, it may be no more than the address of the node.
+#[must_use]
+pub fn fingerprint(
+    settings: &crate::settings::Settings,
+    head: &Head,
+    method: &Method,
+    host: &str,
+    path: Option<&PathAndQuery>,
+) -> u64 {
+    let host = if settings.routes.key.is_some() {
+        without_port(host)
+    } else {
+        &head.service
+    };
+    let path = path.map_or("/", PathAndQuery::as_str);
+    fingerprint::head(method.as_str(), host, path, &head.client_account)
 }
 
 /// Idempotent methods by RFC 9110, section 9.2.2.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,7 +14,6 @@
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use mintridge_core::fingerprint;
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::placement::Placement;
@@ -32,6 +31,7 @@
 use self::forward::forward;
 use crate::arrival::{self, Routing};
 use crate::context::{Context, View};
+use crate::headers::Head;
 use crate::link::Links;
 use crate::replay::Source;
 use crate::request_log::{History, RequestLog};
@@ -197,7 +197,7 @@
         Err(error) => return entry.refuse_malformed(now, error, &number, &parts, version),
     };
     history.routed(&read.head.service, read.head.deadline);
-    history.repeats(fingerprint_of(&parts, &read.head.client_account));
+    history.repeats(entry.fingerprint(&read.head, &parts));
     let sent = Sent {
         request: read,
         parts,
@@ -206,18 +206,6 @@
     forward(&entry, sent, history).await
 }
 
-/// Digest of a caller's request without its body.
-fn fingerprint_of(parts: &Parts, client_account: &str) -> u64 {
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    fingerprint::head(
-        parts.method.as_str(),
-        host.unwrap_or(attempt::UNNAMED_HOST),
-        path,
-        client_account,
-    )
-}
-
 impl Entry {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
@@ -261,6 +249,13 @@
         self.refuse(&Refusal::not_run(error.reason(), retry_at), number)
     }
 
+    /// Digest of a caller's request without its body.
+    fn fingerprint(&self, head: &Head, parts: &Parts) -> u64 {
+        let host = attempt::host(parts);
+        let path = parts.uri.path_and_query();
+        arrival::fingerprint(&self.context.settings, head, &parts.method, host, path)
+    }
+
     /// Number of a request within the fleet: host, its start, and a count.
     fn number(&self) -> Arc<str> {
         let count = self.next_number.fetch_add(1, Ordering::Relaxed);
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -114,15 +114,16 @@
     Some(request)
 }
 
-/// Stands for the host that a caller did not name.
-pub const UNNAMED_HOST: &str = "upstream";
+/// The host that the caller named, as it named it.
+pub fn host(parts: &Parts) -> &str {
+    let host = parts.headers.get(hyper::header::HOST);
+    host.and_then(|host| host.to_str().ok())
+        .unwrap_or("upstream")
+}
 
 /// HTTP/2 needs scheme and authority; the authority is the caller's `Host`.
 fn peer_uri(parts: &Parts) -> Option<Uri> {
-    let host = parts.headers.get(hyper::header::HOST);
-    let host = host
-        .and_then(|host| host.to_str().ok())
-        .unwrap_or(UNNAMED_HOST);
+    let host = host(parts);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
     Uri::builder()
         .scheme("http")
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -34,7 +34,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let handed_at = Instant::now();
     let address = guard.check_hand_over(handed_at, head)?;
-    let (print, mut request) = Print::begin(head, request);
+    let (print, mut request) = Print::begin(&guard.context.settings, head, request);
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
     let run = guard.run(slot.id, print.clone());
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -21,7 +21,9 @@
 use parking_lot::Mutex;
 
 use super::Guard;
+use crate::arrival;
 use crate::headers::Head;
+use crate::settings::Settings;
 use crate::upstream::Reach;
 
 /// Fingerprints in one line of the log; more requests than that are seldom in progress in one
@@ -64,8 +66,12 @@
 
 impl Print {
     /// Begins the fingerprint of a request; its body is digested as it passes.
-    pub fn begin(head: &Head, request: Request<Body>) -> (Self, Request<Body>) {
-        let digest = head_of(head, &request);
+    pub fn begin(
+        settings: &Settings,
+        head: &Head,
+        request: Request<Body>,
+    ) -> (Self, Request<Body>) {
+        let digest = head_of(settings, head, &request);
         let (parts, body) = request.into_parts();
         let declared = if body.is_end_stream() {
             Some(0)
@@ -98,11 +104,10 @@
 }
 
 /// Digest of the head of a peer's request.
-fn head_of(head: &Head, request: &Request<Body>) -> u64 {
+fn head_of(settings: &Settings, head: &Head, request: &Request<Body>) -> u64 {
     let uri = request.uri();
     let host = uri.authority().map_or("", |host| host.as_str());
-    let path = uri.path_and_query().map_or("/", |path| path.as_str());
-    fingerprint::head(request.method().as_str(), host, path, &head.client_account)
+    arrival::fingerprint(settings, head, request.method(), host, uri.path_and_query())
 }
 
 /// A body that is digested as it passes.
