--- a/crates/core/src/configs.rs
+++ b/crates/core/src/configs.rs
@@ -10,4 +10,5 @@
 pub mod membership;
 pub mod placement;
 pub mod probe;
+pub mod quarantine;
 pub mod retry;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 //! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
 //! | may it run now, or wait, and in which order? | [`admission`] by [`queue`], [`shares`], [`work`], [`pace`] and [`limit`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
+//! | did upstreams end under it before? | [`quarantine`] by [`fingerprint`] |
 //! | what is the caller told? | [`outcome`] |
 //!
 //! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
@@ -38,6 +39,7 @@
 pub mod placement;
 pub mod preset;
 pub mod probe;
+pub mod quarantine;
 pub mod queue;
 pub mod quota;
 pub mod request;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -65,11 +65,13 @@
     Unconfigured,
     /// The routing table has no route for the request.
     NoRoute,
+    /// Upstreams ended while they ran it.
+    Quarantined,
 }
 
 impl Reason {
     /// Every reason, for metrics with a bounded label set.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::Busy,
         Self::Deadline,
         Self::Late,
@@ -88,6 +90,7 @@
         Self::ForeignAnswer,
         Self::Unconfigured,
         Self::NoRoute,
+        Self::Quarantined,
     ];
 
     /// The form used in headers, problem details and metrics.
@@ -112,6 +115,7 @@
             Self::ForeignAnswer => "foreign-answer",
             Self::Unconfigured => "unconfigured",
             Self::NoRoute => "no-route",
+            Self::Quarantined => "quarantined",
         }
     }
 
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -147,7 +147,22 @@
         Some(Arc::clone(&candidate.upstream.host))
     }
 
-    /// A request placed by [`Self::pick`] ended.
+    /// Counts a request as placed on this host, whatever others offer; false if it is unknown.
+    pub fn place_on(&mut self, service: &str, host: &str) -> bool {
+        let Some(candidate) = self.candidate(service, host) else {
+            return false;
+        };
+        candidate.outstanding += 1;
+        true
+    }
+
+    /// Hosts of a service.
+    pub fn hosts(&self, service: &str) -> impl Iterator<Item = &Arc<str>> {
+        let candidates = self.services.get(service).into_iter().flatten();
+        candidates.map(|candidate| &candidate.upstream.host)
+    }
+
+    /// A request placed by [`Self::pick`] or [`Self::place_on`] ended.
     pub fn finish(&mut self, now: Instant, service: &str, host: &str, ending: Ending) {
         let avoid_until = now + self.settings.avoid_for;
         let Some(candidate) = self.candidate(service, host) else {
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -146,6 +146,9 @@
         Reason::ForeignAnswer => "what came back was not its answer; it may have run",
         Reason::Unconfigured => "the node did not know the routing table yet; nothing ran",
         Reason::NoRoute => "the routing table in force had no route for it; nothing ran",
+        Reason::Quarantined => {
+            "upstreams ended under the same request before; this one did not run"
+        }
     }
 }
 
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -121,7 +121,7 @@
         Reason::ForeignAnswer => "http_protocol_error",
         Reason::BadRequest => "http_request_error",
         Reason::NoUpstream | Reason::NoRoute => "destination_not_found",
-        Reason::Duplicate => "http_request_denied",
+        Reason::Duplicate | Reason::Quarantined => "http_request_denied",
         Reason::Leaving
         | Reason::Doubtful
         | Reason::Unannounced
--- a/crates/node/schema/peer.capnp
+++ b/crates/node/schema/peer.capnp
@@ -30,10 +30,31 @@
   }
 }
 
+# An upstream ended while the request was in progress there.
+struct End {
+  id @0 :UInt64;
+  service @1 :UInt64;
+  cleared @2 :Bool;
+}
+
+# A request under which upstreams ended: a digest of its head and, if it is known, of its body.
+# What is left until it is forgotten is in seconds.
+struct Suspect {
+  head @0 :UInt64;
+  body :union {
+    unseen @1 :Void;
+    digest @2 :UInt64;
+  }
+  ends @3 :List(End);
+  trials @4 :UInt32;
+  leftSeconds @5 :UInt32;
+}
+
 # One side of an exchange: the sender's record and news, a digest of its table, and the
 # revision of its preset and the version of its routing table, each with the document if
 # the other's is known to be older. The routing table is the document as operators wrote it,
-# compressed (zlib).
+# compressed (zlib). Then what is new about requests that end upstreams, and a digest of those
+# that are held back.
 struct Exchange {
   news @0 :List(Record);
   digest @1 :UInt64;
@@ -41,6 +62,8 @@
   inForce @3 :Data;
   routesVersion @4 :UInt64;
   routes @5 :Data;
+  suspects @6 :List(Suspect);
+  held @7 :UInt64;
 }
 
 interface Peer {
--- a/crates/node/src/configs/guard.rs
+++ b/crates/node/src/configs/guard.rs
@@ -21,6 +21,8 @@
     pub report_every: Duration,
     /// Announcements between their listener and the guard.
     pub announcements_ring: usize,
+    /// Ends of the upstream and answers to suspected requests, between the guard and control.
+    pub suspicions_ring: usize,
 }
 
 impl Default for Settings {
@@ -31,6 +33,7 @@
             idle_connections_most: 64,
             report_every: Duration::from_millis(50),
             announcements_ring: 16,
+            suspicions_ring: 256,
         }
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,6 +8,7 @@
 use mintridge_core::membership::{Record, Upstream};
 use mintridge_core::outcome::Reason;
 use mintridge_core::preset::InForce;
+use mintridge_core::quarantine::{Event, Screen};
 use mintridge_core::route::Document;
 use mintridge_http::server::Phase;
 use serde::{Deserialize, Serialize};
@@ -88,6 +89,8 @@
     pub announcements: mpsc::Sender<Heard>,
     /// To the claims thread.
     pub claims: mpsc::Sender<Job>,
+    /// To control: what the guard saw of requests that end upstreams.
+    pub suspicions: mpsc::Sender<Event>,
 }
 
 /// Latest values passed between duties; a new one replaces the old, so none of these
@@ -98,6 +101,8 @@
     pub view: watch::Sender<Arc<View>>,
     /// From control: the routing table in force here; `None` until the first is known.
     pub routes: watch::Sender<Option<Arc<Document>>>,
+    /// From control: what requests are held to, since upstreams ended under some.
+    pub screen: watch::Sender<Arc<Screen>>,
     /// From the guard: the upstream as others should see it.
     pub upstream: watch::Sender<Option<Upstream>>,
     /// From the guard, for operators.
@@ -160,6 +165,12 @@
             .map_or(0, |document| document.table.version.0)
     }
 
+    /// What requests are held to.
+    #[must_use]
+    pub fn screen(&self) -> Arc<Screen> {
+        Arc::clone(&self.latest.screen.borrow())
+    }
+
     /// Whether a stop was asked for.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -6,6 +6,7 @@
 mod followed;
 mod holder;
 mod peer;
+mod suspects;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -15,10 +16,11 @@
 use mintridge_core::bootstrap::{self, Bootstrap, Known, Named};
 use mintridge_core::membership::{Record, Standing, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
+use mintridge_core::quarantine::{Event, Quarantine};
 use mintridge_core::route::{self, Document};
 use mintridge_store::client::Client;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 use tokio::task::LocalSet;
 
 use crate::context::{Context, Stage, View};
@@ -44,13 +46,14 @@
     bootstrap: Bootstrap,
     register: Register,
     routes: route::Register,
+    quarantine: Quarantine,
     heard_at: Option<Instant>,
     differing: u32,
     seed_lease: Option<i64>,
 }
 
 /// Works until the node ends, and says goodbye.
-pub async fn run(context: Arc<Context>, listener: TcpListener) {
+pub async fn run(context: Arc<Context>, listener: TcpListener, events: mpsc::Receiver<Event>) {
     let control = Rc::new(Control::new(context));
     let local = LocalSet::new();
     local
@@ -64,6 +67,7 @@
             tokio::task::spawn_local(followed::preset(Rc::clone(&control)));
             tokio::task::spawn_local(followed::routes(Rc::clone(&control)));
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
+            tokio::task::spawn_local(suspects::take(Rc::clone(&control), events));
             control.until_ending().await;
             control.state.borrow_mut().table.leave();
             exchange::push(&control).await;
@@ -134,6 +138,7 @@
                 bootstrap,
                 register: Register::default(),
                 routes: route::Register::default(),
+                quarantine: Quarantine::new(settings.quarantine.clone(), seed),
                 heard_at: None,
                 differing: 0,
                 seed_lease: None,
--- a/crates/node/src/control/codec.rs
+++ b/crates/node/src/control/codec.rs
@@ -2,9 +2,12 @@
 
 use std::net::{AddrParseError, SocketAddr};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::membership::{self, Record, Standing, Upstream};
 use mintridge_core::preset::{InForce, Revision};
+use mintridge_core::quarantine::{self, End, Suspect};
 use mintridge_core::route::Version;
 
 use crate::peer_capnp;
@@ -48,6 +51,34 @@
     pub in_force: Option<InForce>,
     /// Its routing table as operators wrote it, compressed, if the other's is known to be older.
     pub routes: Option<Arc<[u8]>>,
+    /// What it tells of requests that end upstreams.
+    pub suspects: Vec<Suspect>,
+    /// Digest of the requests that it holds back.
+    pub held: u64,
+}
+
+impl Exchange {
+    /// What the other side needs to know of this one to answer it.
+    #[must_use]
+    pub fn told(&self) -> Told {
+        let named = self.suspects.iter().map(|suspect| suspect.fingerprint);
+        Told {
+            versions: self.versions,
+            quarantine: quarantine::Told {
+                digest: self.held,
+                named: named.collect(),
+            },
+        }
+    }
+}
+
+/// What a node told of itself in an exchange.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// What it has in force.
+    pub versions: Versions,
+    /// What it holds back.
+    pub quarantine: quarantine::Told,
 }
 
 /// What a node has in force.
@@ -68,7 +99,11 @@
 }
 
 /// Writes one side of an exchange.
-pub fn write_exchange(exchange: &Exchange, mut to: peer_capnp::exchange::Builder<'_>) {
+pub fn write_exchange(
+    now: Instant,
+    exchange: &Exchange,
+    mut to: peer_capnp::exchange::Builder<'_>,
+) {
     to.set_digest(exchange.digest);
     to.set_revision(exchange.versions.preset.0);
     to.set_routes_version(exchange.versions.routes.0);
@@ -80,12 +115,22 @@
     {
         to.set_in_force(&written);
     }
-    let length = u32::try_from(exchange.news.len()).unwrap_or(u32::MAX);
-    write_records(&exchange.news, to.init_news(length));
+    to.set_held(exchange.held);
+    let length = length_of(&exchange.suspects);
+    write_suspects(now, &exchange.suspects, to.reborrow().init_suspects(length));
+    write_records(&exchange.news, to.init_news(length_of(&exchange.news)));
+}
+
+/// Length of a list of a message.
+pub fn length_of<T>(list: &[T]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
 }
 
 /// Reads one side of an exchange.
-pub fn read_exchange(from: peer_capnp::exchange::Reader<'_>) -> Result<Exchange, Malformed> {
+pub fn read_exchange(
+    now: Instant,
+    from: peer_capnp::exchange::Reader<'_>,
+) -> Result<Exchange, Malformed> {
     let document = from.get_in_force()?;
     let in_force = if document.is_empty() {
         None
@@ -102,6 +147,8 @@
         },
         in_force,
         routes: (!routes.is_empty()).then(|| Arc::from(routes)),
+        suspects: read_suspects(now, from.get_suspects()?)?,
+        held: from.get_held(),
     })
 }
 
@@ -180,6 +227,64 @@
     })
 }
 
+/// Time left is told in whole seconds, rounded down: a copy never outlives what it was copied from.
+fn write_suspects(
+    now: Instant,
+    suspects: &[Suspect],
+    mut to: capnp::struct_list::Builder<'_, peer_capnp::suspect::Owned>,
+) {
+    for (index, suspect) in (0..to.len()).zip(suspects) {
+        let mut written = to.reborrow().get(index);
+        written.set_head(suspect.fingerprint.head);
+        match suspect.fingerprint.body {
+            None => written.reborrow().init_body().set_unseen(()),
+            Some(body) => written.reborrow().init_body().set_digest(body),
+        }
+        written.set_trials(suspect.trials);
+        let left = suspect.forgotten_at.saturating_duration_since(now);
+        written.set_left_seconds(u32::try_from(left.as_secs()).unwrap_or(u32::MAX));
+        let mut ends = written.init_ends(length_of(&suspect.ends));
+        for (index, end) in (0..ends.len()).zip(&suspect.ends) {
+            let mut written = ends.reborrow().get(index);
+            written.set_id(end.id);
+            written.set_service(end.service);
+            written.set_cleared(end.cleared);
+        }
+    }
+}
+
+fn read_suspects(
+    now: Instant,
+    from: capnp::struct_list::Reader<'_, peer_capnp::suspect::Owned>,
+) -> Result<Vec<Suspect>, Malformed> {
+    from.iter()
+        .map(|suspect| read_suspect(now, suspect))
+        .collect()
+}
+
+fn read_suspect(now: Instant, from: peer_capnp::suspect::Reader<'_>) -> Result<Suspect, Malformed> {
+    use peer_capnp::suspect::body;
+    let body = match from.get_body().which()? {
+        body::Unseen(()) => None,
+        body::Digest(digest) => Some(digest),
+    };
+    let ends = from.get_ends()?;
+    let ends = ends.iter().map(|end| End {
+        id: end.get_id(),
+        service: end.get_service(),
+        cleared: end.get_cleared(),
+    });
+    Ok(Suspect {
+        fingerprint: Fingerprint {
+            head: from.get_head(),
+            body,
+        },
+        ends: ends.collect(),
+        trials: from.get_trials(),
+        forgotten_at: now + Duration::from_secs(from.get_left_seconds().into()),
+    })
+}
+
 fn read_text(from: capnp::text::Reader<'_>) -> Result<Arc<str>, Malformed> {
     Ok(Arc::from(from.to_str()?))
 }
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -10,8 +10,8 @@
 use mintridge_core::membership::Record;
 use tokio::net::TcpStream;
 
-use super::codec::Versions;
-use super::{Control, codec, peer};
+use super::codec::Told;
+use super::{Control, codec, peer, suspects};
 use crate::packed;
 use crate::peer_capnp::peer as peer_rpc;
 use crate::settings::Settings;
@@ -64,6 +64,7 @@
         if control.state.borrow_mut().table.tick(now) {
             control.publish();
         }
+        suspects::tick(&control, now);
         let next = control.state.borrow_mut().table.next_peer();
         match next {
             Some(record) => {
@@ -173,46 +174,56 @@
         }
     };
     control.state.borrow_mut().heard_at = Some(Instant::now());
-    let (digest, versions) = (theirs.digest, theirs.versions);
+    let (digest, told) = (theirs.digest, theirs.told());
     take_in(control, Instant::now(), theirs);
     control.heard(asked_at);
-    give_newer(control, address, versions).await;
+    give_newer(control, address, told).await;
     compare(control, address, digest).await;
     Ok(())
 }
 
 async fn call(control: &Rc<Control>, address: SocketAddr) -> Result<codec::Exchange, Error> {
+    exchange(control, address, None).await
+}
+
+async fn exchange(
+    control: &Rc<Control>,
+    address: SocketAddr,
+    told: Option<&Told>,
+) -> Result<codec::Exchange, Error> {
     let client = connect(control, address).await?;
     let mut request = client.exchange_request();
-    let ours = compose(control, None);
-    codec::write_exchange(&ours, request.get().init_ours());
+    let now = Instant::now();
+    let ours = compose(control, now, told);
+    codec::write_exchange(now, &ours, request.get().init_ours());
     let sent = request.get().total_size()?.word_count;
     let response = request.send().promise.await?;
     let theirs = response.get()?.get_theirs()?;
     let words = sent + theirs.total_size()?.word_count;
     control.context.metrics.exchange("answered", words * 8);
-    Ok(codec::read_exchange(theirs)?)
+    Ok(codec::read_exchange(Instant::now(), theirs)?)
 }
 
-/// The peer is behind: it hears of what is in force here without waiting for the next round.
+/// The peer is behind, or holds back other requests: it hears of what holds here without waiting
+/// for the next round.
 ///
 /// A document has more time than an exchange: its length says nothing about the peer's health.
-async fn give_newer(control: &Rc<Control>, address: SocketAddr, theirs: Versions) {
-    let ours = control.state.borrow().versions();
-    if !theirs.is_behind(&ours) {
+async fn give_newer(control: &Rc<Control>, address: SocketAddr, told: Told) {
+    let (ours, held) = {
+        let state = control.state.borrow();
+        (state.versions(), state.quarantine.digest())
+    };
+    if !told.versions.is_behind(&ours) && told.quarantine.digest == held {
         return;
     }
     let within = control.context.settings.control.document_within;
-    let given = async {
-        let client = connect(control, address).await?;
-        let mut request = client.exchange_request();
-        let ours = compose(control, Some(theirs));
-        codec::write_exchange(&ours, request.get().init_ours());
-        request.send().promise.await?;
-        Ok::<(), Error>(())
-    };
-    if !matches!(tokio::time::timeout(within, given).await, Ok(Ok(()))) {
-        log::debug!(peer:% = address; "newer documents not given");
+    let given = tokio::time::timeout(within, exchange(control, address, Some(&told))).await;
+    match given {
+        Ok(Ok(theirs)) => take_in(control, Instant::now(), theirs),
+        Ok(Err(error)) => {
+            log::debug!(peer:% = address, error:% = error; "newer documents not given");
+        }
+        Err(_) => log::debug!(peer:% = address; "newer documents not given in time"),
     }
 }
 
@@ -293,9 +304,10 @@
 }
 
 /// What this node says in an exchange; documents only if the peer's are known older.
-pub fn compose(control: &Control, theirs: Option<Versions>) -> codec::Exchange {
+pub fn compose(control: &Control, now: Instant, told: Option<&Told>) -> codec::Exchange {
     let mut state = control.state.borrow_mut();
     let versions = state.versions();
+    let theirs = told.map(|told| told.versions);
     let in_force = theirs
         .filter(|theirs| theirs.preset < versions.preset)
         .map(|_| state.register.current().as_ref().clone());
@@ -313,6 +325,10 @@
         versions,
         in_force,
         routes,
+        suspects: state
+            .quarantine
+            .tell(now, told.map(|told| &told.quarantine)),
+        held: state.quarantine.digest(),
     }
 }
 
@@ -341,4 +357,5 @@
         take_routes(control, packed);
     }
     control.merge(now, theirs.news);
+    suspects::merge(control, now, theirs.suspects);
 }
--- a/crates/node/src/control/peer.rs
+++ b/crates/node/src/control/peer.rs
@@ -81,12 +81,12 @@
         mut results: peer::ExchangeResults,
     ) -> Result<(), capnp::Error> {
         let now = Instant::now();
-        let theirs = codec::read_exchange(params.get()?.get_ours()?)
+        let theirs = codec::read_exchange(now, params.get()?.get_ours()?)
             .inspect_err(|_| self.control.context.metrics.bad_input("control"))?;
-        let versions = theirs.versions;
+        let told = theirs.told();
         exchange::take_in(&self.control, now, theirs);
-        let ours = exchange::compose(&self.control, Some(versions));
-        codec::write_exchange(&ours, results.get().init_theirs());
+        let ours = exchange::compose(&self.control, now, Some(&told));
+        codec::write_exchange(now, &ours, results.get().init_theirs());
         Ok(())
     }
 
@@ -114,7 +114,7 @@
             .present()
             .cloned()
             .collect();
-        let length = u32::try_from(records.len()).unwrap_or(u32::MAX);
+        let length = codec::length_of(&records);
         codec::write_records(&records, results.get().init_records(length));
         Ok(())
     }
--- /dev/null
+++ b/crates/node/src/control/suspects.rs
@@ -0,0 +1,90 @@
+//! Requests that end upstreams: what the guard saw, what other nodes tell, and what is held back.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use mintridge_core::fingerprint::Fingerprint;
+use mintridge_core::quarantine::{Change, Event, Suspect};
+use tokio::sync::mpsc;
+
+use super::Control;
+
+/// Requests of one change told one by one up to this many, so that a flood of them does not fill
+/// the log.
+const CHANGES_TOLD: usize = 8;
+
+/// Takes in what the guard saw until the thread ends.
+pub async fn take(control: Rc<Control>, mut events: mpsc::Receiver<Event>) {
+    while let Some(event) = events.recv().await {
+        let now = Instant::now();
+        change(&control, |control| {
+            control.state.borrow_mut().quarantine.seen(now, event)
+        });
+    }
+}
+
+/// Takes in what another node tells.
+pub fn merge(control: &Control, now: Instant, suspects: Vec<Suspect>) {
+    change(control, |control| {
+        control.state.borrow_mut().quarantine.merge(now, suspects)
+    });
+}
+
+/// Forgets what is due.
+pub fn tick(control: &Control, now: Instant) {
+    change(control, |control| {
+        control.state.borrow_mut().quarantine.tick(now)
+    });
+}
+
+/// Shows the other duties what a change came to, and tells peers at once.
+///
+/// Failure: each of three nodes knows one end, and a round with one peer takes half a second.
+/// Symptom: upstreams go on ending until all three are known in one place. What is news goes to a
+/// few peers at once, and each to whom it is news does the same.
+fn change(control: &Control, act: impl FnOnce(&Control) -> Change) {
+    let before = held(control);
+    let change = act(control);
+    if change == Change::None {
+        return;
+    }
+    let state = control.state.borrow();
+    let screen = Arc::new(state.quarantine.screen());
+    let suspects = state.quarantine.len();
+    drop(state);
+    control.context.latest.screen.send_replace(screen);
+    let after = held(control);
+    control.context.metrics.suspects(suspects, after.len());
+    tell_changes(control, &before, &after);
+    if change == Change::Urgent {
+        control.news.notify_one();
+    }
+}
+
+fn held(control: &Control) -> BTreeSet<Fingerprint> {
+    let state = control.state.borrow();
+    let held = state.quarantine.held();
+    held.iter().map(|suspect| suspect.fingerprint).collect()
+}
+
+fn tell_changes(control: &Control, before: &BTreeSet<Fingerprint>, after: &BTreeSet<Fingerprint>) {
+    let state = control.state.borrow();
+    for fingerprint in after.difference(before).take(CHANGES_TOLD) {
+        let found = state.quarantine.held();
+        let found = found.iter().find(|held| held.fingerprint == *fingerprint);
+        log::warn!(
+            fingerprint:% = fingerprint,
+            ends = found.map_or(0, |held| held.ends.len()),
+            trials = found.map_or(0, |held| held.trials);
+            "request is held back: upstreams ended under it"
+        );
+    }
+    for fingerprint in before.difference(after).take(CHANGES_TOLD) {
+        log::info!(
+            fingerprint:% = fingerprint;
+            "request is no longer held back"
+        );
+    }
+}
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use mintridge_core::quarantine::Event;
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc;
@@ -39,6 +40,8 @@
     pub announced: mpsc::Receiver<Heard>,
     /// Receiving end of the ring to the claims thread.
     pub jobs: mpsc::Receiver<Job>,
+    /// Receiving end of the ring to control.
+    pub suspicions: mpsc::Receiver<Event>,
 }
 
 /// A running duty.
@@ -64,6 +67,7 @@
         metrics,
         announced,
         jobs,
+        suspicions,
     } = inputs;
     Ok(vec![
         spawn("entry", context, move |context| async move {
@@ -82,7 +86,7 @@
         })?,
         spawn("control", context, move |context| async move {
             let listener = TcpListener::from_std(control)?;
-            control::run(context, listener).await;
+            control::run(context, listener, suspicions).await;
             Ok(())
         })?,
         spawn("announcements", context, move |context| async move {
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -11,13 +11,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use hyper::body::Body as _;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use mintridge_core::fingerprint::{self, Fingerprint};
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::placement::Placement;
-use mintridge_core::retry;
+use mintridge_core::{quarantine, retry};
 use mintridge_http::handler::{Answer, Function};
 use mintridge_http::problem::{self, Precision};
 use mintridge_http::{Body, server};
@@ -197,11 +199,17 @@
         Err(error) => return entry.refuse_malformed(now, error, &number, &parts, version),
     };
     history.routed(&read.head.service, read.head.deadline);
-    history.repeats(entry.fingerprint(&read.head, &parts));
+    let fingerprint = entry.fingerprint(&read.head, &parts, &body);
+    history.repeats(fingerprint.head);
+    let only_on = match entry.screen(now, &read.head.service, fingerprint) {
+        Ok(only_on) => only_on,
+        Err(refusal) => return entry.refuse(&refusal, &read.head.request),
+    };
     let sent = Sent {
         request: read,
         parts,
         source: Source::new(body, settings.replay_most),
+        only_on,
     };
     forward(&entry, sent, history).await
 }
@@ -249,11 +257,35 @@
         self.refuse(&Refusal::not_run(error.reason(), retry_at), number)
     }
 
-    /// Digest of a caller's request without its body.
-    fn fingerprint(&self, head: &Head, parts: &Parts) -> u64 {
+    /// What repeats of a caller's request share; a body that is still to come is not waited for.
+    fn fingerprint(&self, head: &Head, parts: &Parts, body: &Body) -> Fingerprint {
         let host = attempt::host(parts);
         let path = parts.uri.path_and_query();
-        arrival::fingerprint(&self.context.settings, head, &parts.method, host, path)
+        let settings = &self.context.settings;
+        Fingerprint {
+            head: arrival::fingerprint(settings, head, &parts.method, host, path),
+            body: fingerprint::Body::new(body.is_end_stream().then_some(0)).digest(),
+        }
+    }
+
+    /// Refuses a request that is held back, before it costs anybody more; the host that may try
+    /// it, if a trial is due.
+    fn screen(
+        &self,
+        now: Instant,
+        service: &str,
+        fingerprint: Fingerprint,
+    ) -> Result<Option<Arc<str>>, Refusal> {
+        match self.context.screen().judge(now, fingerprint) {
+            // The node beside the upstream reads the body and decides.
+            quarantine::Verdict::Pass | quarantine::Verdict::BodyDecides => Ok(None),
+            quarantine::Verdict::Hold(until) => Err(Refusal::not_run(Reason::Quarantined, until)),
+            quarantine::Verdict::Trial => {
+                let placement = self.placement.lock();
+                let host = quarantine::trial_host(fingerprint, placement.hosts(service));
+                Ok(host.cloned())
+            }
+        }
     }
 
     /// Number of a request within the fleet: host, its start, and a count.
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -25,6 +25,8 @@
     pub parts: Parts,
     /// Its body.
     pub source: Source,
+    /// The one host that may try it, since it is held back everywhere else.
+    pub only_on: Option<Arc<str>>,
 }
 
 /// How one attempt ended.
@@ -151,9 +153,12 @@
         return Attempt::Answered(response);
     };
     placed.ending = match refusal.reason {
-        Reason::Busy | Reason::Late | Reason::Deadline | Reason::Duplicate | Reason::Shed => {
-            Ending::Full
-        }
+        Reason::Busy
+        | Reason::Late
+        | Reason::Deadline
+        | Reason::Duplicate
+        | Reason::Shed
+        | Reason::Quarantined => Ending::Full,
         _ => Ending::Avoid,
     };
     Attempt::Refused {
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -86,7 +86,9 @@
                     return Verdict::PassOn(Box::new((response, placed)));
                 }
                 placed.ending = Ending::Avoid;
-                if !self.may_retry(forwarding, Progress::MayHaveRun) {
+                let again = forwarding.sent.only_on.is_none()
+                    && self.may_retry(forwarding, Progress::MayHaveRun);
+                if !again {
                     return Verdict::PassOn(Box::new((response, placed)));
                 }
                 forwarding.may_have_run = true;
@@ -101,7 +103,9 @@
                 let may_have_run = progress == Progress::MayHaveRun;
                 forwarding.claimed |= claimed;
                 forwarding.may_have_run |= may_have_run;
-                let again = if refusal.spared_upstreams() {
+                let again = if forwarding.sent.only_on.is_some() {
+                    false
+                } else if refusal.spared_upstreams() {
                     self.may_ask_another(forwarding, &refusal)
                 } else {
                     forwarding.attempts.was_handed();
@@ -132,7 +136,11 @@
         let now = Instant::now();
         let service = &forwarding.sent.request.head.service;
         let mut placement = self.placement.lock();
-        let host = placement.pick(now, service, forwarding.attempts.tried())?;
+        let host = match &forwarding.sent.only_on {
+            Some(host) if placement.place_on(service, host) => Arc::clone(host),
+            Some(_) => return None,
+            None => placement.pick(now, service, forwarding.attempts.tried())?,
+        };
         let known = placement.known(service, &host)?;
         drop(placement);
         let retry = &self.context.live().retry;
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -7,9 +7,10 @@
 mod probing;
 mod reporting;
 mod runs;
+mod screening;
 mod slot;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -21,6 +22,7 @@
 use hyper_util::rt::TokioExecutor;
 use mintridge_core::admission::{Action, Admission};
 use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
+use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::gate::Gate;
 use mintridge_core::health::Health;
 use mintridge_core::instance;
@@ -80,6 +82,8 @@
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
     runs: Runs,
+    /// Requests that are held back and tried at this moment.
+    trials: HashSet<Fingerprint>,
 }
 
 /// Serves peers until the node closes their listener.
@@ -166,6 +170,7 @@
                 waiters: HashMap::new(),
                 next_id: 0,
                 runs: Runs::default(),
+                trials: HashSet::new(),
             }),
             queued: Notify::new(),
             reporting: Reporting::default(),
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -16,9 +16,9 @@
 use mintridge_core::request::Id;
 use mintridge_http::Body;
 
-use super::Guard;
 use super::runs::Print;
 use super::slot::Slot;
+use super::{Guard, screening};
 use crate::arrival::ANONYMOUS;
 use crate::body::Held;
 use crate::headers::{self, Head};
@@ -32,9 +32,10 @@
     head: &Head,
     request: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
+    let (print, request) = Print::begin(&guard.context.settings, head, request);
+    let (mut request, trial) = screening::pass(guard, head, &print, request).await?;
     let handed_at = Instant::now();
     let address = guard.check_hand_over(handed_at, head)?;
-    let (print, mut request) = Print::begin(&guard.context.settings, head, request);
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
     let run = guard.run(slot.id, print.clone());
@@ -68,11 +69,14 @@
     };
     guard.told(now, guard.upstream.load(&parts.headers).as_ref());
     guard.answered(now, slot.id, parts.status, now - handed_at);
+    if !parts.status.is_server_error() && parts.status != StatusCode::TOO_MANY_REQUESTS {
+        guard.clear(head, &print);
+    }
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_own(&mut parts.headers);
     headers::write_load(&guard.report(now), &mut parts.headers);
     let idle = guard.context.settings.callers.body_idle;
-    let body = Held::new(body, (run, slot), idle);
+    let body = Held::new(body, (run, trial, slot), idle);
     Ok(Response::from_parts(parts, Body::new(body)))
 }
 
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -16,6 +16,7 @@
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::CONTENT_LENGTH;
 use mintridge_core::fingerprint::{self, Fingerprint};
+use mintridge_core::quarantine::Event;
 use mintridge_core::request::Id;
 use mintridge_http::Body;
 use parking_lot::Mutex;
@@ -60,6 +61,7 @@
 /// Fingerprint of a request whose body may still be passing.
 #[derive(Clone)]
 pub struct Print {
+    service: Arc<str>,
     head: u64,
     body: Arc<Mutex<fingerprint::Body>>,
 }
@@ -80,6 +82,7 @@
             length.and_then(|length| length.to_str().ok()?.parse().ok())
         };
         let print = Self {
+            service: Arc::clone(&head.service),
             head: digest,
             body: Arc::new(Mutex::new(fingerprint::Body::new(declared))),
         };
@@ -181,11 +184,7 @@
             return;
         }
         runs.checking = true;
-        let in_progress: Vec<(Id, Print)> = runs
-            .open
-            .iter()
-            .map(|(id, print)| (*id, print.clone()))
-            .collect();
+        let in_progress = runs.open.clone();
         drop(state);
         let guard = Arc::clone(self);
         tokio::spawn(async move {
@@ -195,41 +194,43 @@
             if reach != Reach::Refused || state.gate.is_leaving() {
                 return;
             }
-            for (id, _) in &in_progress {
-                state.runs.open.remove(id);
-            }
+            state
+                .runs
+                .open
+                .retain(|id, _| !in_progress.contains_key(id));
             drop(state);
-            let prints = in_progress.iter().map(|(_, print)| print.fingerprint());
-            guard.ended(&prints.collect::<Vec<_>>(), Evidence::Unreachable);
+            guard.ended(&in_progress, Evidence::Unreachable);
         });
     }
 
     /// The upstream has started again: what was in progress at the end of the start before.
     pub(super) fn ended_before_start(&self, state: &mut super::State) {
-        let in_progress: Vec<Fingerprint> = state
-            .runs
-            .open
-            .drain()
-            .map(|(_, print)| print.fingerprint())
-            .collect();
+        let in_progress = std::mem::take(&mut state.runs.open);
         if !in_progress.is_empty() && !state.gate.is_leaving() {
             self.ended(&in_progress, Evidence::StartedAgain);
         }
     }
 
     /// The upstream ended, unplanned, with these requests in progress.
-    fn ended(&self, in_progress: &[Fingerprint], evidence: Evidence) {
+    fn ended(&self, in_progress: &HashMap<Id, Print>, evidence: Evidence) {
         self.context.metrics.upstream_ended();
-        let told: Vec<String> = in_progress
+        let fingerprints: Vec<Fingerprint> = in_progress.values().map(Print::fingerprint).collect();
+        let told: Vec<String> = fingerprints
             .iter()
             .take(FINGERPRINTS_TOLD)
             .map(ToString::to_string)
             .collect();
         log::warn!(
             evidence = evidence.as_str(),
-            in_progress = in_progress.len(),
+            in_progress = fingerprints.len(),
             fingerprints = told.join(" ");
             "upstream ended with requests in progress"
         );
+        if let Some(print) = in_progress.values().next() {
+            self.suspicion(Event::Ended {
+                service: Arc::clone(&print.service),
+                in_progress: fingerprints,
+            });
+        }
     }
 }
--- /dev/null
+++ b/crates/node/src/guard/screening.rs
@@ -0,0 +1,152 @@
+//! Holds back requests under which upstreams ended, at the last moment before one is handed over.
+//!
+//! The node beside the upstream has the last word: whichever node a repeat comes through, also one
+//! that has just started or was cut off, nobody else can hand it over.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Request;
+use hyper::body::Frame;
+use mintridge_core::fingerprint::Fingerprint;
+use mintridge_core::membership::Upstream;
+use mintridge_core::outcome::{Reason, Refusal};
+use mintridge_core::quarantine::{self, Event, Verdict};
+use mintridge_http::Body;
+
+use super::Guard;
+use super::runs::Print;
+use crate::headers::Head;
+
+/// When a caller is told to come back whose request may be tried, but not here and now.
+const TRIAL_ELSEWHERE_RETRY: Duration = Duration::from_secs(1);
+
+/// A request that is held back and tried all the same; one at a time until this is dropped.
+pub struct Trial {
+    guard: Arc<Guard>,
+    fingerprint: Fingerprint,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.guard.state.lock().trials.remove(&self.fingerprint);
+    }
+}
+
+/// Lets a request pass unless it is held back.
+pub async fn pass(
+    guard: &Arc<Guard>,
+    head: &Head,
+    print: &Print,
+    request: Request<Body>,
+) -> Result<(Request<Body>, Option<Trial>), Refusal> {
+    let screen = guard.context.screen();
+    if screen.is_empty() {
+        return Ok((request, None));
+    }
+    let mut request = request;
+    let mut verdict = screen.judge(Instant::now(), print.fingerprint());
+    if verdict == Verdict::BodyDecides {
+        let reading = read_ahead(print, request);
+        request = tokio::time::timeout_at(head.deadline.into(), reading)
+            .await
+            .map_err(|_| guard.not_run(Reason::Deadline))?;
+        verdict = screen.judge(Instant::now(), print.fingerprint());
+    }
+    match verdict {
+        // A body that broke off is broken off towards the upstream as well.
+        Verdict::Pass | Verdict::BodyDecides => Ok((request, None)),
+        Verdict::Hold(until) => Err(Refusal::not_run(Reason::Quarantined, until)),
+        Verdict::Trial => {
+            let trial = guard.try_out(head, print.fingerprint())?;
+            Ok((request, Some(trial)))
+        }
+    }
+}
+
+/// Reads as much of a body as tells whose it is, and puts it back in front of the rest.
+async fn read_ahead(print: &Print, request: Request<Body>) -> Request<Body> {
+    let (parts, mut body) = request.into_parts();
+    let mut read: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
+    while print.fingerprint().body.is_none() {
+        let Some(frame) = body.frame().await else {
+            break;
+        };
+        let broken = frame.is_err();
+        read.push(frame.map_err(std::io::Error::other));
+        if broken {
+            break;
+        }
+    }
+    let rest = http_body_util::BodyStream::new(body);
+    let rest = rest.map(|frame| frame.map_err(std::io::Error::other));
+    let whole = StreamBody::new(stream::iter(read).chain(rest));
+    Request::from_parts(parts, Body::new(whole))
+}
+
+impl Guard {
+    /// Lets a request through that is held back, if its trial is due and falls to this host.
+    fn try_out(self: &Arc<Self>, head: &Head, fingerprint: Fingerprint) -> Result<Trial, Refusal> {
+        let now = Instant::now();
+        let elsewhere = Refusal::not_run(Reason::Quarantined, now + TRIAL_ELSEWHERE_RETRY);
+        if !self.is_trial_host(head, fingerprint) {
+            return Err(elsewhere);
+        }
+        if !self.state.lock().trials.insert(fingerprint) {
+            return Err(elsewhere);
+        }
+        let trial = Trial {
+            guard: Arc::clone(self),
+            fingerprint,
+        };
+        // A trial that control does not hear of would be followed by the next at once.
+        if !self.suspicion(Event::Tried(fingerprint)) {
+            return Err(elsewhere);
+        }
+        log::warn!(
+            request = &*head.request,
+            fingerprint:% = fingerprint;
+            "request that is held back is tried"
+        );
+        Ok(trial)
+    }
+
+    fn is_trial_host(&self, head: &Head, fingerprint: Fingerprint) -> bool {
+        let view = Arc::clone(&self.context.latest.view.borrow());
+        let offers = |upstream: &Upstream| upstream.service == head.service && !upstream.leaving;
+        let hosts = view
+            .members
+            .iter()
+            .filter(|record| record.upstream.as_ref().is_some_and(offers))
+            .map(|record| &record.host);
+        quarantine::trial_host(fingerprint, hosts) == Some(self.context.host())
+    }
+
+    /// Tells control what was seen; false if its ring is full.
+    pub(super) fn suspicion(&self, event: Event) -> bool {
+        let sent = self.context.rings.suspicions.try_send(event).is_ok();
+        if !sent {
+            self.context.metrics.ring_full("suspicions");
+            log::warn!("ring to control is full: an end, answer or trial is not told");
+        }
+        sent
+    }
+
+    /// The upstream answered: a request that was suspected is cleared.
+    pub(super) fn clear(&self, head: &Head, print: &Print) {
+        let screen = self.context.screen();
+        if screen.is_empty() {
+            return;
+        }
+        let fingerprint = print.fingerprint();
+        if screen.suspects(fingerprint) {
+            self.suspicion(Event::Answered {
+                service: Arc::clone(&head.service),
+                fingerprint,
+            });
+        }
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -55,6 +55,8 @@
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
     upstream_ends: Counter,
+    suspects: Gauge,
+    held: Gauge,
     pace_asked: Counter,
     reloads: Family<KindLabels, Counter>,
     claims: Family<KindLabels, Counter>,
@@ -83,6 +85,8 @@
             guard_refusals: Family::default(),
             retries: Counter::default(),
             upstream_ends: Counter::default(),
+            suspects: Gauge::default(),
+            held: Gauge::default(),
             pace_asked: Counter::default(),
             reloads: Family::default(),
             claims: Family::default(),
@@ -122,6 +126,10 @@
         registry.register("retries", "Second attempts made", self.retries.clone());
         let help = "Ends of the upstream, unplanned, with requests in progress";
         registry.register("upstream_ends", help, self.upstream_ends.clone());
+        let help = "Requests known under which upstreams ended";
+        registry.register("suspects", help, self.suspects.clone());
+        let help = "Requests held back because upstreams ended under them";
+        registry.register("held_back", help, self.held.clone());
         registry.register("reloads", "Settings files read again", self.reloads.clone());
         registry.register(
             "pace_asked",
@@ -189,6 +197,12 @@
         self.upstream_ends.inc();
     }
 
+    /// So many requests are known under which upstreams ended, and so many of them held back.
+    pub fn suspects(&self, known: usize, held: usize) {
+        self.suspects.set(i64::try_from(known).unwrap_or(i64::MAX));
+        self.held.set(i64::try_from(held).unwrap_or(i64::MAX));
+    }
+
     /// A settings file was read again.
     pub fn reload(&self, reload: Reload) {
         let kind = match reload {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -71,9 +71,11 @@
     };
     let (to_guard, announced) = mpsc::channel(settings.guard.announcements_ring);
     let (to_claims, jobs) = mpsc::channel(settings.claims.ring);
+    let (to_control, suspicions) = mpsc::channel(settings.guard.suspicions_ring);
     let rings = Rings {
         announcements: to_guard,
         claims: to_claims,
+        suspicions: to_control,
     };
     if settings.traces.sampled {
         traces::start();
@@ -97,6 +99,7 @@
         metrics,
         announced,
         jobs,
+        suspicions,
     };
     let duties = duties::start(&context, inputs).change_context(Error::Threads)?;
     log::info!(
@@ -117,6 +120,7 @@
         settings: watch::Sender::new(Arc::new(settings.clone())),
         view: watch::Sender::new(Arc::new(View::default())),
         routes: watch::Sender::new(None),
+        screen: watch::Sender::new(Arc::default()),
         upstream: watch::Sender::new(None),
         guarded: watch::Sender::new(Guarded::default()),
         seen: watch::Sender::new(Vec::new()),
--- a/crates/node/src/peer_capnp.rs
+++ b/crates/node/src/peer_capnp.rs
@@ -1093,6 +1093,825 @@
     }
 }
 
+pub mod end {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_cleared(self) -> bool {
+            self.reader.get_bool_field(128)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_id(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_id(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_service(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_cleared(self) -> bool {
+            self.builder.get_bool_field(128)
+        }
+        #[inline]
+        pub fn set_cleared(&mut self, value: bool)  {
+            self.builder.set_bool_field(128, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 61] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(104, 57, 157, 193, 18, 77, 114, 131),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(133, 151, 224, 178, 241, 163, 198, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 69, 110, 100, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 128, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0x8372_4d12_c19d_3968;
+    }
+}
+
+pub mod suspect {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_head(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_body(self) -> crate::peer_capnp::suspect::body::Reader<'a> {
+            self.reader.into()
+        }
+        #[inline]
+        pub fn get_ends(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::end::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_ends(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_trials(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn get_left_seconds(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_head(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_head(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_body(self) -> crate::peer_capnp::suspect::body::Builder<'a> {
+            self.builder.into()
+        }
+        #[inline]
+        pub fn init_body(self, ) -> crate::peer_capnp::suspect::body::Builder<'a> {
+            self.builder.set_data_field::<u16>(4, 0);
+            self.builder.set_data_field::<u64>(2, 0u64);
+            self.builder.into()
+        }
+        #[inline]
+        pub fn get_ends(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::end::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_ends(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::end::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_ends(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::end::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_ends(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_trials(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_trials(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+        #[inline]
+        pub fn get_left_seconds(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_left_seconds(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_body(&self) -> crate::peer_capnp::suspect::body::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.noop())
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 90] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(98, 223, 196, 75, 19, 137, 188, 220),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(133, 151, 224, 178, 241, 163, 198, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+            ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(253, 139, 222, 88, 34, 248, 133, 174),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 100, 121, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 57, 157, 193, 18, 77, 114, 131),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 102, 116, 83, 101, 99, 111),
+            ::capnp::word(110, 100, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::peer_capnp::suspect::body::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::peer_capnp::end::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,4,3];
+        pub(crate) const TYPE_ID: u64 = 0xdcbc_8913_4bc4_df62;
+    }
+
+    pub mod body {
+        pub use self::Which::{Unseen,Digest};
+
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichReader, ::capnp::NotInSchema> {
+                match self.reader.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Unseen(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Digest(
+                            self.reader.get_data_field::<u64>(2)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn set_unseen(&mut self, _value: ())  {
+                self.builder.set_data_field::<u16>(4, 0);
+            }
+            #[inline]
+            pub fn set_digest(&mut self, value: u64)  {
+                self.builder.set_data_field::<u16>(4, 1);
+                self.builder.set_data_field::<u64>(2, value);
+            }
+            #[inline]
+            pub fn which(self) -> ::core::result::Result<WhichBuilder, ::capnp::NotInSchema> {
+                match self.builder.get_data_field::<u16>(4) {
+                    0 => {
+                        ::core::result::Result::Ok(Unseen(
+                            ()
+                        ))
+                    }
+                    1 => {
+                        ::core::result::Result::Ok(Digest(
+                            self.builder.get_data_field::<u64>(2)
+                        ))
+                    }
+                    x => ::core::result::Result::Err(::capnp::NotInSchema(x))
+                }
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 46] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(253, 139, 222, 88, 34, 248, 133, 174),
+                ::capnp::word(19, 0, 0, 0, 1, 0, 4, 0),
+                ::capnp::word(98, 223, 196, 75, 19, 137, 188, 220),
+                ::capnp::word(1, 0, 7, 0, 1, 0, 2, 0),
+                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 83, 117, 115, 112, 101),
+                ::capnp::word(99, 116, 46, 98, 111, 100, 121, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 255, 255, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 254, 255, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(117, 110, 115, 101, 101, 110, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <() as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xae85_f822_58de_8bfd;
+        }
+        pub enum Which {
+            Unseen(()),
+            Digest(u64),
+        }
+        pub type WhichReader = Which;
+        pub type WhichBuilder = Which;
+    }
+}
+
 pub mod exchange {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -1190,11 +2009,23 @@
         pub fn has_routes(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::suspect::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_held(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1316,6 +2147,30 @@
         pub fn has_routes(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_suspects(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::suspect::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_suspects(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::suspect::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_suspects(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::suspect::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_suspects(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_held(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_held(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1327,66 +2182,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 113] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 148] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(1, 253, 181, 95, 127, 25, 128, 149),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(133, 151, 224, 178, 241, 163, 198, 212),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 69, 120, 99, 104, 97),
             ::capnp::word(110, 103, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1441,6 +2310,27 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 115, 112, 101, 99, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 223, 196, 75, 19, 137, 188, 220),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1450,6 +2340,8 @@
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <::capnp::struct_list::Owned<crate::peer_capnp::suspect::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1463,9 +2355,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,3,0,2,5,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,7,3,0,2,5,4,6];
         pub(crate) const TYPE_ID: u64 = 0x9580_197f_5fb5_fd01;
     }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -86,6 +86,9 @@
     /// Probes of a doubtful upstream.
     #[serde(default)]
     pub probe: core::probe::Settings,
+    /// Requests that end upstreams.
+    #[serde(default)]
+    pub quarantine: core::quarantine::Settings,
     /// Second attempts.
     #[serde(default)]
     pub retry: core::retry::Settings,
@@ -118,6 +121,7 @@
             bootstrap: core::bootstrap::Settings::default(),
             placement: core::placement::Settings::default(),
             probe: core::probe::Settings::default(),
+            quarantine: core::quarantine::Settings::default(),
             retry: core::retry::Settings::default(),
         }
     }
--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -4,8 +4,14 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Account, get, hosts, mixed_load, processes, processes_and_entry, within};
-use mintridge_bench::caller::Call;
+use bytes::Bytes;
+use common::{
+    Account, Plan, add_entry, bare_post, get, hosts, mixed_load, processes, processes_and_entry,
+    within,
+};
+use mintridge_bench::caller::{Call, Told};
+use mintridge_core::outcome::{Outcome, Reason};
+use mintridge_node::settings::Settings;
 use mintridge_standin::scene::{Scene, wait_for};
 use mintridge_standin::upstream::BYTES;
 
@@ -17,6 +23,8 @@
 const REPEATED_EVERY: Duration = Duration::from_millis(80);
 /// By then every node that can be reached has to know.
 const NEWS_SPREAD_WITHIN: Duration = Duration::from_secs(3);
+/// Generous limit on any wait for a condition.
+const WAIT_MOST: Duration = Duration::from_secs(30);
 
 /// Lets the upstreams of these hosts crash on [`CRASHES`].
 fn crash(scene: &Scene, count: usize) {
@@ -139,3 +147,179 @@
         scene.crashes()
     );
 }
+
+/// Sends a request through the nodes of these hosts in turn until it is held back on all of them.
+async fn until_held_back(scene: &Scene, entries: &[usize], call: &Call) {
+    let give_up_at = Instant::now() + WAIT_MOST;
+    let mut refused = 0;
+    for n in 0.. {
+        assert!(Instant::now() < give_up_at, "never held back");
+        let told = scene.call(entries[n % entries.len()], call).await;
+        refused = if is_held_back(&told) { refused + 1 } else { 0 };
+        if refused >= entries.len() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn is_held_back(told: &Told) -> bool {
+    matches!(
+        told,
+        Told::Refused {
+            reason: Reason::Quarantined,
+            outcome: Outcome::NotRun,
+            ..
+        }
+    )
+}
+
+/// A request with a body, which may not be repeated, ends upstreams. Once it is held back its
+/// caller is told that it did not run and when to come back. The same path with another body, and
+/// from another client account, is served.
+#[tokio::test]
+async fn request_with_another_body_or_account_is_served() {
+    let scene = processes(hosts(3)).await;
+    crash(&scene, 3);
+    let ends_upstreams = Call {
+        path: String::from(CRASHES),
+        body: Bytes::from_static(b"ends upstreams"),
+        ..bare_post("held")
+    };
+    until_held_back(&scene, &[0, 1, 2], &ends_upstreams).await;
+    let crashes = scene.crashes();
+    let told = scene.call(0, &ends_upstreams).await;
+    assert!(is_held_back(&told), "{told:?}");
+    let Told::Refused { retry_after, .. } = told else {
+        panic!("not refused");
+    };
+    assert!(retry_after.is_some_and(|seconds| seconds >= 1));
+    for index in 0..3 {
+        scene.behave(index, |behaviour| behaviour.crashes_on = None);
+    }
+    let others = [
+        Call {
+            body: Bytes::from_static(b"does no harm"),
+            ..ends_upstreams.clone()
+        },
+        Call {
+            client_account: String::from("other"),
+            ..ends_upstreams.clone()
+        },
+    ];
+    for other in others {
+        served_soon(&scene, 0, &other).await;
+    }
+    assert!(is_held_back(&scene.call(1, &ends_upstreams).await));
+    assert_eq!(scene.crashes(), crashes);
+}
+
+/// Asks until upstreams that ended are back and trusted.
+async fn served_soon(scene: &Scene, entry: usize, call: &Call) {
+    let give_up_at = Instant::now() + WAIT_MOST;
+    loop {
+        let told = scene.call(entry, call).await;
+        if told.is_success() {
+            return;
+        }
+        assert!(!is_held_back(&told), "{told:?}");
+        assert!(Instant::now() < give_up_at, "never served: {told:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// A node starts again, with an empty memory, after a request was held back, and a node joins that
+/// was never there. Callers of either are refused as those of all others.
+#[tokio::test]
+async fn node_that_starts_holds_back_what_the_others_do() {
+    let mut scene = processes(hosts(3)).await;
+    crash(&scene, 3);
+    until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
+    scene.kill(0).await;
+    scene.start_node(0).expect("it starts");
+    add_entry(&mut scene).await;
+    scene.until_joined().await;
+    let crashes = scene.crashes();
+    for entry in [0, 3] {
+        for n in 0..10 {
+            let told = scene.call(entry, &crashing(&format!("late-{n}"))).await;
+            assert!(told.is_not_run(), "{told:?}");
+        }
+    }
+    assert_eq!(scene.crashes(), crashes);
+}
+
+/// The upstreams are mended while the request is held back. Its trial comes, one upstream answers
+/// it, and from then on it is served through all nodes.
+#[tokio::test]
+async fn request_is_served_again_once_its_trial_is_answered() {
+    let adjust = |settings: &mut Settings| {
+        settings.quarantine.trial_after = Duration::from_secs(2);
+    };
+    let scene = processes(Plan { adjust, ..hosts(3) }).await;
+    crash(&scene, 3);
+    until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
+    for index in 0..3 {
+        scene.behave(index, |behaviour| behaviour.crashes_on = None);
+    }
+    for entry in 0..3 {
+        let give_up_at = Instant::now() + WAIT_MOST;
+        while !scene.call(entry, &crashing("mended")).await.is_success() {
+            assert!(Instant::now() < give_up_at, "never tried");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+/// Trials come due while callers repeat the request through every node: one upstream ends under
+/// each, not one for each node.
+#[tokio::test]
+async fn trial_ends_one_upstream_at_most() {
+    let adjust = |settings: &mut Settings| {
+        settings.quarantine.trial_after = Duration::from_secs(2);
+    };
+    let scene = processes(Plan { adjust, ..hosts(4) }).await;
+    crash(&scene, 4);
+    until_held_back(&scene, &[0, 1, 2, 3], &crashing("held")).await;
+    let crashes = scene.crashes();
+    let until = Instant::now() + Duration::from_secs(6);
+    for n in 0.. {
+        if Instant::now() > until {
+            break;
+        }
+        let entry = scene.addresses(n % 4).callers;
+        let caller = scene.caller.clone();
+        tokio::spawn(async move { caller.call(entry, &crashing(&format!("repeat-{n}"))).await });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(scene.crashes(), crashes + 1);
+}
+
+/// The upstreams of a service are lost together with a request in progress that everybody sends,
+/// none of them by its fault. It is served as soon as an upstream is back.
+#[tokio::test]
+async fn common_request_is_served_after_a_loss_of_all_upstreams() {
+    let scene = processes(hosts(4)).await;
+    crash(&scene, 4);
+    let mut account = Account::default();
+    for n in 0..2 {
+        let load = mixed_load(&scene, 100.0, 1.0);
+        let callers = tokio::spawn(async move {
+            let mut account = Account::default();
+            account.run(&load).await;
+            account
+        });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for entry in 0..4 {
+            let caller = scene.caller.clone();
+            let entry = scene.addresses(entry).callers;
+            let call = crashing(&format!("end-{n}-{entry}"));
+            tokio::spawn(async move { caller.call(entry, &call).await });
+        }
+        callers.await.expect("the load ends").check(&scene);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    account.run(&mixed_load(&scene, 100.0, 2.0)).await;
+    account.check(&scene);
+    account.all_succeeded();
+}
