--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -23,6 +23,8 @@
 const REPEATED_EVERY: Duration = Duration::from_millis(80);
 /// By then every node that can be reached has to know.
 const NEWS_SPREAD_WITHIN: Duration = Duration::from_secs(3);
+/// By then what is held back is in the store, if that answers.
+const WRITTEN_WITHIN: Duration = Duration::from_secs(3);
 /// Generous limit on any wait for a condition.
 const WAIT_MOST: Duration = Duration::from_secs(30);
 
@@ -323,3 +325,26 @@
     account.check(&scene);
     account.all_succeeded();
 }
+
+/// All nodes lose power at once while a request is held back, and none is left that knows. Its
+/// caller goes on, and no upstream may end under it again: what is held back lasts in the store.
+#[tokio::test]
+async fn hold_outlives_a_loss_of_all_nodes() {
+    let mut scene = processes(hosts(3)).await;
+    crash(&scene, 3);
+    until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
+    tokio::time::sleep(WRITTEN_WITHIN).await;
+    let crashes = scene.crashes();
+    for index in 0..3 {
+        scene.kill(index).await;
+    }
+    for index in 0..3 {
+        scene.start_node(index).expect("it starts");
+    }
+    scene.until_joined().await;
+    for n in 0..30 {
+        let told = scene.call(n % 3, &crashing(&format!("after-{n}"))).await;
+        assert!(told.is_not_run(), "{told:?}");
+    }
+    assert_eq!(scene.crashes(), crashes);
+}
