fix(quarantine): keep in the store what is held back

Cause: only nodes knew what was held back; a loss of all power left nobody who did, and the caller of the request ended upstreams anew.

Change: the few nodes that use the store keep what is held back in one value there, written when it changes; a node that starts without a peer that knows more reads it once, by a read that may lag, beside the routing table or the entries of others.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
 use crate::configs::quarantine::Settings;
@@ -36,7 +37,7 @@
 const ENDS_MOST: usize = 16;
 
 /// One upstream ended while a request was in progress there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct End {
     /// Tells ends apart, all over the fleet.
     pub id: u64,
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod followed;
 mod holder;
+mod lasting;
 mod peer;
 mod suspects;
 
@@ -37,6 +38,10 @@
     state: RefCell<State>,
     /// Something changed that peers should hear at once.
     news: Notify,
+    /// What is held back has changed, and is to last.
+    held_changed: Notify,
+    /// What was held back before this node started has been read.
+    recalled: Cell<bool>,
     /// The store answers again after an outage, in which entries may have lapsed.
     store_regained: Cell<bool>,
 }
@@ -68,6 +73,7 @@
             tokio::task::spawn_local(followed::routes(Rc::clone(&control)));
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
             tokio::task::spawn_local(suspects::take(Rc::clone(&control), events));
+            tokio::task::spawn_local(lasting::keep(Rc::clone(&control)));
             control.until_ending().await;
             control.state.borrow_mut().table.leave();
             exchange::push(&control).await;
@@ -144,6 +150,8 @@
                 seed_lease: None,
             }),
             news: Notify::new(),
+            held_changed: Notify::new(),
+            recalled: Cell::new(false),
             store_regained: Cell::new(false),
             context,
         }
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -14,7 +14,7 @@
 use mintridge_store::operation::{Change, Item};
 use mintridge_store::{keys, presets};
 
-use super::Control;
+use super::{Control, lasting};
 
 /// How often a node looks whether it has begun to use the store.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
@@ -85,6 +85,7 @@
         Ok((None, _)) => log::info!(key = key; "no routing table in the store yet"),
         Err(error) => log::info!(key = key, error:% = error; "routing table not read"),
     }
+    lasting::recall(control).await;
     let now = Instant::now();
     control.state.borrow_mut().bootstrap.found_no_routes(now);
 }
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -9,7 +9,7 @@
 use mintridge_store::keys;
 use mintridge_store::operation::{Freshness, Item, Put, Swap};
 
-use super::{Control, exchange};
+use super::{Control, exchange, lasting};
 
 /// How often this node looks whether something is due.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -33,6 +33,7 @@
         let known = control.known();
         if control.state.borrow().bootstrap.looks(now, known) {
             look_for_others(&control).await;
+            lasting::recall(&control).await;
             let now = Instant::now();
             control.state.borrow_mut().bootstrap.found_nobody(now);
         } else if now >= seeds_at && control.state.borrow().bootstrap.follows(now, known) {
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -46,6 +46,7 @@
 /// few peers at once, and each to whom it is news does the same.
 fn change(control: &Control, act: impl FnOnce(&Control) -> Change) {
     let before = held(control);
+    let digest = control.state.borrow().quarantine.digest();
     let change = act(control);
     if change == Change::None {
         return;
@@ -53,6 +54,7 @@
     let state = control.state.borrow();
     let screen = Arc::new(state.quarantine.screen());
     let suspects = state.quarantine.len();
+    let held_changed = state.quarantine.digest() != digest;
     drop(state);
     control.context.latest.screen.send_replace(screen);
     let after = held(control);
@@ -61,6 +63,9 @@
     if change == Change::Urgent {
         control.news.notify_one();
     }
+    if held_changed {
+        control.held_changed.notify_one();
+    }
 }
 
 fn held(control: &Control) -> BTreeSet<Fingerprint> {
--- a/crates/store/src/keys.rs
+++ b/crates/store/src/keys.rs
@@ -7,6 +7,8 @@
 /// Nodes through which others find the fleet, each a
 /// [`mintridge_core::membership::Record`] under a lease.
 pub const SEEDS: &str = "mintridge/seeds/";
+/// Requests that are held back because upstreams ended under them, all in one value.
+pub const HELD: &str = "mintridge/held";
 /// Claimed idempotency keys, each the mark of its request, under a lease.
 pub const CLAIMS: &str = "mintridge/claims/";
 
