test(soak): a request that ends upstreams, repeated beside kills, pauses and cuts

Every fifth mixed seed has a caller that repeats a request under which each upstream ends, through all nodes that are up. Promise: once three have ended and three seconds have passed, at most three more repeats run. Other seeds play as before.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -8,13 +8,16 @@
 
 /// Random faults from outside, or planned work alone, while callers send: stops, kills,
 /// pauses, cut and silent networks, a store that is down, slow, silent or loses replies,
-/// upstreams that start again under their id, large bodies in progress meanwhile. No
+/// upstreams that start again under their id or end under a request, large bodies in progress
+/// meanwhile. No
 /// unrepeatable request runs twice, "not run" is true, answers are whole and their request's
 /// own, nothing reverts, a leaving upstream is left alone, planned work cuts off nothing, and
 /// the fleet serves everybody again at the end.
 #[rstest]
 #[case::mixed(1, true)]
 #[case::planned(3, true)]
+// A caller repeats a request that ends upstreams, beside kills, pauses and cuts.
+#[case::crashing(2, true)]
 // Failed once in seven plays, before the check knew of it: a request crossed the close of an
 // idle connection and did not run.
 #[case::crossed_a_close(141, false)]
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -83,12 +83,23 @@
         Targets::clone(&fleet.targets),
         began + settings.load,
     ));
+    let repeating = plan.crashing.then(|| {
+        fleet.crash();
+        let run = format!("seed-{}", settings.seed);
+        let targets = Targets::clone(&fleet.targets);
+        tokio::spawn(callers::repeat(run, targets, began + settings.load))
+    });
     play(&mut fleet, &plan.entries, began, &mut broken).await?;
     let sent = sending.await.unwrap_or_default();
+    let repeated = match repeating {
+        Some(repeating) => repeating.await.unwrap_or_default(),
+        None => Vec::new(),
+    };
     recover(&mut fleet, settings, &mut broken).await?;
     broken.append(&mut fleet.versions.broken);
     let runs = runs(&fleet);
     broken.extend(promises::of_answers(&sent, &runs));
+    broken.extend(promises::of_repeats(&repeated, fleet.third_end_at, &runs));
     if plan.mode == Mode::Planned {
         broken.extend(promises::of_planned_work(&sent, &runs));
     }
--- a/crates/standin/src/soak/callers.rs
+++ b/crates/standin/src/soak/callers.rs
@@ -25,6 +25,11 @@
 /// Time allowed to each request.
 const ALLOWED: Duration = Duration::from_secs(2);
 
+/// Path of the request that ends upstreams.
+pub const CRASHES: &str = "/crashes";
+/// Time between two repeats of it.
+const REPEATED_EVERY: Duration = Duration::from_millis(90);
+
 /// A request and what its caller was told.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -76,6 +81,46 @@
     sending.join_all().await
 }
 
+/// A repeat of a request that ends upstreams.
+#[derive(Clone, Debug)]
+pub struct Repeat {
+    /// Its own id.
+    pub id: String,
+    /// When it was sent.
+    pub sent_at: Instant,
+}
+
+/// Sends one request that ends upstreams again and again until `until`, each time through another
+/// node and under a new id, and waits for no answer before the next.
+pub async fn repeat(run: String, targets: Targets, until: Instant) -> Vec<Repeat> {
+    let caller = Caller::default();
+    let mut sent = Vec::new();
+    let mut sending = JoinSet::new();
+    for number in 0.. {
+        let sent_at = Instant::now();
+        if sent_at > until {
+            break;
+        }
+        let open: Vec<SocketAddr> = targets.lock().iter().flatten().copied().collect();
+        if !open.is_empty() {
+            let target = open[number % open.len()];
+            let id = format!("{run}-repeat-{number}");
+            let call = Call {
+                id: id.clone(),
+                path: String::from(CRASHES),
+                timeout: ALLOWED,
+                ..Call::default()
+            };
+            let caller = caller.clone();
+            sending.spawn(async move { caller.call(target, &call).await });
+            sent.push(Repeat { id, sent_at });
+        }
+        tokio::time::sleep(REPEATED_EVERY).await;
+    }
+    sending.join_all().await;
+    sent
+}
+
 fn draw(rng: &mut ChaCha8Rng, load: &Load, number: u32) -> Call {
     let id = format!("{}-{number}", load.run);
     let unrepeatable = rng.random::<f64>() < UNREPEATABLE;
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -11,7 +11,7 @@
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
-use super::callers::Targets;
+use super::callers::{CRASHES, Targets};
 use super::plan::{Entry, Event};
 use super::promises::{Broken, Leaving, Versions};
 use crate::relay::{Condition, Relay};
@@ -43,6 +43,8 @@
     leaving: Vec<(usize, Leaving)>,
     changes: u32,
     faults: Faults,
+    /// When the third upstream was seen to have crashed.
+    pub third_end_at: Option<Instant>,
 }
 
 impl Fleet {
@@ -67,6 +69,7 @@
             leaving: Vec::new(),
             changes: 0,
             faults: Faults::default(),
+            third_end_at: None,
         };
         for index in 0..hosts {
             fleet.add(index).await?;
@@ -125,6 +128,15 @@
         self.targets.lock()[index] = Some(addresses.callers);
     }
 
+    /// Lets every upstream crash on one request.
+    pub fn crash(&self) {
+        for index in 0..self.scene.hosts.len() {
+            self.scene.behave(index, |behaviour| {
+                behaviour.crashes_on = Some(String::from(CRASHES));
+            });
+        }
+    }
+
     /// Whether the host's node runs and was not told to stop.
     fn is_up(&self, index: usize) -> bool {
         self.scene.hosts[index].node.is_some() && !self.stopping.contains(&index)
@@ -238,6 +250,9 @@
             }
         }
         let now = Instant::now();
+        if self.scene.crashes() >= 3 {
+            self.third_end_at.get_or_insert(now);
+        }
         for (host, leaving) in &mut self.leaving {
             let requests = self.scene.hosts[*host].upstream.account().requests;
             broken.extend(leaving.seen(now, requests));
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -78,12 +78,14 @@
 pub struct Plan {
     /// What the run is about.
     pub mode: Mode,
+    /// Whether a caller repeats a request that ends upstreams.
+    pub crashing: bool,
     /// In order of time.
     pub entries: Vec<Entry>,
 }
 
 /// Draws the plan of a seed for so many hosts and so much time of load; every third seed is
-/// one of planned work.
+/// one of planned work, and in every fifth of the others a request ends upstreams.
 #[must_use]
 pub fn draw(seed: u64, hosts: usize, load: Duration) -> Plan {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -107,7 +109,11 @@
         });
         at += GAP_MOST.mul_f64(rng.random::<f64>());
     }
-    Plan { mode, entries }
+    Plan {
+        mode,
+        crashing: mode == Mode::Mixed && seed % 5 == 2,
+        entries,
+    }
 }
 
 fn planned(rng: &mut impl Rng) -> Event {
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -5,7 +5,7 @@
 
 use mintridge_bench::caller::Told;
 
-use super::callers::Sent;
+use super::callers::{Repeat, Sent};
 use crate::upstream::Result as Answer;
 
 /// A leaving upstream gets nothing new after this long.
@@ -60,6 +60,14 @@
         /// How many.
         requests: u64,
     },
+    /// A request under which three upstreams had ended went on reaching upstreams.
+    #[error("three upstreams had ended under a request, and {reached} of {sent} repeats ran later")]
+    SpreadOn {
+        /// Repeats sent after the news had had time to spread.
+        sent: usize,
+        /// How many of them ran.
+        reached: u32,
+    },
     /// After the last fault the fleet did not serve again.
     #[error("of {sent} requests after the last fault {failed} failed")]
     NotRecovered {
@@ -129,6 +137,31 @@
         .collect()
 }
 
+/// A request under which three upstreams have ended is known everywhere after this long.
+const NEWS_SPREAD_WITHIN: Duration = Duration::from_secs(3);
+/// Repeats that may run after that.
+const LATE_REPEATS_MOST: u32 = 3;
+
+/// Checks that repeats of a request that ends upstreams reach few more after the third end.
+#[must_use]
+pub fn of_repeats(
+    sent: &[Repeat],
+    third_end_at: Option<Instant>,
+    runs: &BTreeMap<String, u32>,
+) -> Option<Broken> {
+    let known_at = third_end_at? + NEWS_SPREAD_WITHIN;
+    let late: Vec<&Repeat> = sent
+        .iter()
+        .filter(|repeat| repeat.sent_at > known_at)
+        .collect();
+    let ran = |repeat: &&Repeat| runs.get(&repeat.id).copied().unwrap_or(0);
+    let reached = late.iter().map(ran).sum();
+    (reached > LATE_REPEATS_MOST).then_some(Broken::SpreadOn {
+        sent: late.len(),
+        reached,
+    })
+}
+
 /// What is in force on each node, watched from outside.
 #[derive(Debug, Default)]
 pub struct Versions {
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -7,10 +7,10 @@
 use hyper::{Method, StatusCode};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
-use mintridge_standin::soak::callers::Sent;
+use mintridge_standin::soak::callers::{Repeat, Sent};
 use mintridge_standin::soak::plan::{Event, Mode, draw};
 use mintridge_standin::soak::promises::{
-    Broken, LEAVES_WITHIN, Leaving, Versions, of_answers, of_planned_work,
+    Broken, LEAVES_WITHIN, Leaving, Versions, of_answers, of_planned_work, of_repeats,
 };
 use rstest::rstest;
 
@@ -90,6 +90,26 @@
     assert_eq!(broken.len(), cut);
 }
 
+/// Three repeats may run once the third end is known; those sent before do not count.
+#[rstest]
+#[case::few(3, true, None)]
+#[case::many(4, true, Some(Broken::SpreadOn { sent: 5, reached: 4 }))]
+#[case::before_the_third_end(4, false, None)]
+fn of_repeats_sees(#[case] ran: u32, #[case] ended: bool, #[case] expected: Option<Broken>) {
+    let now = Instant::now();
+    let repeats: Vec<Repeat> = (0..10)
+        .map(|n| Repeat {
+            id: n.to_string(),
+            sent_at: now + n * Duration::from_secs(1),
+        })
+        .collect();
+    let early = (0..5).map(|n| (n.to_string(), 1));
+    let late = (5..5 + ran).map(|n| (n.to_string(), 1));
+    let third_end_at = ended.then(|| now + Duration::from_millis(1_500));
+    let broken = of_repeats(&repeats, third_end_at, &early.chain(late).collect());
+    assert_eq!(broken, expected);
+}
+
 #[test]
 fn versions_see_a_reversal_within_one_process() {
     let mut versions = Versions::default();
