--- a/crates/standin/src/soak/callers.rs
+++ b/crates/standin/src/soak/callers.rs
@@ -37,6 +37,10 @@
     pub call: Call,
     /// What was told.
     pub told: Told,
+    /// Where the node takes callers that it was sent to.
+    pub node: SocketAddr,
+    /// Time until all of it was told.
+    pub took: Duration,
 }
 
 /// Where nodes take requests now; none for one that is gone.
@@ -71,8 +75,13 @@
             let target = open[rng.random_range(0..open.len())];
             let caller = caller.clone();
             sending.spawn(async move {
-                let told = caller.call(target, &call).await.told;
-                Sent { call, told }
+                let heard = caller.call(target, &call).await;
+                Sent {
+                    call,
+                    told: heard.told,
+                    node: target,
+                    took: heard.took,
+                }
             });
         }
         number += 1;
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -1,6 +1,7 @@
 //! What must hold in every run, from what callers, upstreams and operators see.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use mintridge_bench::caller::Told;
@@ -35,12 +36,18 @@
         id: String,
     },
     /// Planned work cut off a request.
-    #[error("{id} was cut off by planned work: {told}")]
+    #[error("{id} was cut off by planned work: {told}, {runs} runs, by {node} after {took:?}")]
     CutOff {
         /// The request.
         id: String,
         /// What its caller was told.
         told: String,
+        /// How often it ran.
+        runs: u32,
+        /// Where its node takes callers.
+        node: SocketAddr,
+        /// When its caller knew.
+        took: Duration,
     },
     /// What is in force on a node reverted to something older.
     #[error("version {after} came after {before} on {host}")]
@@ -133,6 +140,9 @@
         .map(|sent| Broken::CutOff {
             id: sent.call.id.clone(),
             told: format!("{:?}", sent.told),
+            runs: runs.get(&sent.call.id).copied().unwrap_or(0),
+            node: sent.node,
+            took: sent.took,
         })
         .collect()
 }
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -22,7 +22,12 @@
         method,
         ..Call::default()
     };
-    Sent { call, told }
+    Sent {
+        call,
+        told,
+        node: ([127, 0, 0, 1], 1).into(),
+        took: Duration::ZERO,
+    }
 }
 
 fn answer_of(id: &str) -> Told {
