--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,7 @@
 //! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
 //! | may it run now, or wait, and in which order? | [`admission`] by [`queue`], [`shares`], [`work`], [`pace`] and [`limit`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
-//! | did upstreams end under it before? | [`quarantine`] by [`fingerprint`] |
+//! | did upstreams end under it before? | [`screen`], as [`quarantine`] decides by [`fingerprint`] |
 //! | what is the caller told? | [`outcome`] |
 //!
 //! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
@@ -45,6 +45,7 @@
 pub mod request;
 pub mod retry;
 pub mod route;
+pub mod screen;
 pub mod shares;
 pub mod stagger;
 pub mod work;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -18,7 +18,7 @@
 //!
 //! [`ends_least`]: crate::configs::quarantine::Settings::ends_least
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -28,6 +28,7 @@
 
 use crate::configs::quarantine::Settings;
 use crate::fingerprint::Fingerprint;
+use crate::screen::Screen;
 
 /// What changed is told in every exchange for this long: ten rounds, in which news reaches all of
 /// a thousand nodes. A node that hears nobody meanwhile asks for what is held back alone.
@@ -231,22 +232,10 @@
     /// What requests are held to.
     #[must_use]
     pub fn screen(&self) -> Screen {
-        let mut screen = Screen::default();
-        for (fingerprint, known) in &self.suspects {
-            if known.open_ends().next().is_none() {
-                continue;
-            }
-            let listed = Listed {
-                body: fingerprint.body,
-                trial_at: known.trial_at,
-            };
-            screen
-                .by_head
-                .entry(fingerprint.head)
-                .or_default()
-                .push(listed);
-        }
-        screen
+        let open = self.suspects.iter();
+        let open = open.filter(|(_, known)| known.open_ends().next().is_some());
+        open.map(|(fingerprint, known)| (*fingerprint, known.trial_at))
+            .collect()
     }
 
     fn ended(&mut self, now: Instant, service: &str, in_progress: &[Fingerprint]) -> Change {
@@ -433,69 +422,6 @@
     pause.min(settings.trial_pause_most)
 }
 
-/// What requests are held to on one node, as of one moment.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Screen {
-    by_head: HashMap<u64, Vec<Listed>>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Listed {
-    body: Option<u64>,
-    /// When it may be tried, if it is held back.
-    trial_at: Option<Instant>,
-}
-
-/// What the screen says of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Nothing is held against it.
-    Pass,
-    /// Its body, not seen yet, tells whether it is one that is held back.
-    BodyDecides,
-    /// It is held back until then.
-    Hold(Instant),
-    /// It is held back, and one node may try it.
-    Trial,
-}
-
-impl Screen {
-    /// Whether nothing is known of any request.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.by_head.is_empty()
-    }
-
-    /// Whether an answer to this request clears it of something.
-    #[must_use]
-    pub fn suspects(&self, fingerprint: Fingerprint) -> bool {
-        let mut listed = self.by_head.get(&fingerprint.head).into_iter().flatten();
-        listed.any(|listed| listed.body.is_none() || listed.body == fingerprint.body)
-    }
-
-    /// What holds for this request.
-    #[must_use]
-    pub fn judge(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
-        let mut verdict = Verdict::Pass;
-        for listed in self.by_head.get(&fingerprint.head).into_iter().flatten() {
-            let Some(trial_at) = listed.trial_at else {
-                continue;
-            };
-            if listed.body.is_none() || listed.body == fingerprint.body {
-                return if now < trial_at {
-                    Verdict::Hold(trial_at)
-                } else {
-                    Verdict::Trial
-                };
-            }
-            if fingerprint.body.is_none() {
-                verdict = Verdict::BodyDecides;
-            }
-        }
-        verdict
-    }
-}
-
 /// The one host of a service that tries a request that is held back.
 ///
 /// Failure: the time for a trial comes, and callers repeat the request through every node.
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -6,7 +6,8 @@
 
 use mintridge_core::configs::quarantine::Settings;
 use mintridge_core::fingerprint::{self, Fingerprint};
-use mintridge_core::quarantine::{Change, Event, Quarantine, Told, Verdict, trial_host};
+use mintridge_core::quarantine::{Change, Event, Quarantine, Told, trial_host};
+use mintridge_core::screen::Verdict;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -19,6 +19,7 @@
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::placement::Placement;
+use mintridge_core::screen::Verdict;
 use mintridge_core::{quarantine, retry};
 use mintridge_http::handler::{Answer, Function};
 use mintridge_http::problem::{self, Precision};
@@ -278,9 +279,9 @@
     ) -> Result<Option<Arc<str>>, Refusal> {
         match self.context.screen().judge(now, fingerprint) {
             // The node beside the upstream reads the body and decides.
-            quarantine::Verdict::Pass | quarantine::Verdict::BodyDecides => Ok(None),
-            quarantine::Verdict::Hold(until) => Err(Refusal::not_run(Reason::Quarantined, until)),
-            quarantine::Verdict::Trial => {
+            Verdict::Pass | Verdict::BodyDecides => Ok(None),
+            Verdict::Hold(until) => Err(Refusal::not_run(Reason::Quarantined, until)),
+            Verdict::Trial => {
                 let placement = self.placement.lock();
                 let host = quarantine::trial_host(fingerprint, placement.hosts(service));
                 Ok(host.cloned())
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -16,7 +16,7 @@
 use mintridge_core::request::Id;
 use mintridge_http::Body;
 
-use super::runs::Print;
+use super::runs::Digest;
 use super::slot::Slot;
 use super::{Guard, screening};
 use crate::arrival::ANONYMOUS;
@@ -32,13 +32,13 @@
     head: &Head,
     request: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
-    let (print, request) = Print::begin(&guard.context.settings, head, request);
-    let (mut request, trial) = screening::pass(guard, head, &print, request).await?;
+    let (digest, request) = Digest::begin(&guard.context.settings, head, request);
+    let (mut request, trial) = screening::pass(guard, head, &digest, request).await?;
     let handed_at = Instant::now();
     let address = guard.check_hand_over(handed_at, head)?;
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
-    let run = guard.run(slot.id, print.clone());
+    let run = guard.run(slot.id, digest.clone());
     let handed = traces::within(
         traces::hop("upstream"),
         guard.upstream.send(address, request),
@@ -63,14 +63,14 @@
             if matches!(error, upstream::Error::Broken(_)) {
                 guard.broke(&run, address);
             }
-            return Err(guard.failed(now, &error, &head.request, &print));
+            return Err(guard.failed(now, &error, &head.request, &digest));
         }
         Err(_) => return Err(guard.silent(now, in_left)),
     };
     guard.told(now, guard.upstream.load(&parts.headers).as_ref());
     guard.answered(now, slot.id, parts.status, now - handed_at);
     if !parts.status.is_server_error() && parts.status != StatusCode::TOO_MANY_REQUESTS {
-        guard.clear(head, &print);
+        guard.clear(head, &digest);
     }
     headers::strip_hop_by_hop(&mut parts.headers);
     headers::strip_own(&mut parts.headers);
@@ -141,7 +141,7 @@
         now: Instant,
         error: &upstream::Error,
         request: &str,
-        print: &Print,
+        digest: &Digest,
     ) -> Refusal {
         if !matches!(error, upstream::Error::Restarted) {
             self.judge(now, Some(Verdict::Failed));
@@ -149,7 +149,7 @@
         if self.log.admits(1) {
             log::info!(
                 request = request,
-                fingerprint:% = print.fingerprint(),
+                fingerprint:% = digest.fingerprint(),
                 error:% = error;
                 "no answer of the upstream"
             );
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -53,27 +53,27 @@
 /// connection of theirs that is found broken later tells of no other end.
 #[derive(Default)]
 pub struct Runs {
-    open: HashMap<Id, Print>,
+    open: HashMap<Id, Digest>,
     /// A new connection is being tried, to find out whether the upstream has ended.
     checking: bool,
 }
 
-/// Fingerprint of a request whose body may still be passing.
+/// What tells a request from others, while its body may still be passing.
 #[derive(Clone)]
-pub struct Print {
+pub struct Digest {
     service: Arc<str>,
     head: u64,
     body: Arc<Mutex<fingerprint::Body>>,
 }
 
-impl Print {
+impl Digest {
     /// Begins the fingerprint of a request; its body is digested as it passes.
     pub fn begin(
         settings: &Settings,
         head: &Head,
         request: Request<Body>,
     ) -> (Self, Request<Body>) {
-        let digest = head_of(settings, head, &request);
+        let head_digest = head_of(settings, head, &request);
         let (parts, body) = request.into_parts();
         let declared = if body.is_end_stream() {
             Some(0)
@@ -81,9 +81,9 @@
             let length = parts.headers.get(CONTENT_LENGTH);
             length.and_then(|length| length.to_str().ok()?.parse().ok())
         };
-        let print = Self {
+        let digest = Self {
             service: Arc::clone(&head.service),
-            head: digest,
+            head: head_digest,
             body: Arc::new(Mutex::new(fingerprint::Body::new(declared))),
         };
         let body = if declared == Some(0) {
@@ -91,10 +91,10 @@
         } else {
             Body::new(Digested {
                 body,
-                print: print.clone(),
+                digest: digest.clone(),
             })
         };
-        (print, Request::from_parts(parts, body))
+        (digest, Request::from_parts(parts, body))
     }
 
     /// As far as it can be told by now.
@@ -116,7 +116,7 @@
 /// A body that is digested as it passes.
 struct Digested {
     body: Body,
-    print: Print,
+    digest: Digest,
 }
 
 impl HttpBody for Digested {
@@ -128,17 +128,17 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let polled = Pin::new(&mut self.body).poll_frame(cx);
-        let mut digest = self.print.body.lock();
+        let mut body = self.digest.body.lock();
         match &polled {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(data) = frame.data_ref() {
-                    digest.take(data);
+                    body.take(data);
                 }
             }
-            Poll::Ready(None) => digest.end(),
+            Poll::Ready(None) => body.end(),
             Poll::Ready(Some(Err(_))) | Poll::Pending => {}
         }
-        drop(digest);
+        drop(body);
         polled
     }
 
@@ -165,8 +165,8 @@
 
 impl Guard {
     /// The request that holds this slot is handed over.
-    pub(super) fn run(self: &Arc<Self>, id: Id, print: Print) -> Run {
-        self.state.lock().runs.open.insert(id, print);
+    pub(super) fn run(self: &Arc<Self>, id: Id, digest: Digest) -> Run {
+        self.state.lock().runs.open.insert(id, digest);
         Run {
             guard: Arc::clone(self),
             id,
@@ -212,9 +212,10 @@
     }
 
     /// The upstream ended, unplanned, with these requests in progress.
-    fn ended(&self, in_progress: &HashMap<Id, Print>, evidence: Evidence) {
+    fn ended(&self, in_progress: &HashMap<Id, Digest>, evidence: Evidence) {
         self.context.metrics.upstream_ended();
-        let fingerprints: Vec<Fingerprint> = in_progress.values().map(Print::fingerprint).collect();
+        let fingerprints: Vec<Fingerprint> =
+            in_progress.values().map(Digest::fingerprint).collect();
         let told: Vec<String> = fingerprints
             .iter()
             .take(FINGERPRINTS_TOLD)
@@ -226,9 +227,9 @@
             fingerprints = told.join(" ");
             "upstream ended with requests in progress"
         );
-        if let Some(print) = in_progress.values().next() {
+        if let Some(digest) = in_progress.values().next() {
             self.suspicion(Event::Ended {
-                service: Arc::clone(&print.service),
+                service: Arc::clone(&digest.service),
                 in_progress: fingerprints,
             });
         }
--- a/crates/node/src/guard/screening.rs
+++ b/crates/node/src/guard/screening.rs
@@ -14,11 +14,12 @@
 use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::membership::Upstream;
 use mintridge_core::outcome::{Reason, Refusal};
-use mintridge_core::quarantine::{self, Event, Verdict};
+use mintridge_core::quarantine::{self, Event};
+use mintridge_core::screen::Verdict;
 use mintridge_http::Body;
 
 use super::Guard;
-use super::runs::Print;
+use super::runs::Digest;
 use crate::headers::Head;
 
 /// When a caller is told to come back whose request may be tried, but not here and now.
@@ -40,7 +41,7 @@
 pub async fn pass(
     guard: &Arc<Guard>,
     head: &Head,
-    print: &Print,
+    digest: &Digest,
     request: Request<Body>,
 ) -> Result<(Request<Body>, Option<Trial>), Refusal> {
     let screen = guard.context.screen();
@@ -48,30 +49,30 @@
         return Ok((request, None));
     }
     let mut request = request;
-    let mut verdict = screen.judge(Instant::now(), print.fingerprint());
+    let mut verdict = screen.judge(Instant::now(), digest.fingerprint());
     if verdict == Verdict::BodyDecides {
-        let reading = read_ahead(print, request);
+        let reading = read_ahead(digest, request);
         request = tokio::time::timeout_at(head.deadline.into(), reading)
             .await
             .map_err(|_| guard.not_run(Reason::Deadline))?;
-        verdict = screen.judge(Instant::now(), print.fingerprint());
+        verdict = screen.judge(Instant::now(), digest.fingerprint());
     }
     match verdict {
         // A body that broke off is broken off towards the upstream as well.
         Verdict::Pass | Verdict::BodyDecides => Ok((request, None)),
         Verdict::Hold(until) => Err(Refusal::not_run(Reason::Quarantined, until)),
         Verdict::Trial => {
-            let trial = guard.try_out(head, print.fingerprint())?;
+            let trial = guard.try_out(head, digest.fingerprint())?;
             Ok((request, Some(trial)))
         }
     }
 }
 
 /// Reads as much of a body as tells whose it is, and puts it back in front of the rest.
-async fn read_ahead(print: &Print, request: Request<Body>) -> Request<Body> {
+async fn read_ahead(digest: &Digest, request: Request<Body>) -> Request<Body> {
     let (parts, mut body) = request.into_parts();
     let mut read: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
-    while print.fingerprint().body.is_none() {
+    while digest.fingerprint().body.is_none() {
         let Some(frame) = body.frame().await else {
             break;
         };
@@ -138,12 +139,12 @@
     }
 
     /// The upstream answered: a request that was suspected is cleared.
-    pub(super) fn clear(&self, head: &Head, print: &Print) {
+    pub(super) fn clear(&self, head: &Head, digest: &Digest) {
         let screen = self.context.screen();
         if screen.is_empty() {
             return;
         }
-        let fingerprint = print.fingerprint();
+        let fingerprint = digest.fingerprint();
         if screen.suspects(fingerprint) {
             self.suspicion(Event::Answered {
                 service: Arc::clone(&head.service),
