--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{get, hosts, post, processes};
+use common::{bare_post, get, hosts, post, processes};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_standin::cost::resident;
 use mintridge_standin::scene::Scene;
@@ -89,3 +89,19 @@
     let grown = memory(&scene).saturating_sub(before);
     assert!(grown < GROWTH_MOST, "grown by {grown} bytes");
 }
+
+/// A node refuses a request at once, before it has read any of its large body. Its caller is still
+/// sending; it gets the refusal and not a connection that ends without a word.
+#[tokio::test]
+async fn refusal_of_a_body_that_nobody_read_reaches_its_caller() {
+    let scene = processes(hosts(1)).await;
+    for n in 0..200 {
+        let call = Call {
+            service: String::from("nobody"),
+            body: Bytes::from(vec![0; 40_000]),
+            ..bare_post(&format!("refused-{n}"))
+        };
+        let told = scene.call(0, &call).await;
+        assert!(told.is_not_run(), "{n}: {told:?}");
+    }
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -75,7 +75,8 @@
     pub manner: Manner,
     /// Probes are never answered.
     pub hang_probes: bool,
-    /// A request for this path ends the whole process half way through its service time.
+    /// A request for this path ends the whole process once its body has come and half of its
+    /// service time has passed.
     pub crashes_on: Option<String>,
     /// How long the process is down after a crash.
     pub down_millis: u64,
@@ -248,10 +249,7 @@
 ) -> Response<Body> {
     let service_time = Duration::from_micros(behaviour.service_micros);
     if behaviour.crashes_on.as_deref() == Some(request.uri().path()) {
-        tokio::time::sleep(service_time / 2).await;
-        upstream.state.lock().account.crashes += 1;
-        upstream.crash.notify_one();
-        std::future::pending::<()>().await;
+        return crash(upstream, service_time, request).await;
     }
     tokio::time::sleep(service_time).await;
     if behaviour.manner == Manner::Silent {
@@ -282,6 +280,19 @@
     response
 }
 
+/// Ends the whole process; nobody hears an answer any more.
+async fn crash(
+    upstream: &Upstream,
+    service_time: Duration,
+    request: Request<Body>,
+) -> Response<Body> {
+    let _ = request.into_body().collect().await;
+    tokio::time::sleep(service_time / 2).await;
+    upstream.state.lock().account.crashes += 1;
+    upstream.crash.notify_one();
+    std::future::pending().await
+}
+
 async fn result(upstream: &Upstream, request: Request<Body>, id: String) -> Response<Body> {
     let client_account = header(&request, CLIENT_ACCOUNT);
     let left_millis = header(&request, TIMEOUT);
