refactor(standin): one way to let upstreams crash on a request, for tests and the soak

Cause: the path, the loop over hosts that sets it and the loop that unsets it stood in the soak and three times in the tests.

--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -13,11 +13,9 @@
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_node::settings::Settings;
 use mintridge_standin::scene::{Scene, wait_for};
-use mintridge_standin::upstream::BYTES;
+use mintridge_standin::upstream::{BYTES, CRASHES};
 use rstest::rstest;
 
-/// Path of the request that ends upstreams.
-const CRASHES: &str = "/crashes";
 /// How long the caller goes on.
 const SENT_FOR: Duration = Duration::from_secs(12);
 /// It does not wait for an answer before it asks another node.
@@ -29,15 +27,6 @@
 /// Generous limit on any wait for a condition.
 const WAIT_MOST: Duration = Duration::from_secs(30);
 
-/// Lets the upstreams of these hosts crash on [`CRASHES`].
-fn crash(scene: &Scene, count: usize) {
-    for index in 0..count {
-        scene.behave(index, |behaviour| {
-            behaviour.crashes_on = Some(String::from(CRASHES));
-        });
-    }
-}
-
 fn crashing(id: &str) -> Call {
     Call {
         path: String::from(CRASHES),
@@ -58,7 +47,7 @@
 #[tokio::test]
 async fn end_of_an_upstream_is_told_with_all_that_it_had_in_progress() {
     let scene = processes_and_entry(1).await;
-    crash(&scene, 1);
+    scene.crash_on(Some(CRASHES));
     scene.behave(0, |behaviour| behaviour.service_micros = 500_000);
     let entry = scene.addresses(1).callers;
     let calls = ["/a", "/b", CRASHES].map(|path| Call {
@@ -115,7 +104,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_ended_three_upstreams_reaches_few_more(#[case] down_millis: u64) {
     let scene = processes(hosts(6)).await;
-    crash(&scene, 6);
+    scene.crash_on(Some(CRASHES));
     for index in 0..6 {
         scene.behave(index, |behaviour| behaviour.down_millis = down_millis);
     }
@@ -193,7 +182,7 @@
 #[tokio::test]
 async fn request_with_another_body_or_account_is_served(#[case] length: usize) {
     let scene = processes(hosts(3)).await;
-    crash(&scene, 3);
+    scene.crash_on(Some(CRASHES));
     let ends_upstreams = Call {
         path: String::from(CRASHES),
         body: Bytes::from(vec![b'x'; length]),
@@ -207,9 +196,7 @@
         panic!("not refused");
     };
     assert!(retry_after.is_some_and(|seconds| seconds >= 1));
-    for index in 0..3 {
-        scene.behave(index, |behaviour| behaviour.crashes_on = None);
-    }
+    scene.crash_on(None);
     let others = [
         Call {
             body: Bytes::from(vec![b'y'; length]),
@@ -246,7 +233,7 @@
 #[tokio::test]
 async fn node_that_starts_holds_back_what_the_others_do() {
     let mut scene = processes(hosts(3)).await;
-    crash(&scene, 3);
+    scene.crash_on(Some(CRASHES));
     until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
     scene.kill(0).await;
     scene.start_node(0).expect("it starts");
@@ -270,11 +257,9 @@
         settings.quarantine.trial_after = Duration::from_secs(2);
     };
     let scene = processes(Plan { adjust, ..hosts(3) }).await;
-    crash(&scene, 3);
+    scene.crash_on(Some(CRASHES));
     until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
-    for index in 0..3 {
-        scene.behave(index, |behaviour| behaviour.crashes_on = None);
-    }
+    scene.crash_on(None);
     for entry in 0..3 {
         let give_up_at = Instant::now() + WAIT_MOST;
         while !scene.call(entry, &crashing("mended")).await.is_success() {
@@ -292,7 +277,7 @@
         settings.quarantine.trial_after = Duration::from_secs(2);
     };
     let scene = processes(Plan { adjust, ..hosts(4) }).await;
-    crash(&scene, 4);
+    scene.crash_on(Some(CRASHES));
     until_held_back(&scene, &[0, 1, 2, 3], &crashing("held")).await;
     let crashes = scene.crashes();
     let until = Instant::now() + Duration::from_secs(6);
@@ -313,7 +298,7 @@
 #[tokio::test]
 async fn common_request_is_served_after_a_loss_of_all_upstreams() {
     let scene = processes(hosts(4)).await;
-    crash(&scene, 4);
+    scene.crash_on(Some(CRASHES));
     let mut account = Account::default();
     for n in 0..2 {
         let load = mixed_load(&scene, 100.0, 1.0);
@@ -342,7 +327,7 @@
 #[tokio::test]
 async fn hold_outlives_a_loss_of_all_nodes() {
     let mut scene = processes(hosts(3)).await;
-    crash(&scene, 3);
+    scene.crash_on(Some(CRASHES));
     until_held_back(&scene, &[0, 1, 2], &crashing("held")).await;
     tokio::time::sleep(WRITTEN_WITHIN).await;
     let crashes = scene.crashes();
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -457,6 +457,15 @@
         presets::activate(&store, "preset", &author).await
     }
 
+    /// Lets every upstream crash on a request for this path, or on none.
+    pub fn crash_on(&self, path: Option<&str>) {
+        for index in 0..self.hosts.len() {
+            self.behave(index, |behaviour| {
+                behaviour.crashes_on = path.map(ToOwned::to_owned);
+            });
+        }
+    }
+
     /// Times that upstreams crashed.
     #[must_use]
     pub fn crashes(&self) -> u64 {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -19,6 +19,7 @@
 use self::plan::{Entry, Mode};
 use self::promises::Broken;
 use crate::scene::Error;
+use crate::upstream::CRASHES;
 
 /// How often the fleet is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -84,7 +85,7 @@
         began + settings.load,
     ));
     let repeating = plan.crashing.then(|| {
-        fleet.crash();
+        fleet.scene.crash_on(Some(CRASHES));
         let run = format!("seed-{}", settings.seed);
         let targets = Targets::clone(&fleet.targets);
         tokio::spawn(callers::repeat(run, targets, began + settings.load))
--- a/crates/standin/src/soak/callers.rs
+++ b/crates/standin/src/soak/callers.rs
@@ -12,6 +12,8 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
+use crate::upstream::CRASHES;
+
 /// Share of unrepeatable requests.
 const UNREPEATABLE: f64 = 0.4;
 /// Share of the unrepeatable requests that carry an idempotency key.
@@ -25,8 +27,6 @@
 /// Time allowed to each request.
 const ALLOWED: Duration = Duration::from_secs(2);
 
-/// Path of the request that ends upstreams.
-pub const CRASHES: &str = "/crashes";
 /// Time between two repeats of it.
 const REPEATED_EVERY: Duration = Duration::from_millis(90);
 
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -11,7 +11,7 @@
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
-use super::callers::{CRASHES, Targets};
+use super::callers::Targets;
 use super::plan::{Entry, Event};
 use super::promises::{Broken, Leaving, Versions};
 use crate::relay::{Condition, Relay};
@@ -128,15 +128,6 @@
         self.targets.lock()[index] = Some(addresses.callers);
     }
 
-    /// Lets every upstream crash on one request.
-    pub fn crash(&self) {
-        for index in 0..self.scene.hosts.len() {
-            self.scene.behave(index, |behaviour| {
-                behaviour.crashes_on = Some(String::from(CRASHES));
-            });
-        }
-    }
-
     /// Whether the host's node runs and was not told to stop.
     fn is_up(&self, index: usize) -> bool {
         self.scene.hosts[index].node.is_some() && !self.stopping.contains(&index)
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -39,6 +39,8 @@
 pub const HEALTH: &str = "/health";
 /// Prefix of paths that answer with that many bytes, as in `/bytes/1000`.
 pub const BYTES: &str = "/bytes/";
+/// Path of a request that ends upstreams, where they are told to crash on it.
+pub const CRASHES: &str = "/crashes";
 /// Path that answers with the refusal of a deeper call.
 pub const DEEPER: &str = "/deeper";
 const BODY_MOST: usize = 64 * 1024;
