feat(http): say which connection closed with bytes of its caller unread; the soak tells requests without a word

A request that meets the close of its connection looks like one whose bytes lay in the node's buffer. The node writes a line with caller, bytes and phase; the soak prints each such request, also where the check allows it.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -74,17 +74,26 @@
         unanswered: AtomicUsize::new(0),
         stopped: AtomicBool::new(false),
         begun: Mutex::default(),
-        phase,
+        phase: phase.clone(),
     });
     let (sender, pending) = mpsc::unbounded_channel();
     let reading = read(&stream, builder, most, Arc::clone(&shared), sender, respond);
     let writing = write(&stream, builder.clone(), shared, pending);
+    let mut unread = 0;
     tokio::select! {
         () = reading => {}
         () = writing => {
-            let _ = tokio::time::timeout(LINGER, until_gone(&stream)).await;
+            let _ = tokio::time::timeout(LINGER, until_gone(&stream, &mut unread)).await;
         }
     }
+    if unread > 0 {
+        log::info!(
+            caller:? = stream.peer_addr().ok(),
+            bytes = unread,
+            phase:? = *phase.borrow();
+            "connection closed with bytes of its caller unread"
+        );
+    }
 }
 
 /// Reads requests and works on them; returns when the caller has gone.
@@ -156,7 +165,7 @@
         }
     }
     drop(sender);
-    until_gone(stream).await;
+    until_gone(stream, &mut 0).await;
 }
 
 /// Writes answers in order; returns when all that were due are written.
@@ -212,13 +221,13 @@
     }
 }
 
-/// Reads and throws away until the caller closes its side.
-async fn until_gone(stream: &TcpStream) {
+/// Reads and throws away until the caller closes its side, counting the bytes.
+async fn until_gone(stream: &TcpStream, unread: &mut usize) {
     let mut scratch = [0_u8; SCRATCH];
     while stream.readable().await.is_ok() {
         match stream.try_read(&mut scratch) {
             Ok(0) => return,
-            Ok(_) => {}
+            Ok(read) => *unread += read,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
             Err(_) => return,
         }
--- a/crates/standin/src/bin/soak.rs
+++ b/crates/standin/src/bin/soak.rs
@@ -62,6 +62,15 @@
                 outcome.sent,
                 outcome.broken.len()
             );
+            for sent in &outcome.crossed {
+                println!(
+                    "  {} ended without a word: {} bytes to {} after {:?}",
+                    sent.call.id,
+                    sent.call.body.len(),
+                    sent.node,
+                    sent.took
+                );
+            }
             for broken in &outcome.broken {
                 println!("  {broken}");
             }
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -66,6 +66,8 @@
     pub sent: usize,
     /// How many of them succeeded.
     pub succeeded: usize,
+    /// Requests that ended without a word and did not run.
+    pub crossed: Vec<Sent>,
     /// Promises broken.
     pub broken: Vec<Broken>,
 }
@@ -107,10 +109,18 @@
     Ok(Outcome {
         sent: sent.len(),
         succeeded: sent.iter().filter(|sent| sent.told.is_success()).count(),
+        crossed: crossed(&sent, &runs),
         broken,
     })
 }
 
+fn crossed(sent: &[Sent], runs: &BTreeMap<String, u32>) -> Vec<Sent> {
+    let crossed = sent
+        .iter()
+        .filter(|sent| promises::may_have_crossed(sent, runs));
+    crossed.cloned().collect()
+}
+
 fn load(settings: &Settings, run: String) -> callers::Load {
     callers::Load {
         seed: settings.seed,
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -118,6 +118,12 @@
 /// did, and never two in one run of 1,200.
 const CROSSED_MOST: usize = 2;
 
+/// Whether a request ended without a word and did not run.
+#[must_use]
+pub fn may_have_crossed(sent: &Sent, runs: &BTreeMap<String, u32>) -> bool {
+    sent.told == Told::Broken { begun: false } && !runs.contains_key(&sent.call.id)
+}
+
 /// Checks that planned work cut nothing off: each caller got an answer or a refusal as not run,
 /// or could not connect to a node that had ended. A connection that ended without a word is a
 /// cut if the request ran, or if it happens more than now and then.
@@ -127,13 +133,10 @@
         let told = &sent.told;
         told.is_success() || told.is_not_run() || *told == Told::NoConnection
     };
-    let may_have_crossed = |sent: &Sent| {
-        sent.told == Told::Broken { begun: false } && !runs.contains_key(&sent.call.id)
-    };
     let (crossed, cut): (Vec<&Sent>, Vec<&Sent>) = sent
         .iter()
         .filter(|sent| !is_whole(sent))
-        .partition(|sent| may_have_crossed(sent));
+        .partition(|sent| may_have_crossed(sent, runs));
     let crossed = crossed.into_iter().skip(CROSSED_MOST);
     cut.into_iter()
         .chain(crossed)
