--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -6,20 +6,20 @@
 //! reads requests and is given an empty answer at once, which is thrown away; the other
 //! writes the true answers, in order, and takes its requests from a list of stubs.
 
+mod body;
+mod side;
+
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, Version};
@@ -28,6 +28,8 @@
 use tokio::sync::{Semaphore, mpsc, oneshot, watch};
 use tokio::task::JoinSet;
 
+use self::body::track;
+use self::side::{ReadSide, WriteSide};
 use crate::server::Phase;
 use crate::{Body, reply};
 
@@ -244,174 +246,3 @@
         (true, _) => b"HEAD / HTTP/1.1\r\n\r\n",
     }
 }
-
-/// A request body that tells when it has been read or dropped.
-struct Tracked {
-    body: Incoming,
-    taken: Option<oneshot::Sender<()>>,
-}
-
-fn track(request: Request<Incoming>) -> (Request<Body>, oneshot::Receiver<()>) {
-    let (taken, told) = oneshot::channel();
-    let request = request.map(|body| {
-        if body.is_end_stream() {
-            return reply::empty();
-        }
-        reply::from_incoming(Tracked {
-            body,
-            taken: Some(taken),
-        })
-    });
-    (request, told)
-}
-
-impl HttpBody for Tracked {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        if frame.is_none() || self.body.is_end_stream() {
-            self.taken = None;
-        }
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
-/// The socket as the reading side sees it: the empty answers written to it are thrown away.
-///
-/// What hyper answers by itself is not: the interim answer by which a caller is told to send
-/// its body, and the refusal of a request that it cannot read.
-struct ReadSide {
-    stream: Arc<TcpStream>,
-    shared: Arc<Shared>,
-}
-
-/// How the empty answers begin.
-const EMPTY_ANSWER: &[u8] = b"HTTP/1.1 200 ";
-const EMPTY_ANSWER_OLD: &[u8] = b"HTTP/1.0 200 ";
-
-impl Read for ReadSide {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        let mut scratch = [0_u8; SCRATCH];
-        let room = buffer.remaining().min(SCRATCH);
-        let stream = &self.stream;
-        let read = ready!(when_ready(
-            || stream.poll_read_ready(cx),
-            || stream.try_read(&mut scratch[..room]),
-        ))?;
-        buffer.put_slice(&scratch[..read]);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for ReadSide {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let empty = bytes.starts_with(EMPTY_ANSWER) || bytes.starts_with(EMPTY_ANSWER_OLD);
-        let in_turn = self.shared.unanswered.load(Ordering::Relaxed) == 0;
-        let interim = bytes.starts_with(b"HTTP/1.1 100 ");
-        if interim || (!empty && in_turn) {
-            self.stream.try_write(bytes)?;
-        }
-        Poll::Ready(Ok(bytes.len()))
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-}
-
-/// Tries as often as the socket says that it is ready; it may turn out not to be.
-fn when_ready<T>(
-    mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
-    mut act: impl FnMut() -> io::Result<T>,
-) -> Poll<io::Result<T>> {
-    loop {
-        ready!(poll_ready())?;
-        match act() {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            done => return Poll::Ready(done),
-        }
-    }
-}
-
-/// The socket as the writing side sees it: stubs are read in place of requests.
-struct WriteSide {
-    stream: Arc<TcpStream>,
-    pending: mpsc::UnboundedReceiver<Pending>,
-    shared: Arc<Shared>,
-}
-
-impl Read for WriteSide {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        mut buffer: ReadBufCursor<'_>,
-    ) -> Poll<io::Result<()>> {
-        if let Some(pending) = ready!(self.pending.poll_recv(cx)) {
-            buffer.put_slice(pending.stub);
-            self.shared.begun.lock().push_back(pending);
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl Write for WriteSide {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        when_ready(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write(bytes),
-        )
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffers: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        when_ready(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write_vectored(buffers),
-        )
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let shut = socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write);
-        Poll::Ready(shut)
-    }
-}
--- /dev/null
+++ b/crates/http/src/pipeline/side.rs
@@ -0,0 +1,140 @@
+//! The socket as each of the two server connections on it sees it.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::{Context, Poll, ready};
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use super::{Pending, SCRATCH, Shared};
+
+/// The socket as the reading side sees it: the empty answers written to it are thrown away.
+///
+/// What hyper answers by itself is not: the interim answer by which a caller is told to send
+/// its body, and the refusal of a request that it cannot read.
+pub(super) struct ReadSide {
+    pub(super) stream: Arc<TcpStream>,
+    pub(super) shared: Arc<Shared>,
+}
+
+/// How the empty answers begin.
+const EMPTY_ANSWER: &[u8] = b"HTTP/1.1 200 ";
+const EMPTY_ANSWER_OLD: &[u8] = b"HTTP/1.0 200 ";
+
+impl Read for ReadSide {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut scratch = [0_u8; SCRATCH];
+        let room = buffer.remaining().min(SCRATCH);
+        let stream = &self.stream;
+        let read = ready!(when_ready(
+            || stream.poll_read_ready(cx),
+            || stream.try_read(&mut scratch[..room]),
+        ))?;
+        buffer.put_slice(&scratch[..read]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for ReadSide {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let empty = bytes.starts_with(EMPTY_ANSWER) || bytes.starts_with(EMPTY_ANSWER_OLD);
+        let in_turn = self.shared.unanswered.load(Ordering::Relaxed) == 0;
+        let interim = bytes.starts_with(b"HTTP/1.1 100 ");
+        if interim || (!empty && in_turn) {
+            self.stream.try_write(bytes)?;
+        }
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Tries as often as the socket says that it is ready; it may turn out not to be.
+fn when_ready<T>(
+    mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
+    mut act: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(poll_ready())?;
+        match act() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
+        }
+    }
+}
+
+/// The socket as the writing side sees it: stubs are read in place of requests.
+pub(super) struct WriteSide {
+    pub(super) stream: Arc<TcpStream>,
+    pub(super) pending: mpsc::UnboundedReceiver<Pending>,
+    pub(super) shared: Arc<Shared>,
+}
+
+impl Read for WriteSide {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        if let Some(pending) = ready!(self.pending.poll_recv(cx)) {
+            buffer.put_slice(pending.stub);
+            self.shared.begun.lock().push_back(pending);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl Write for WriteSide {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        when_ready(
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write(bytes),
+        )
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        when_ready(
+            || self.stream.poll_write_ready(cx),
+            || self.stream.try_write_vectored(buffers),
+        )
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write);
+        Poll::Ready(shut)
+    }
+}
