fix(http): read on behind a body that nobody wanted, or say that the connection ends

Callers saw a connection end without a word: after a refusal whose body nobody had read, the next request on that connection was lost, with no answer and no run.

Cause: hyper stops reading a connection whose body was dropped before its end, as HTTP/1.1 asks. Of the two server connections on a caller's socket only the reading one knew; the writing one answered without `connection: close`, so callers went on using it, and what they sent was thrown away. Ruled out before: a reset that takes the answer along (TCPAbortOnClose did not rise in a trial).

A rest of up to 1 MB is read for nothing and the connection lives on; before a longer one, or one of unknown length, or one that its caller has not been asked for, the answer says that the connection ends. A handler that lets go of a body after the answer has its rest read however long it is, since its caller was told nothing. So an answer without `close` is always followed by reading on.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -43,6 +43,8 @@
 struct Pending {
     stub: &'static [u8],
     answer: oneshot::Receiver<Response<Body>>,
+    /// What is left of its body is not read, so that nothing behind it is either.
+    ends_connection: Arc<AtomicBool>,
 }
 
 /// What the two sides of a connection share.
@@ -71,6 +73,7 @@
     F: Fn(Request<Body>) -> R,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
+    let caller = stream.peer_addr().ok();
     let stream = Arc::new(stream);
     let shared = Arc::new(Shared {
         unanswered: AtomicUsize::new(0),
@@ -90,7 +93,7 @@
     }
     if unread > 0 {
         log::info!(
-            caller:? = stream.peer_addr().ok(),
+            caller:? = caller,
             bytes = unread,
             phase:? = *phase.borrow();
             "connection closed with bytes of its caller unread"
@@ -118,7 +121,7 @@
     let working = Arc::new(Semaphore::new(most));
     let tasks = Mutex::new(JoinSet::new());
     let service = service_fn(|request: Request<Incoming>| {
-        let (request, taken) = track(request);
+        let (request, rest) = track(request);
         let stub = stub(&request);
         let (answer, answered) = oneshot::channel();
         let accepted = !shared.stopped.load(Ordering::Relaxed);
@@ -127,6 +130,7 @@
             let pending = Pending {
                 stub,
                 answer: answered,
+                ends_connection: rest.ends_connection(),
             };
             let _ = sender.send(pending);
             let working = Arc::clone(&working);
@@ -139,11 +143,14 @@
             });
         }
         let working = Arc::clone(&working);
+        let shared = Arc::clone(&shared);
         async move {
             if !accepted {
                 return std::future::pending().await;
             }
-            let _ = taken.await;
+            // Nothing behind it was read yet, so that any request unanswered is this one.
+            let is_answered = || shared.unanswered.load(Ordering::Relaxed) == 0;
+            rest.discard(is_answered).await;
             drop(working.acquire().await);
             Ok::<_, Infallible>(Response::new(reply::empty()))
         }
@@ -186,14 +193,12 @@
         let shared = Arc::clone(&shared);
         let next = shared.begun.lock().pop_front();
         async move {
-            let answer = match next {
-                Some(pending) => pending.answer.await.ok(),
-                None => None,
-            };
-            let mut response = answer.ok_or(Dropped)?;
+            let pending = next.ok_or(Dropped)?;
+            let mut response = pending.answer.await.map_err(|_| Dropped)?;
             let last = shared.unanswered.fetch_sub(1, Ordering::Relaxed) == 1;
+            let ends = pending.ends_connection.load(Ordering::Acquire);
             response.headers_mut().remove(CONNECTION);
-            if last && *shared.phase.borrow() != Phase::Open {
+            if last && (ends || *shared.phase.borrow() != Phase::Open) {
                 shared.stopped.store(true, Ordering::Relaxed);
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
