fix(http): what ends the reading of a connection ends no answer, and the answer says so

Callers saw their next request lost after one that took longer than `header_within`, and a request lost behind which bytes came that are none.

The reading of a connection ended, by the time for the next header section or by an error of parsing, and the answer still due was written as if it had not, or not written at all.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -103,9 +103,10 @@
 
 /// Reads requests and works on them; returns when the caller has gone.
 ///
-/// Failure: a request takes longer than the next may be awaited. Symptom: the time for a header
-/// section runs out while nothing is sent, and the request in progress is dropped without an
-/// answer. The time ends the reading alone; what was read is answered.
+/// Failure: a request takes longer than the next may be awaited, or what follows it cannot be read
+/// as one. Symptom: the request in progress is dropped without an answer, or is answered as if the
+/// connection lived on, and the next one is lost. Either ends the reading alone; what was read is
+/// answered, and the last answer says that the connection ends.
 async fn read<F, R>(
     stream: &Arc<TcpStream>,
     builder: &http1::Builder,
@@ -167,9 +168,10 @@
             connection.as_mut().await
         }
     };
+    shared.stopped.store(true, Ordering::Relaxed);
     if let Err(error) = ended {
         log::debug!(error:% = error; "caller's connection broke");
-        if !error.is_timeout() {
+        if !error.is_timeout() && !error.is_parse() {
             return;
         }
     }
@@ -198,7 +200,8 @@
             let last = shared.unanswered.fetch_sub(1, Ordering::Relaxed) == 1;
             let ends = pending.ends_connection.load(Ordering::Acquire);
             response.headers_mut().remove(CONNECTION);
-            if last && (ends || *shared.phase.borrow() != Phase::Open) {
+            let stopped = shared.stopped.load(Ordering::Relaxed);
+            if last && (ends || stopped || *shared.phase.borrow() != Phase::Open) {
                 shared.stopped.store(true, Ordering::Relaxed);
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
