fix(http): a listener that closes answers what has arrived, in its queue and in idle connections

Callers saw connections end without a word around planned stops on a busy machine.

Cause: two places where a stop closes before anybody has looked. The listener was dropped while connections waited in its queue, which the system then resets; and an idle connection was told to close although a request lay in its buffer, because the task hears of the phase before the runtime has asked the system for bytes. Both gaps grow with the time for which the thread does not run.

The queue is emptied by asking the system itself before the listener closes. An idle connection is closed once its buffer is empty by the system's own word, and one that was accepted a moment ago is kept for its first request for up to 500 ms. What is left is a request still on its way, which HTTP/1.1 cannot rule out.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -13,10 +13,11 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -36,6 +37,11 @@
 /// How long a closed connection is still read, so that what the caller has sent meanwhile
 /// does not reset the connection and take the last answer with it.
 const LINGER: Duration = Duration::from_millis(500);
+/// How long a connection that was accepted is kept for its first request while the listener
+/// closes: its caller was just told that it is connected, so a request is on its way.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(500);
+/// How often a connection that is to be closed is looked at for bytes that have arrived.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
 /// Bytes thrown away at once while a connection lingers.
 const SCRATCH: usize = 4096;
 
@@ -51,6 +57,8 @@
 struct Shared {
     /// Requests read and not yet answered.
     unanswered: AtomicUsize,
+    /// Whether any request was read.
+    used: AtomicBool,
     /// No further request is taken.
     stopped: AtomicBool,
     /// Stubs that the writing side has read, with their answers.
@@ -77,6 +85,7 @@
     let stream = Arc::new(stream);
     let shared = Arc::new(Shared {
         unanswered: AtomicUsize::new(0),
+        used: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
         begun: Mutex::default(),
         phase: phase.clone(),
@@ -118,6 +127,7 @@
     F: Fn(Request<Body>) -> R,
     R: Future<Output = Response<Body>> + Send + 'static,
 {
+    let first_by = Instant::now() + FIRST_REQUEST_WITHIN;
     let mut phase = shared.phase.clone();
     let working = Arc::new(Semaphore::new(most));
     let tasks = Mutex::new(JoinSet::new());
@@ -125,6 +135,7 @@
         let (request, rest) = track(request);
         let stub = stub(&request);
         let (answer, answered) = oneshot::channel();
+        shared.used.store(true, Ordering::Relaxed);
         let accepted = !shared.stopped.load(Ordering::Relaxed);
         if accepted {
             shared.unanswered.fetch_add(1, Ordering::Relaxed);
@@ -161,9 +172,14 @@
         shared: Arc::clone(&shared),
     };
     let mut connection = pin!(builder.serve_connection(io, service));
+    let idle_when_closing = async {
+        closing(&mut phase).await;
+        until_idle(stream, &shared, first_by).await;
+    };
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = closing(&mut phase) => {
+        () = idle_when_closing => {
             connection.as_mut().graceful_shutdown();
             connection.as_mut().await
         }
@@ -231,6 +247,29 @@
     }
 }
 
+/// Waits until nothing that has arrived on a connection is unread, and its first request is not to
+/// be expected any more.
+///
+/// Failure: the listener closes while the thread is busy. Symptom: a request lies in the buffer of
+/// an idle connection, which is closed before anybody looks, and its caller gets no answer. The
+/// buffer is looked at right before the close, so that only a request still on its way can cross it.
+async fn until_idle(stream: &TcpStream, shared: &Shared, first_by: Instant) {
+    loop {
+        let is_new = !shared.used.load(Ordering::Relaxed) && Instant::now() < first_by;
+        if !is_new && !has_unread(stream) {
+            return;
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+/// Asks the system, since the runtime may not have looked for a while.
+fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Ok(read) if read > 0)
+}
+
 /// Reads and throws away until the caller closes its side, counting the bytes.
 async fn until_gone(stream: &TcpStream, unread: &mut usize) {
     let mut scratch = [0_u8; SCRATCH];
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -104,33 +104,20 @@
 where
     H: NewHandler + 'static,
 {
-    let handler = Arc::new(handler);
-    let graceful = GracefulShutdown::new();
     let (working, mut finished) = mpsc::channel::<Infallible>(1);
-    let open = Arc::new(AtomicUsize::new(0));
+    let accepting = Accepting {
+        handler: Arc::new(handler),
+        protocol,
+        limits,
+        phase: phase.clone(),
+        graceful: GracefulShutdown::new(),
+        open: Arc::default(),
+        working,
+    };
     let give_up_at = loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, peer)) => {
-                    if open.load(Ordering::Relaxed) >= limits.connections {
-                        log::warn!(peer:% = peer; "connection closed: too many are open");
-                        continue;
-                    }
-                    let counted = Counted::new(Arc::clone(&open));
-                    let connection = Connection { stream, peer, counted };
-                    let handler = Arc::clone(&handler);
-                    if let Protocol::Pipelined(most) = protocol {
-                        let working = working.clone();
-                        let builder = http1(&limits);
-                        let phase = phase.clone();
-                        tokio::spawn(async move {
-                            pipelined(connection, handler, &builder, most, phase).await;
-                            drop(working);
-                        });
-                    } else {
-                        spawn(connection, handler, protocol, &limits, &graceful);
-                    }
-                }
+                Ok((stream, peer)) => accepting.take(stream, peer),
                 Err(error) => {
                     log::warn!(error:% = error; "accept failed");
                     tokio::time::sleep(Duration::from_millis(20)).await;
@@ -139,7 +126,13 @@
             () = closing(&mut phase) => break closes_at(&phase),
         }
     };
-    drop(listener);
+    accepting.take_waiting(listener);
+    let Accepting {
+        graceful,
+        open,
+        working,
+        ..
+    } = accepting;
     drop(working);
     let all_finished = async {
         graceful.shutdown().await;
@@ -154,6 +147,75 @@
     Ended { cut }
 }
 
+/// What becomes of connections that a listener accepts.
+struct Accepting<H> {
+    handler: Arc<H>,
+    protocol: Protocol,
+    limits: Limits,
+    phase: watch::Receiver<Phase>,
+    graceful: GracefulShutdown,
+    open: Arc<AtomicUsize>,
+    /// Held by each pipelined connection until it has ended.
+    working: mpsc::Sender<Infallible>,
+}
+
+impl<H: NewHandler + 'static> Accepting<H> {
+    fn take(&self, stream: TcpStream, peer: SocketAddr) {
+        if self.open.load(Ordering::Relaxed) >= self.limits.connections {
+            log::warn!(peer:% = peer; "connection closed: too many are open");
+            return;
+        }
+        let connection = Connection {
+            stream,
+            peer,
+            counted: Counted::new(Arc::clone(&self.open)),
+        };
+        let handler = Arc::clone(&self.handler);
+        let Protocol::Pipelined(most) = self.protocol else {
+            spawn(
+                connection,
+                handler,
+                self.protocol,
+                &self.limits,
+                &self.graceful,
+            );
+            return;
+        };
+        let working = self.working.clone();
+        let builder = http1(&self.limits);
+        let phase = self.phase.clone();
+        tokio::spawn(async move {
+            pipelined(connection, handler, &builder, most, phase).await;
+            drop(working);
+        });
+    }
+
+    /// Takes the connections that wait to be accepted, and closes the listener.
+    ///
+    /// Failure: the thread is busy while callers connect, and the listener closes next. Symptom:
+    /// the system resets what waits in the listener's queue, and requests that have arrived there
+    /// end without an answer. The system is asked until its queue is empty, since the runtime may
+    /// not have looked for a while.
+    fn take_waiting(&self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::warn!(error:% = error; "connections that waited to be accepted are lost");
+                return;
+            }
+        };
+        while let Ok((stream, peer)) = listener.accept() {
+            let stream = stream
+                .set_nonblocking(true)
+                .and_then(|()| TcpStream::from_std(stream));
+            match stream {
+                Ok(stream) => self.take(stream, peer),
+                Err(error) => log::warn!(peer:% = peer, error:% = error; "accept failed"),
+            }
+        }
+    }
+}
+
 /// Waits until the phase is closing, or its owner is gone.
 async fn closing(phase: &mut watch::Receiver<Phase>) {
     let turned = phase
