--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -2,20 +2,18 @@
 
 mod common;
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use common::{
-    Account, Plan, add_entry, get, hosts, is_broken, mixed_load, post, processes,
-    processes_and_entry, threads, within,
+    Account, BEHIND, ENTRY, Plan, get, hosts, is_broken, mixed_load, post, processes,
+    processes_and_entry, relayed, threads, within,
 };
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::Reason;
-use mintridge_node::operators::Status;
-use mintridge_standin::relay::{Condition, Relay};
-use mintridge_standin::scene::{Scene, loopback, wait_for};
+use mintridge_standin::relay::Condition;
+use mintridge_standin::scene::wait_for;
 use mintridge_standin::upstream::{Manner, Result as Answer};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -220,32 +218,6 @@
     assert!(retry_after.is_some());
 }
 
-/// Index of the host behind the relay, and of the entry that reaches it through it.
-const BEHIND: usize = 1;
-const ENTRY: usize = 2;
-
-/// A service of one host, whose peer port all others reach through a relay, and an
-/// entry apart from it.
-async fn relayed() -> (Scene, Arc<Relay>) {
-    let mut scene = threads(hosts(1)).await;
-    let relay = Arc::new(Relay::default());
-    let (listener, address) = loopback().await.expect("a free port");
-    let behind = scene.add_with("behind", "service", "zone-a", <_>::default(), |settings| {
-        settings.listeners.peers_public = Some(address);
-    });
-    behind.await.expect("it starts");
-    let target = scene.addresses(BEHIND).peers;
-    tokio::spawn(Arc::clone(&relay).run(listener, target));
-    scene.until_joined().await;
-    scene.stop(0).await;
-    add_entry(&mut scene).await;
-    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
-    scene
-        .until_of(&[ENTRY], "the entry knows the host", knows)
-        .await;
-    (scene, relay)
-}
-
 /// The link to the guarding node falls silent for good while new connections work. An
 /// idle link is found out before a request is risked on it, so the caller sees nothing.
 #[tokio::test]
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,12 +3,16 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_bench::load::{self, Plan as Load};
+use mintridge_node::operators::Status;
+use mintridge_standin::relay::Relay;
+use mintridge_standin::scene::loopback;
 pub use mintridge_standin::scene::{Plan, Scene};
 use mintridge_standin::upstream::{Manner, Result as Answer};
 
@@ -95,6 +99,32 @@
     ids.iter().map(|id| scene.runs(id)).sum()
 }
 
+/// Index of the host behind the relay, and of the entry that reaches it through it.
+pub const BEHIND: usize = 1;
+pub const ENTRY: usize = 2;
+
+/// A service of one host, whose peer port all others reach through a relay, and an
+/// entry apart from it.
+pub async fn relayed() -> (Scene, Arc<Relay>) {
+    let mut scene = threads(hosts(1)).await;
+    let relay = Arc::new(Relay::default());
+    let (listener, address) = loopback().await.expect("a free port");
+    let behind = scene.add_with("behind", "service", "zone-a", <_>::default(), |settings| {
+        settings.listeners.peers_public = Some(address);
+    });
+    behind.await.expect("it starts");
+    let target = scene.addresses(BEHIND).peers;
+    tokio::spawn(Arc::clone(&relay).run(listener, target));
+    scene.until_joined().await;
+    scene.stop(0).await;
+    add_entry(&mut scene).await;
+    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
+    scene
+        .until_of(&[ENTRY], "the entry knows the host", knows)
+        .await;
+    (scene, relay)
+}
+
 /// What callers were told under load, to be checked against what ran.
 #[derive(Default)]
 pub struct Account {
