test(links): requests wait in turn for a link that has fallen silent, failing

Callers of a host that falls silent are told one after the other, a quarter of a second apart: of 60 sent at once the last hears after some 15 s, most of them after their deadline as 504.

--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -4,7 +4,9 @@
 
 use std::time::{Duration, Instant};
 
-use common::{Plan, get, hosts, processes};
+use common::{ENTRY, Plan, get, hosts, processes, relayed, within};
+use mintridge_standin::relay::Condition;
+use tokio::task::JoinSet;
 
 /// Generous limit on any wait for a condition.
 const WAIT_MOST: Duration = Duration::from_mins(1);
@@ -41,3 +43,32 @@
     let told = scene.call(0, &get("id-again")).await;
     assert!(told.is_success(), "{told:?}");
 }
+
+/// Requests sent at once on a link that has fallen silent.
+const AT_ONCE: usize = 60;
+/// Time in which each is told that the host cannot be reached: one check of the link and one
+/// attempt at a new one, with room for a busy machine.
+const TOLD_WITHIN: Duration = Duration::from_secs(4);
+
+/// A host falls silent, and many callers ask for its service before anybody knows. What they see:
+/// a refusal within a second or so. They wait for one and the same check of the link; while each
+/// made a check of its own, one after the other, the last of 60 waited for fifteen seconds, and
+/// answers that had come on that link waited with them.
+#[tokio::test]
+async fn silent_link_is_checked_once_for_all_who_wait() {
+    let (scene, relay) = relayed().await;
+    assert!(scene.call(ENTRY, &get("opens-the-link")).await.is_success());
+    relay.set(Condition::Silent);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let entry = scene.addresses(ENTRY).callers;
+    let mut sent = JoinSet::new();
+    for n in 0..AT_ONCE {
+        let caller = scene.caller.clone();
+        let call = within(30_000, get(&format!("id-{n}")));
+        sent.spawn(async move { caller.call(entry, &call).await });
+    }
+    for heard in sent.join_all().await {
+        assert!(heard.told.is_not_run(), "{:?}", heard.told);
+        assert!(heard.took < TOLD_WITHIN, "told after {:?}", heard.took);
+    }
+}
