fix(link): one check of a silent link for all who wait for it

Callers of a host that fell silent were told in turn, 0.25 s apart, the last of them 504 at their deadline; answers that had come on such a link waited in the same line.

Cause: a link has one lock, held while it is checked or opened, up to 0.8 s, and each request that waited for it made an attempt of its own when its turn came; noting that something was heard took the same lock. On a busy machine a check of 0.25 s is missed without any fault of the host.

A request that waited while an attempt failed takes that result, which its own could not better.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -54,15 +54,38 @@
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
 }
 
+/// A link and what is known of it. Whoever checks it or opens a new one holds the lock of `open`.
 #[derive(Debug, Default)]
 struct Slot {
-    open: tokio::sync::Mutex<Option<Open>>,
+    open: tokio::sync::Mutex<Option<Sender>>,
+    seen: Mutex<Seen>,
 }
 
-#[derive(Debug)]
-struct Open {
-    sender: Sender,
-    heard_at: Instant,
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// When something was last heard on the link.
+    heard_at: Option<Instant>,
+    /// When the last attempt to open one failed.
+    failed_at: Option<Instant>,
+}
+
+impl Slot {
+    /// Notes that the link lives, and waits for nobody.
+    ///
+    /// Failure: an answer comes while another request waits for a check of the link. Symptom: with
+    /// the lock of that check the answer waits too, in the worst case beyond its deadline.
+    fn heard(&self) {
+        self.seen.lock().heard_at = Some(Instant::now());
+    }
+
+    fn was_heard_since(&self, since: Option<Instant>) -> bool {
+        since.is_none_or(|since| {
+            self.seen
+                .lock()
+                .heard_at
+                .is_some_and(|heard| heard >= since)
+        })
+    }
 }
 
 impl Links {
@@ -88,14 +111,14 @@
     ///
     /// Returns how many are left.
     pub fn close_idle(&self, now: Instant) -> usize {
-        let is_idle = |link: &Open| now > link.heard_at + self.settings.close_after_idle;
+        let since = now.checked_sub(self.settings.close_after_idle);
         let mut slots = self.slots.lock();
         slots.retain(|_, slot| {
             // A link whose lock is held is in use at this moment.
             let Ok(open) = slot.open.try_lock() else {
                 return true;
             };
-            open.as_ref().is_some_and(|link| !is_idle(link))
+            open.is_some() && slot.was_heard_since(since)
         });
         slots.len()
     }
@@ -114,7 +137,7 @@
         let sent = sender.try_send_request(request).await;
         match sent {
             Ok(response) => {
-                self.heard(&slot).await;
+                slot.heard();
                 Ok(response)
             }
             Err(mut error) => {
@@ -143,34 +166,52 @@
     /// new one and cuts it. Symptom: the request sent on it hangs or breaks, and an
     /// unrepeatable one ends as unknown. A link that was not heard lately, a new one
     /// included, answers a cheap request first; if it does not, nothing was risked.
+    ///
+    /// Failure: a host falls silent while many requests wait for its link. Symptom: each makes an
+    /// attempt of its own when its turn comes, and the last ones meet their deadline in the line.
+    /// An attempt that failed while a request waited tells it what one of its own would.
     async fn ready(&self, slot: &Slot, address: SocketAddr) -> Result<Sender, Error> {
+        let asked_at = Instant::now();
         let mut open = slot.open.lock().await;
-        if let Some(link) = open.as_mut()
-            && !link.sender.is_closed()
-            && self.is_alive(link).await
+        if let Some(sender) = open.as_mut()
+            && !sender.is_closed()
+            && self.is_alive(slot, sender).await
         {
-            return Ok(link.sender.clone());
+            return Ok(sender.clone());
         }
         *open = None;
-        let mut sender = self.connect(address).await?;
-        if !self.answers(&mut sender).await {
+        let failed_at = slot.seen.lock().failed_at;
+        if failed_at.is_some_and(|failed_at| failed_at > asked_at) {
             return Err(Error::NeverSent);
         }
-        *open = Some(Open {
-            sender: sender.clone(),
-            heard_at: Instant::now(),
-        });
-        Ok(sender)
+        let opened = self.open(address).await;
+        match &opened {
+            Ok(sender) => {
+                slot.heard();
+                *open = Some(sender.clone());
+            }
+            Err(_) => slot.seen.lock().failed_at = Some(Instant::now()),
+        }
+        opened
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<Sender, Error> {
+        let mut sender = self.connect(address).await?;
+        if self.answers(&mut sender).await {
+            Ok(sender)
+        } else {
+            Err(Error::NeverSent)
+        }
     }
 
-    async fn is_alive(&self, link: &mut Open) -> bool {
-        let now = Instant::now();
-        if now < link.heard_at + self.settings.check_after_idle {
+    async fn is_alive(&self, slot: &Slot, sender: &mut Sender) -> bool {
+        let since = Instant::now().checked_sub(self.settings.check_after_idle);
+        if slot.was_heard_since(since) {
             return true;
         }
-        let alive = self.answers(&mut link.sender).await;
+        let alive = self.answers(sender).await;
         if alive {
-            link.heard_at = now;
+            slot.heard();
         }
         alive
     }
@@ -186,12 +227,6 @@
         matches!(answered, Ok(Ok(_)))
     }
 
-    async fn heard(&self, slot: &Slot) {
-        if let Some(link) = slot.open.lock().await.as_mut() {
-            link.heard_at = Instant::now();
-        }
-    }
-
     async fn connect(&self, address: SocketAddr) -> Result<Sender, Error> {
         let connected = self.handshake(address);
         tokio::time::timeout(self.settings.connect_within, connected)
