--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -179,7 +179,9 @@
         {
             return Ok(sender.clone());
         }
-        *open = None;
+        if open.take().is_some() {
+            log::info!(peer:% = address; "link ended or is silent; another is opened");
+        }
         let failed_at = slot.seen.lock().failed_at;
         if failed_at.is_some_and(|failed_at| failed_at > asked_at) {
             return Err(Error::NeverSent);
@@ -190,7 +192,11 @@
                 slot.heard();
                 *open = Some(sender.clone());
             }
-            Err(_) => slot.seen.lock().failed_at = Some(Instant::now()),
+            Err(_) => {
+                slot.seen.lock().failed_at = Some(Instant::now());
+                let took = asked_at.elapsed().as_millis();
+                log::info!(peer:% = address, after_ms:% = took; "no link to the peer");
+            }
         }
         opened
     }
