--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -187,16 +187,13 @@
             return Err(Error::NeverSent);
         }
         let opened = self.open(address).await;
-        match &opened {
-            Ok(sender) => {
-                slot.heard();
-                *open = Some(sender.clone());
-            }
-            Err(_) => {
-                slot.seen.lock().failed_at = Some(Instant::now());
-                let took = asked_at.elapsed().as_millis();
-                log::info!(peer:% = address, after_ms:% = took; "no link to the peer");
-            }
+        if let Ok(sender) = &opened {
+            slot.heard();
+            *open = Some(sender.clone());
+        } else {
+            slot.seen.lock().failed_at = Some(Instant::now());
+            let took = asked_at.elapsed().as_millis();
+            log::info!(peer:% = address, after_ms:% = took; "no link to the peer");
         }
         opened
     }
