test(drill): the store comes back from an older copy, failing; the stand-in can go back

The stand-in takes a copy, is away, comes back from it with leases, revisions and their ids as they were, gives its epoch in a header of each answer, refuses a watch from a revision that it does not have, and repeats what operators wrote.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store: compare-and-swap, leases, watches, and faults on command. [`serving`]
-//! speaks for it over HTTP.
+//! speaks for it over HTTP, [`drill`] brings it back from an older copy.
 
+pub mod drill;
 mod serving;
 
 use std::collections::BTreeMap;
@@ -70,9 +71,12 @@
     calls: Calls,
     data: Data,
     snapshot: Option<BTreeMap<Vec<u8>, wire::KeyValue>>,
+    copy: Option<Data>,
+    /// Rises by one each time the store comes back from a copy.
+    epoch: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Data {
     revision: i64,
     keys: BTreeMap<Vec<u8>, wire::KeyValue>,
@@ -80,7 +84,7 @@
     next_lease: i64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     time_to_live: Duration,
     lapses_at: Instant,
@@ -134,6 +138,14 @@
         data.revision += 1;
     }
 
+    /// Deletes all keys that begin with `prefix` from outside the API.
+    pub fn remove_all(&self, prefix: &str) {
+        let data = &mut self.inner.lock().data;
+        data.keys
+            .retain(|key, _| !key.starts_with(prefix.as_bytes()));
+        data.revision += 1;
+    }
+
     /// Value of a key.
     #[must_use]
     pub fn value(&self, key: &str) -> Option<Vec<u8>> {
--- a/crates/standin/src/store/serving.rs
+++ b/crates/standin/src/store/serving.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, watch};
 
+use super::drill::EPOCH;
 use super::{BODY_MOST, CALLS, FAULTS, Faults, Store, covers, select};
 
 /// Serves until `phase` closes.
@@ -31,6 +32,13 @@
 }
 
 async fn answer(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
+    let mut response = answer_in_epoch(Arc::clone(&store), request).await;
+    let epoch = store.inner.lock().epoch;
+    response.headers_mut().insert(EPOCH, epoch.into());
+    response
+}
+
+async fn answer_in_epoch(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
     let path = request.uri().path().to_owned();
     match path.as_str() {
         FAULTS => return set_faults(&store, request).await,
@@ -155,6 +163,9 @@
         Err(error) => return bad(&error),
     };
     let asked = asked.create_request;
+    if asked.start_revision > store.inner.lock().data.revision + 1 {
+        return reply::text(StatusCode::GONE, "no such revision\n");
+    }
     let watching = Watching {
         events: store.events.subscribe(),
         cut: store.cut.subscribe(),
