fix(control): what this node wrote is written again when the store comes back from an older copy

Operators and callers saw an entry of a node missing for 4.8 s after the store's return from an older copy, where two are allowed; by reading, an entry could hang on a lease given out anew, and a watch could go on from a revision that stood for something else.

Cause: revisions and leases were used as if they meant the same for ever. The client drops an answer of an earlier epoch than the newest seen; a watch ends, and all is read anew, when the epoch rises; the few nodes that use the store write their entries and what is held back again. A revision is used within the epoch in which it was read.

drill entries_are_back_after_the_return passes, before 4.8 s.

--- a/crates/node/src/configs/store.rs
+++ b/crates/node/src/configs/store.rs
@@ -17,6 +17,9 @@
     /// Time for one call.
     #[serde(with = "humantime_serde")]
     pub timeout: Duration,
+    /// Header of each answer that says how often the store has come back from an older copy;
+    /// without it such a return is not noticed.
+    pub epoch_header: Option<String>,
 }
 
 impl Default for Settings {
@@ -24,6 +27,7 @@
         Self {
             address: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), ETCD_PORT),
             timeout: Duration::from_millis(500),
+            epoch_header: None,
         }
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -12,6 +12,7 @@
 use mintridge_core::route::Document;
 use mintridge_core::screen::Screen;
 use mintridge_http::server::Phase;
+use mintridge_store::epoch::Epochs;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
@@ -132,6 +133,8 @@
     pub incarnation: u64,
     /// Counters.
     pub metrics: Metrics,
+    /// How often the store has come back from an older copy.
+    pub epochs: Epochs,
     /// Rings between duties.
     pub rings: Rings,
     /// Latest values between duties.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 //! few nodes, by the store.
 
 mod codec;
+mod epochs;
 mod exchange;
 mod followed;
 mod holder;
@@ -74,6 +75,7 @@
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
             tokio::task::spawn_local(suspects::take(Rc::clone(&control), events));
             tokio::task::spawn_local(lasting::keep(Rc::clone(&control)));
+            tokio::task::spawn_local(epochs::follow(Rc::clone(&control)));
             control.until_ending().await;
             control.state.borrow_mut().table.leave();
             exchange::push(&control).await;
@@ -138,7 +140,8 @@
                 settings.store.address,
                 settings.store.timeout,
                 context.adapter.store,
-            ),
+            )
+            .in_epochs(context.epochs.clone()),
             state: RefCell::new(State {
                 table: Table::new(settings.membership.clone(), own, seed),
                 bootstrap,
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -96,6 +96,10 @@
 /// is in force nowhere. Silent connections are found by probes, and the watches of the few
 /// nodes that use the store end at different times: the next one brings what the others lost.
 /// Beside them the key is read at a rate that does not follow the size of the fleet.
+///
+/// Failure: the store comes back from an older copy and gives revisions out again. Symptom: a
+/// watch that goes on from a revision of before never hears of what is written under a lower one.
+/// A revision is used within the epoch in which it was read; in a later one all is read anew.
 async fn read_and_watch(
     control: &Rc<Control>,
     kind: Kind,
@@ -107,6 +111,8 @@
     let asked_at = Instant::now();
     control.context.metrics.store_call("read");
     let (found, mut read_at) = control.store.read(key).await?;
+    let epochs = control.store.epochs();
+    let epoch = epochs.newest();
     if std::mem::take(lost) {
         log::info!(key = key, revision = read_at; "store regained");
         control.store_regained.set(true);
@@ -120,7 +126,13 @@
             Kind::Preset => read_again_at.saturating_duration_since(Instant::now()),
             Kind::Routes => stagger.next(settings.watch_for),
         };
-        let changes = control.store.changes(key, read_at, wait).await?;
+        let changes = tokio::select! {
+            changes = control.store.changes(key, read_at, wait) => changes?,
+            () = epochs.left(epoch) => return Ok(()),
+        };
+        if epochs.newest() != epoch {
+            return Ok(());
+        }
         read_at = changes.read_at.max(read_at);
         for change in changes.changes {
             if let Change::Written(item) = change
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -193,7 +193,10 @@
     if control.state.borrow().seed_lease.is_some() {
         return true;
     }
+    let epoch = control.store.epochs().newest();
     match write_seed(control).await {
+        // A lease of an earlier epoch may be another node's by now.
+        Ok(_) if epoch.is_some() && control.store.epochs().newest() != epoch => false,
         Ok(lease) => {
             control.state.borrow_mut().seed_lease = Some(lease);
             true
--- a/crates/node/src/control/lasting.rs
+++ b/crates/node/src/control/lasting.rs
@@ -56,6 +56,7 @@
 async fn write(control: &Control) -> Result<bool, Error> {
     control.context.metrics.store_call("held");
     let (found, _) = control.store.read(keys::HELD).await?;
+    let epoch = control.store.epochs().newest();
     let revision = found.as_ref().map_or(0, |item| item.revision);
     let stored = found.as_ref().map_or(&[][..], |item| &item.value);
     let stored = parse(control, stored);
@@ -78,7 +79,9 @@
         ..Swap::default()
     };
     control.context.metrics.store_call("held");
-    control.store.swap(&swap).await
+    let swapped = control.store.swap(&swap).await?;
+    // A store that came back in between has lost it, or took the revision for another one.
+    Ok(swapped && control.store.epochs().newest() == epoch)
 }
 
 /// Reads once what was held back before this node started.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -59,6 +59,7 @@
     held: Gauge,
     pace_asked: Counter,
     reloads: Family<KindLabels, Counter>,
+    store_returns: Counter,
     claims: Family<KindLabels, Counter>,
     store_calls: Family<KindLabels, Counter>,
     probes: Family<KindLabels, Counter>,
@@ -89,6 +90,7 @@
             held: Gauge::default(),
             pace_asked: Counter::default(),
             reloads: Family::default(),
+            store_returns: Counter::default(),
             claims: Family::default(),
             store_calls: Family::default(),
             probes: Family::default(),
@@ -136,6 +138,8 @@
             "Times the upstream was asked how fast its host is",
             self.pace_asked.clone(),
         );
+        let help = "Times the store came back from an older copy";
+        registry.register("store_returns", help, self.store_returns.clone());
         let help = "Claims on idempotency keys by verdict";
         registry.register("claims", help, self.claims.clone());
         registry.register(
@@ -213,6 +217,11 @@
         self.reloads.get_or_create(&KindLabels { kind }).inc();
     }
 
+    /// The store came back from an older copy.
+    pub fn store_return(&self) {
+        self.store_returns.inc();
+    }
+
     /// The upstream was asked how fast its host is.
     pub fn pace_asked(&self) {
         self.pace_asked.inc();
@@ -224,6 +233,7 @@
             ClaimVerdict::Granted => "granted",
             ClaimVerdict::Duplicate => "duplicate",
             ClaimVerdict::Unavailable => "unavailable",
+            ClaimVerdict::Doubtful => "doubtful",
         };
         count(&self.claims, kind);
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use error_stack::{Report, ResultExt};
+use mintridge_store::epoch::Epochs;
 use socket2::{Domain, Type};
 use tokio::sync::{mpsc, watch};
 
@@ -81,12 +82,15 @@
         traces::start();
     }
     let latest = latest(&settings);
+    let epochs = settings.store.epoch_header.as_deref();
+    let epochs = epochs.map(Epochs::named_in).unwrap_or_default();
     let context = Arc::new(Context {
         settings,
         adapter,
         addresses,
         incarnation: unix_millis(),
         metrics: Metrics::default(),
+        epochs,
         rings,
         latest,
     });
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -30,6 +30,7 @@
 
 use crate::process::Process;
 use crate::store::Store;
+use crate::store::drill::EPOCH;
 use crate::upstream::{Behaviour, Upstream};
 use crate::{announcer, store, supervisor, upstream};
 
@@ -256,6 +257,7 @@
             ..Settings::default()
         };
         settings.store.address = self.store_address;
+        settings.store.epoch_header = Some(String::from(EPOCH));
         (self.adjust)(&mut settings);
         adjust(&mut settings);
         let running = if let Some(binary) = &self.binary {
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 use crate::dialect::{Answer, Call, Dialect};
+use crate::epoch::Epochs;
 use crate::operation::{Changes, Freshness, Item, Operation, Reply, Swap};
 use crate::{etcd, wire};
 
@@ -59,6 +60,10 @@
     /// The store no longer has the history from which a watch was to go on.
     #[error("the store has dropped the history asked for")]
     Compacted,
+    /// The answer was given before the store came back from an older copy; a write that it
+    /// acknowledges may be gone.
+    #[error("the answer is older than the store's return from a copy")]
+    Outdated,
     /// A watch was cut by the store.
     #[error("the watch was cut")]
     Cut,
@@ -87,6 +92,7 @@
             Self::Refused(_)
             | Self::Lost { .. }
             | Self::Compacted
+            | Self::Outdated
             | Self::Cut
             | Self::Mismatch
             | Self::Malformed(_)
@@ -101,6 +107,7 @@
     address: SocketAddr,
     timeout: Duration,
     dialect: Dialect,
+    epochs: Epochs,
     http: HttpClient<HttpConnector, Full<Bytes>>,
 }
 
@@ -131,10 +138,23 @@
             address,
             timeout,
             dialect,
+            epochs: Epochs::default(),
             http,
         }
     }
 
+    /// The same client, whose answers tell these epochs.
+    #[must_use]
+    pub fn in_epochs(self, epochs: Epochs) -> Self {
+        Self { epochs, ..self }
+    }
+
+    /// The epochs of the store.
+    #[must_use]
+    pub const fn epochs(&self) -> &Epochs {
+        &self.epochs
+    }
+
     /// Reads one key, and the revision at which it was read.
     ///
     /// # Errors
@@ -306,6 +326,9 @@
         let response = tokio::time::timeout_at(begun_by.into(), self.send(call))
             .await
             .map_err(|_| self.lost())??;
+        if !self.epochs.note(response.headers()) {
+            return Err(Error::Outdated);
+        }
         let given_up_at = begun_by.max(Instant::now()) + ANSWER_MOST;
         let status = response.status();
         let mut body = response.into_body();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod client;
 pub mod dialect;
+pub mod epoch;
 pub mod etcd;
 pub mod keys;
 pub mod operation;
