fix(claims): a claim that the store lost is written again before anything is granted

Callers who repeated an idempotency key after the store had come back from an older copy had their request run a second time.

Cause: the store alone knew the claim. The node that was granted one remembers it for 30 s, the age of a copy, and writes it again after a return; for three seconds after it has noticed a return a node grants nothing and says that the request may have run, so that all have written first. A node with remembered claims asks the store for a sign once a second, by a read that may lag. A claim whose write crossed the return is granted to nobody.

Left: a node that is killed with a claim that the store then loses, and one that starts within the three seconds, know nothing of it.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -9,6 +9,10 @@
 //! A claim holds the mark of the request as its entry node numbered it. The entry node
 //! sends an unrepeatable request to a second host only after the first certainly
 //! refused it, so a second host that finds the same mark may go on.
+//!
+//! A store that comes back from an older copy has lost its newest claims. The node that was granted
+//! one remembers it for as long as a copy may be old and writes it again, and until all nodes have had
+//! time for that nobody is granted anything: a key that looks free may be one that was lost.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -42,6 +46,9 @@
     Duplicate,
     /// The store did not confirm; this request must not be handed over.
     Unavailable,
+    /// The store lost its newest claims, and this key's may be one of them; an earlier request with
+    /// it may have run.
+    Doubtful,
 }
 
 /// Number by which the asker knows its claim.
@@ -57,6 +64,8 @@
     Read(Vec<Claim>),
     /// Delete this key if its mark still stands.
     Release(Claim),
+    /// Ask the store for anything, so that its return from a copy is noticed.
+    Check,
     /// Tell the asker.
     Answer(Ticket, Verdict),
 }
@@ -83,12 +92,25 @@
     waiting: VecDeque<Asked>,
     releases: VecDeque<Claim>,
     call: Call,
-    answers: VecDeque<(Ticket, Verdict)>,
+    answers: VecDeque<(Asked, Verdict)>,
+    /// Granted here lately, the oldest first.
+    kept: VecDeque<Kept>,
+    /// While the store's newest claims may be missing in it.
+    doubtful_until: Option<Instant>,
+    check_at: Instant,
+}
+
+/// A claim that was granted here.
+#[derive(Clone, Debug)]
+struct Kept {
+    claim: Claim,
+    until: Instant,
 }
 
 #[derive(Clone, Debug)]
 struct Asked {
-    ticket: Ticket,
+    /// Who asks; nobody for a claim that is written again.
+    ticket: Option<Ticket>,
     claim: Claim,
     deadline: Instant,
 }
@@ -100,6 +122,7 @@
     ReadDue(Vec<Asked>),
     Reading(Vec<Asked>),
     Releasing,
+    Checking,
 }
 
 impl Claims {
@@ -114,30 +137,50 @@
             releases: VecDeque::new(),
             call: Call::Idle,
             answers: VecDeque::new(),
+            kept: VecDeque::new(),
+            doubtful_until: None,
+            check_at: now,
         }
     }
 
     /// Asks for a claim; the answer comes by [`Action::Answer`].
     pub fn ask(&mut self, ticket: Ticket, claim: Claim, deadline: Instant) {
+        let asked = Asked {
+            ticket: Some(ticket),
+            claim,
+            deadline,
+        };
         if self.waiting.len() >= self.settings.pending_most {
-            self.answers.push_back((ticket, Verdict::Unavailable));
-            return;
+            self.answers.push_back((asked, Verdict::Unavailable));
+        } else if self.holds_other(&asked.claim) {
+            self.answers.push_back((asked, Verdict::Duplicate));
+        } else {
+            self.waiting.push_back(asked);
         }
-        if self.holds_other(&claim) {
-            self.answers.push_back((ticket, Verdict::Duplicate));
-            return;
+    }
+
+    /// The store has come back from an older copy.
+    ///
+    /// Failure: the store loses a claim whose request ran. Symptom: the key looks free, and a
+    /// repeat runs it again. What was granted here within the age of a copy is written again, and
+    /// nothing is granted until every node has had time to notice and do the same.
+    pub fn store_returned(&mut self, now: Instant) {
+        self.doubtful_until = Some(now + self.settings.doubtful_for);
+        self.forget(now);
+        for kept in self.kept.iter().rev() {
+            self.waiting.push_front(Asked {
+                ticket: None,
+                claim: kept.claim.clone(),
+                deadline: kept.until,
+            });
         }
-        self.waiting.push_back(Asked {
-            ticket,
-            claim,
-            deadline,
-        });
     }
 
     /// Gives a key back: its request was certainly refused everywhere.
     ///
     /// Best effort: a key that stays claimed is answered as unknown, never run twice.
     pub fn release(&mut self, claim: Claim) {
+        self.kept.retain(|kept| kept.claim != claim);
         if self.releases.len() < self.settings.pending_most {
             self.releases.push_back(claim);
         }
@@ -146,12 +189,17 @@
     /// What to do next; call until `None` after each event and at [`Self::wake_at`].
     pub fn poll(&mut self, now: Instant) -> Option<Action> {
         self.refill(now);
+        self.forget(now);
         self.give_up_late(now);
-        if let Some((ticket, verdict)) = self.answers.pop_front() {
-            return Some(Action::Answer(ticket, verdict));
+        self.refuse_in_doubt(now);
+        while let Some((asked, verdict)) = self.answers.pop_front() {
+            if let Some(ticket) = asked.ticket {
+                let verdict = self.judge(now, asked.claim, verdict);
+                return Some(Action::Answer(ticket, verdict));
+            }
         }
         match std::mem::replace(&mut self.call, Call::Idle) {
-            Call::Idle => self.next_call(),
+            Call::Idle => self.next_call(now),
             Call::ReadDue(asked) => {
                 let claims = claims_of(&asked);
                 self.call = Call::Reading(asked);
@@ -174,7 +222,8 @@
             let seconds = missing / self.settings.writes_per_second;
             self.refilled_at + std::time::Duration::from_secs_f64(seconds)
         });
-        [deadline, affordable].into_iter().flatten().min()
+        let check = (!self.kept.is_empty()).then_some(self.check_at);
+        [deadline, affordable, check].into_iter().flatten().min()
     }
 
     /// The open write ended.
@@ -183,8 +232,12 @@
             return;
         };
         match written {
-            Written::Applied => self.answer_all(&asked, Verdict::Granted),
-            Written::NotApplied => self.answer_all(&asked, Verdict::Unavailable),
+            Written::Applied => self.answer_all(asked, Verdict::Granted),
+            Written::NotApplied => {
+                let (asked, again) = split(asked);
+                self.waiting.extend(again);
+                self.answer_all(asked, Verdict::Unavailable);
+            }
             Written::Conflict(holders) => self.settle_conflict(asked, &holders),
             Written::Lost => self.call = Call::ReadDue(asked),
         }
@@ -205,12 +258,23 @@
             let verdict = match holder {
                 Some(Some(mark)) if *mark == asked.claim.mark => Verdict::Granted,
                 Some(Some(_)) => Verdict::Duplicate,
+                Some(None) | None if asked.ticket.is_none() => {
+                    self.waiting.push_back(asked);
+                    continue;
+                }
                 Some(None) | None => {
                     self.release(asked.claim.clone());
                     Verdict::Unavailable
                 }
             };
-            self.answers.push_back((asked.ticket, verdict));
+            self.answers.push_back((asked, verdict));
+        }
+    }
+
+    /// The open check ended, well or not.
+    pub fn checked(&mut self) {
+        if matches!(self.call, Call::Checking) {
+            self.call = Call::Idle;
         }
     }
 
@@ -221,7 +285,12 @@
         }
     }
 
-    fn next_call(&mut self) -> Option<Action> {
+    fn next_call(&mut self, now: Instant) -> Option<Action> {
+        if !self.kept.is_empty() && now >= self.check_at {
+            self.check_at = now + self.settings.check_every;
+            self.call = Call::Checking;
+            return Some(Action::Check);
+        }
         if self.tokens < 1.0 {
             return None;
         }
@@ -243,7 +312,7 @@
     fn holds_other(&self, claim: &Claim) -> bool {
         let open: &[Asked] = match &self.call {
             Call::Writing(asked) | Call::ReadDue(asked) | Call::Reading(asked) => asked,
-            Call::Idle | Call::Releasing => &[],
+            Call::Idle | Call::Releasing | Call::Checking => &[],
         };
         self.waiting
             .iter()
@@ -256,17 +325,55 @@
         for (index, asked) in asked.into_iter().enumerate().rev() {
             match holders.get(index) {
                 Some(Some(mark)) if *mark == asked.claim.mark => {
-                    self.answers.push_back((asked.ticket, Verdict::Granted));
+                    self.answers.push_back((asked, Verdict::Granted));
                 }
-                Some(Some(_)) => self.answers.push_back((asked.ticket, Verdict::Duplicate)),
+                Some(Some(_)) => self.answers.push_back((asked, Verdict::Duplicate)),
                 Some(None) | None => self.waiting.push_front(asked),
             }
         }
     }
 
-    fn answer_all(&mut self, asked: &[Asked], verdict: Verdict) {
-        for asked in asked {
-            self.answers.push_back((asked.ticket, verdict));
+    fn answer_all(&mut self, asked: Vec<Asked>, verdict: Verdict) {
+        let answered = asked.into_iter().map(|asked| (asked, verdict));
+        self.answers.extend(answered);
+    }
+
+    /// What the asker is told, by what is known of the store at this moment.
+    fn judge(&mut self, now: Instant, claim: Claim, verdict: Verdict) -> Verdict {
+        if verdict != Verdict::Granted {
+            return verdict;
+        }
+        if self.is_doubtful(now) {
+            return Verdict::Doubtful;
+        }
+        if self.kept.len() >= self.settings.kept_most {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(Kept {
+            claim,
+            until: now + self.settings.copy_age_most,
+        });
+        verdict
+    }
+
+    fn is_doubtful(&self, now: Instant) -> bool {
+        self.doubtful_until.is_some_and(|until| now < until)
+    }
+
+    /// Those who ask while the store may lack claims are told at once.
+    fn refuse_in_doubt(&mut self, now: Instant) {
+        if !self.is_doubtful(now) {
+            return;
+        }
+        let (asked, again) = split(std::mem::take(&mut self.waiting));
+        self.waiting = again.into();
+        self.answer_all(asked, Verdict::Doubtful);
+    }
+
+    /// Forgets claims that are older than any copy.
+    fn forget(&mut self, now: Instant) {
+        while self.kept.front().is_some_and(|kept| now >= kept.until) {
+            self.kept.pop_front();
         }
     }
 
@@ -275,7 +382,7 @@
         self.waiting.retain(|asked| {
             let in_time = now < asked.deadline;
             if !in_time {
-                answers.push_back((asked.ticket, Verdict::Unavailable));
+                answers.push_back((asked.clone(), Verdict::Unavailable));
             }
             in_time
         });
@@ -289,6 +396,11 @@
     }
 }
 
+/// Those somebody waits for, and those that are written again.
+fn split(asked: impl IntoIterator<Item = Asked>) -> (Vec<Asked>, Vec<Asked>) {
+    asked.into_iter().partition(|asked| asked.ticket.is_some())
+}
+
 fn claims_of(asked: &[Asked]) -> Vec<Claim> {
     asked.iter().map(|asked| asked.claim.clone()).collect()
 }
--- a/crates/core/src/configs/claim.rs
+++ b/crates/core/src/configs/claim.rs
@@ -22,6 +22,18 @@
     /// How long one lease of the store takes in new claims.
     #[serde(with = "humantime_serde")]
     pub lease_used_for: Duration,
+    /// How old a copy the store may come back from.
+    #[serde(with = "humantime_serde")]
+    pub copy_age_most: Duration,
+    /// Claims remembered for such a return; beyond that the oldest are forgotten.
+    pub kept_most: usize,
+    /// How often the store is asked for a sign of its return while claims are remembered.
+    #[serde(with = "humantime_serde")]
+    pub check_every: Duration,
+    /// How long after a return nothing is granted: every node has noticed by then and has written
+    /// its claims again.
+    #[serde(with = "humantime_serde")]
+    pub doubtful_for: Duration,
 }
 
 impl Default for Settings {
@@ -33,6 +45,10 @@
             writes_burst: 8.0,
             remember_for: Duration::from_hours(24),
             lease_used_for: Duration::from_hours(1),
+            copy_age_most: Duration::from_secs(30),
+            kept_most: 4096,
+            check_every: Duration::from_secs(1),
+            doubtful_for: Duration::from_secs(3),
         }
     }
 }
--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -115,6 +115,7 @@
                 }
                 claims.released();
             }
+            Action::Check => claims.checked(),
         }
     }
     answers
@@ -170,6 +171,7 @@
             }
             Action::Read(_) => one.read(None),
             Action::Release(_) => break,
+            Action::Check => one.checked(),
         }
     }
     assert_eq!(answers, [(Ticket(1), Verdict::Unavailable)]);
@@ -299,3 +301,97 @@
         Some(Action::Answer(Ticket(1), Verdict::Unavailable))
     );
 }
+
+/// A store with a key that one node was granted, which the store loses: it has come back from a
+/// copy that is older than the claim.
+fn lost_claim(now: Instant) -> (Store, Claims) {
+    let mut store = Store::new(&[]);
+    let mut one = claims(now);
+    let deadline = now + Duration::from_secs(5);
+    one.ask(Ticket(1), claim("key", "one"), deadline);
+    assert_eq!(
+        run(&mut one, &mut store, now),
+        [(Ticket(1), Verdict::Granted)]
+    );
+    store.keys.clear();
+    (store, one)
+}
+
+/// What the callers see: a request ran, the store lost its claim, and its caller repeats it through
+/// another node. That node is granted nothing until the first has written the claim again, and says
+/// that the request may have run; later the key is found held.
+#[test]
+fn store_returned_grants_no_key_that_was_lost() {
+    let lost_at = Instant::now();
+    let (mut store, mut one) = lost_claim(lost_at);
+    let mut other = claims(lost_at);
+    other.store_returned(lost_at);
+    let asked_at = lost_at + Duration::from_millis(10);
+    let deadline = asked_at + Duration::from_secs(5);
+    other.ask(Ticket(2), claim("key", "two"), deadline);
+    assert_eq!(
+        run(&mut other, &mut store, asked_at),
+        [(Ticket(2), Verdict::Doubtful)]
+    );
+    let noticed_at = lost_at + Duration::from_secs(2);
+    one.store_returned(noticed_at);
+    assert_eq!(run(&mut one, &mut store, noticed_at), []);
+    let later = lost_at + Settings::default().doubtful_for;
+    other.ask(
+        Ticket(3),
+        claim("key", "three"),
+        later + Duration::from_secs(5),
+    );
+    assert_eq!(
+        run(&mut other, &mut store, later),
+        [(Ticket(3), Verdict::Duplicate)]
+    );
+}
+
+/// A claim is on its way while the store comes back: it took effect, and nobody can know whether
+/// the key was free before. Its request is not run.
+#[test]
+fn store_returned_during_a_write_grants_nothing() {
+    let now = Instant::now();
+    let mut node = claims(now);
+    node.ask(Ticket(1), claim("key", "one"), now + Duration::from_secs(5));
+    assert!(matches!(node.poll(now), Some(Action::Write(_))));
+    node.store_returned(now);
+    node.written(Written::Applied);
+    assert_eq!(
+        node.poll(now),
+        Some(Action::Answer(Ticket(1), Verdict::Doubtful))
+    );
+}
+
+/// The first write after the store's return fails, or its reply is lost: the claim is written until
+/// it is there, however often it takes.
+#[rstest]
+#[case::refused(Fate::Refused)]
+#[case::never_arrived(Fate::NeverArrived)]
+#[case::reply_lost(Fate::ReplyLost)]
+fn store_returned_writes_again_until_it_holds(#[case] fate: Fate) {
+    let now = Instant::now();
+    let (mut store, mut one) = lost_claim(now);
+    store.fates = vec![Fate::Applied, fate, fate];
+    one.store_returned(now);
+    assert_eq!(run(&mut one, &mut store, now), []);
+    let mark = Mark(Arc::from("one"));
+    assert_eq!(store.keys.get(&Key(Arc::from("key"))), Some(&mark));
+}
+
+/// A claim older than any copy is not written again, and neither is one that was given back.
+#[rstest]
+#[case::old(Duration::from_secs(31), false)]
+#[case::given_back(Duration::from_secs(1), true)]
+fn store_returned_forgets(#[case] after: Duration, #[case] released: bool) {
+    let now = Instant::now();
+    let (mut store, mut one) = lost_claim(now);
+    if released {
+        one.release(claim("key", "one"));
+    }
+    let returned_at = now + after;
+    one.store_returned(returned_at);
+    assert_eq!(run(&mut one, &mut store, returned_at), []);
+    assert!(store.keys.is_empty());
+}
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -6,6 +6,8 @@
 
 use mintridge_core::claim::{Action, Claim, Claims, Mark, Ticket, Verdict, Written};
 use mintridge_store::client::Client;
+use mintridge_store::epoch::Epoch;
+use mintridge_store::operation::Freshness;
 use mintridge_store::{keys, wire};
 use tokio::sync::{mpsc, oneshot};
 
@@ -43,18 +45,23 @@
     answers: HashMap<Ticket, oneshot::Sender<Verdict>>,
     next_ticket: u64,
     lease: Option<Lease>,
+    /// The epoch of the store in which the claims known here were made.
+    epoch: Option<Epoch>,
 }
 
 /// Works until the node ends.
 pub async fn run(context: Arc<Context>, mut jobs: mpsc::Receiver<Job>) {
     let settings = &context.settings;
     let mut stage = context.latest.stage.subscribe();
+    let mut newest = context.epochs.subscribe();
+    let store = Client::new(settings.store.address, settings.store.timeout);
     let mut worker = Worker {
-        store: Client::new(settings.store.address, settings.store.timeout),
+        store: store.in_epochs(context.epochs.clone()),
         claims: Claims::new(settings.claim.clone(), Instant::now()),
         answers: HashMap::new(),
         next_ticket: 0,
         lease: None,
+        epoch: None,
         context: Arc::clone(&context),
     };
     loop {
@@ -74,6 +81,7 @@
                 None => return,
             },
             () = tokio::time::sleep_until(wake_at.into()) => {}
+            _ = newest.changed() => worker.follow_epoch(),
             _ = stage.wait_for(|stage| *stage == Stage::Ending) => return,
         }
     }
@@ -105,12 +113,19 @@
             Action::Answer(ticket, verdict) => self.answer(ticket, verdict),
             Action::Write(claims) => {
                 let written = self.write(&claims).await;
+                self.follow_epoch();
                 self.claims.written(written);
             }
             Action::Read(claims) => {
                 let holders = self.read(&claims).await;
+                self.follow_epoch();
                 self.claims.read(holders.as_deref());
             }
+            Action::Check => {
+                self.check().await;
+                self.follow_epoch();
+                self.claims.checked();
+            }
             Action::Release(claim) => {
                 self.release(&claim).await;
                 self.claims.released();
@@ -119,6 +134,36 @@
         true
     }
 
+    /// Takes in that the store has come back from an older copy, before any answer of the epoch
+    /// after it counts.
+    fn follow_epoch(&mut self) {
+        let newest = self.context.epochs.newest();
+        if let (Some(before), Some(now)) = (self.epoch, newest)
+            && before != now
+        {
+            log::warn!(
+                epoch_before = before.0,
+                epoch = now.0;
+                "the store came back from an older copy: claims are written again, none is granted"
+            );
+            self.lease = None;
+            self.claims.store_returned(Instant::now());
+        }
+        self.epoch = newest;
+    }
+
+    /// A store that names no epochs cannot show its return.
+    async fn check(&self) {
+        if self.context.epochs.newest().is_none() {
+            return;
+        }
+        self.context.metrics.store_call("claim-check");
+        let read = self.store.list(keys::IN_FORCE, Freshness::MayLag).await;
+        if let Err(error) = read {
+            log::debug!(error:% = error; "no sign of the store");
+        }
+    }
+
     fn answer(&mut self, ticket: Ticket, verdict: Verdict) {
         self.context.metrics.claim(verdict);
         if let Some(answer) = self.answers.remove(&ticket) {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -237,6 +237,9 @@
         match tokio::time::timeout_at(deadline.into(), answered).await {
             Ok(Ok(ClaimVerdict::Granted)) => Ok(()),
             Ok(Ok(ClaimVerdict::Duplicate)) => Err(self.unknown(Instant::now(), Reason::Duplicate)),
+            Ok(Ok(ClaimVerdict::Doubtful)) => {
+                Err(self.unknown(Instant::now(), Reason::StoreUnavailable))
+            }
             Ok(Ok(ClaimVerdict::Unavailable) | Err(_)) => {
                 Err(self.not_run(Reason::StoreUnavailable))
             }
