--- a/crates/node/tests/drill.rs
+++ b/crates/node/tests/drill.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
-use common::{Scene, hosts, post, processes, runs};
+use common::{Scene, get, hosts, post, processes, runs};
 use mintridge_core::preset::Preset;
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::store::drill::Drill;
 use mintridge_store::keys::SEEDS;
+use rustix::process::Signal;
 use tokio::time::Instant;
 
 /// A change that was accepted is in force everywhere within this.
@@ -136,3 +137,85 @@
     assert_eq!(runs(&scene, &["first", "second"]), 1, "{told:?}");
     assert!(told.is_unknown(), "{told:?}");
 }
+
+/// A node is paused before the store loses its newest seconds, and wakes after its return. It still
+/// believes in its entry and in the preset of before; within seconds its entry is back, and it
+/// shows nothing older than it did.
+#[tokio::test]
+async fn node_that_was_paused_over_the_return_catches_up() {
+    let scene = processes(hosts(3)).await;
+    until_entries(&scene, 3).await;
+    scene.store.remove_all(SEEDS);
+    scene.store.take_copy();
+    until_entries(&scene, 3).await;
+    let second = scene
+        .put_in_force(preset(0.2), "second")
+        .await
+        .expect("accepted");
+    until_revision(&scene, second.revision.0).await;
+    scene.process(2).signal(Signal::STOP).expect("paused");
+    scene.store.drill(Drill::default()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    scene.process(2).signal(Signal::CONT).expect("woken");
+    until_entries(&scene, 3).await;
+    let status = scene.status(2).await.expect("it runs");
+    assert!(status.view.in_force.revision >= second.revision);
+}
+
+/// All nodes lose power while the store is away, and it comes back with an older preset. The
+/// fleet that starts knows no better until the operator writes the newer one again; from then on
+/// every node shows it.
+#[tokio::test]
+async fn loss_of_all_nodes_during_the_drill_ends_with_what_was_repeated() {
+    let mut scene = processes(hosts(3)).await;
+    let first = scene
+        .put_in_force(preset(0.1), "first")
+        .await
+        .expect("accepted");
+    until_revision(&scene, first.revision.0).await;
+    scene.store.take_copy();
+    let second = scene
+        .put_in_force(preset(0.2), "second")
+        .await
+        .expect("accepted");
+    for index in 0..3 {
+        scene.kill(index).await;
+    }
+    scene.store.drill(Drill::default()).await;
+    for index in 0..3 {
+        scene.start_node(index).expect("starts");
+    }
+    scene.until_joined().await;
+    until_revision(&scene, second.revision.0).await;
+}
+
+/// The store loses its newest seconds twice, some seconds apart, and a node is stopped and started
+/// in between. Callers are served all the while, and nothing falls back.
+#[tokio::test]
+async fn two_losses_beside_a_restart_keep_the_preset_and_the_callers() {
+    let mut scene = processes(hosts(3)).await;
+    let mut newest = scene
+        .put_in_force(preset(0.1), "first")
+        .await
+        .expect("accepted");
+    for loss in 0..2_u32 {
+        until_revision(&scene, newest.revision.0).await;
+        scene.store.take_copy();
+        let share = 0.2 + f64::from(loss) / 10.0;
+        let mark = format!("change-{loss}");
+        newest = scene
+            .put_in_force(preset(share), &mark)
+            .await
+            .expect("accepted");
+        until_revision(&scene, newest.revision.0).await;
+        scene.store.drill(Drill::default()).await;
+        scene.stop(2).await;
+        for n in 0..20 {
+            let told = scene.call(n % 2, &get(&format!("during-{loss}-{n}"))).await;
+            assert!(told.is_success(), "{told:?}");
+        }
+        scene.start_node(2).expect("starts");
+        scene.until_joined().await;
+    }
+    until_revision(&scene, newest.revision.0).await;
+}
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -17,6 +17,7 @@
 use crate::relay::{Condition, Relay};
 use crate::scene::{Error, Plan, Running, Scene, loopback};
 use crate::store::Faults;
+use crate::store::drill::Drill;
 
 const SERVICE: &str = "service";
 const ZONES: [&str; 2] = ["zone-a", "zone-b"];
@@ -164,6 +165,7 @@
             Event::Peers(condition) => self.networks[host].peers.set(condition),
             Event::LosePeers => self.networks[host].peers.lose_open_connections(),
             Event::StoreLink(condition) => self.networks[host].store.set(condition),
+            Event::StoreDrill => self.scene.store.take_copy(),
             event => self.store_fault(event, true),
         }
     }
@@ -185,6 +187,7 @@
             }
             Event::Peers(_) => self.networks[host].peers.set(Condition::Normal),
             Event::StoreLink(_) => self.networks[host].store.set(Condition::Normal),
+            Event::StoreDrill => self.drill().await,
             event => self.store_fault(event, false),
         }
         Ok(())
@@ -209,6 +212,12 @@
         self.scene.store.set_faults(self.faults.clone());
     }
 
+    /// The store is away for a moment and comes back from its copy, with the faults that it had.
+    async fn drill(&mut self) {
+        self.scene.store.drill(Drill::default()).await;
+        self.scene.store.set_faults(self.faults.clone());
+    }
+
     /// Puts a new preset in force; during faults the store may refuse it.
     async fn change(&mut self) {
         self.changes += 1;
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -58,6 +58,8 @@
     StoreSilent,
     /// Reads answer with the state at the beginning, until the end.
     StoreStale,
+    /// The store comes back at the end from a copy taken at the beginning.
+    StoreDrill,
 }
 
 /// One entry of a plan.
@@ -85,7 +87,8 @@
 }
 
 /// Draws the plan of a seed for so many hosts and so much time of load; every third seed is
-/// one of planned work, and in every fifth of the others a request ends upstreams.
+/// one of planned work; in some of the others a request ends upstreams, or the store comes back
+/// from older copies.
 #[must_use]
 pub fn draw(seed: u64, hosts: usize, load: Duration) -> Plan {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -109,6 +112,10 @@
         });
         at += GAP_MOST.mul_f64(rng.random::<f64>());
     }
+    if mode == Mode::Mixed && seed % 10 == 4 {
+        entries.extend(drills(&mut rng, load));
+        entries.sort_by_key(|entry| entry.at);
+    }
     Plan {
         mode,
         crashing: mode == Mode::Mixed && seed % 5 == 2,
@@ -116,6 +123,24 @@
     }
 }
 
+/// One drill of the store in each half of the load.
+fn drills(rng: &mut impl Rng, load: Duration) -> Vec<Entry> {
+    let half = load / 2;
+    let drill = |begins: Duration, age: f64| {
+        let at = begins + FIRST_AT;
+        Entry {
+            at,
+            until: at + half.saturating_sub(FIRST_AT).mul_f64(age),
+            host: 0,
+            event: Event::StoreDrill,
+        }
+    };
+    vec![
+        drill(Duration::ZERO, rng.random()),
+        drill(half, rng.random()),
+    ]
+}
+
 fn planned(rng: &mut impl Rng) -> Event {
     match rng.random_range(0..4) {
         0 => Event::Stop,
--- /dev/null
+++ b/crates/store/tests/epoch.rs
@@ -0,0 +1,73 @@
+//! A store that has come back from an older copy, as its answers tell.
+
+use std::time::Duration;
+
+use mintridge_store::client::{Client, Error};
+use mintridge_store::epoch::{Epoch, Epochs};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const HEADER: &str = "store-epoch";
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A client of a store that answers each call from the next of these epochs.
+async fn client(epochs: &'static [&'static str]) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        for epoch in epochs {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            let mut request = vec![0; 4096];
+            let _ = stream.read(&mut request).await;
+            let body = r#"{"header":{"revision":"7"},"kvs":[]}"#;
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\n{HEADER}: {epoch}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    Client::new(address, TIMEOUT).in_epochs(Epochs::named_in(HEADER))
+}
+
+/// The store has come back, and an answer that it gave before arrives after one that it gave
+/// since: it tells of a state that is gone, and is dropped.
+#[tokio::test]
+async fn read_drops_an_answer_of_an_earlier_epoch() {
+    let client = client(&["3", "4", "3", "4"]).await;
+    assert!(client.read("key").await.is_ok());
+    assert_eq!(client.epochs().newest(), Some(Epoch(3)));
+    assert!(client.read("key").await.is_ok());
+    let late = client.read("key").await;
+    assert!(matches!(late, Err(Error::Outdated)), "{late:?}");
+    assert_eq!(client.epochs().newest(), Some(Epoch(4)));
+    assert!(client.read("key").await.is_ok());
+}
+
+/// What was read in one epoch is used until the next is seen in any answer, also one to another
+/// client of the same process.
+#[tokio::test]
+async fn left_ends_with_the_first_answer_of_the_next_epoch() {
+    let one = client(&["3", "4"]).await;
+    let other = one.clone();
+    assert!(one.read("key").await.is_ok());
+    let epoch = one.epochs().newest();
+    let left = one.epochs().left(epoch);
+    tokio::pin!(left);
+    let early = tokio::time::timeout(Duration::from_millis(50), left.as_mut()).await;
+    assert!(early.is_err(), "nothing has changed yet");
+    assert!(other.read("key").await.is_ok());
+    left.await;
+}
+
+/// An answer that names no epoch, or bytes that are none, tells nothing of a return.
+#[tokio::test]
+async fn read_takes_an_answer_without_an_epoch() {
+    let client = client(&["3", "", "later"]).await;
+    for _ in 0..3 {
+        assert!(client.read("key").await.is_ok());
+    }
+    assert_eq!(client.epochs().newest(), Some(Epoch(3)));
+}
