--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -52,11 +52,8 @@
 /// Bytes of a request body that may be on their way before its handler reads it.
 ///
 /// A request that is refused before it is handed over has carried this much of its body for
-/// nothing, to each host that refused it, and the sender keeps as much for the next. A body of
-/// 60 KB takes four round trips between availability zones with it, some 4 ms, before it has
-/// arrived. With 128 KB, which is the whole of most uploads, a twentieth more bytes went between
-/// zones and callers were served 0.005 of their worth less (mean of 15 paired days with faults,
-/// error 0.002).
+/// nothing. A larger body takes a round trip for each such part, so that a handler whose callers
+/// hold bodies back themselves asks for more.
 const WINDOW: u32 = 16 * 1024;
 
 impl Default for Limits {
