--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_bench::load::{self, Plan as Load};
+use mintridge_core::preset::Preset;
 use mintridge_node::operators::Status;
 use mintridge_standin::relay::Relay;
 use mintridge_standin::scene::loopback;
@@ -125,6 +126,23 @@
     (scene, relay)
 }
 
+/// A preset that differs from the default in one value.
+pub fn preset(retry_share: f64) -> Preset {
+    Preset {
+        retry_share,
+        ..Preset::default()
+    }
+}
+
+/// Waits until every node shows this revision or a later one.
+pub async fn until_revision(scene: &Scene, revision: u64) {
+    scene
+        .until("the revision is in force everywhere", |status| {
+            status.view.in_force.revision.0 >= revision
+        })
+        .await;
+}
+
 /// What callers were told under load, to be checked against what ran.
 #[derive(Default)]
 pub struct Account {
--- a/crates/node/tests/drill.rs
+++ b/crates/node/tests/drill.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 
-use common::{Scene, get, hosts, post, processes, runs};
-use mintridge_core::preset::Preset;
+use common::{Scene, get, hosts, post, preset, processes, runs, until_revision};
+use mintridge_core::preset::InForce;
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::store::drill::Drill;
 use mintridge_store::keys::SEEDS;
@@ -18,19 +18,12 @@
 /// Entries are back this long after the store's return.
 const BACK_WITHIN: Duration = Duration::from_secs(2);
 
-fn preset(retry_share: f64) -> Preset {
-    Preset {
-        retry_share,
-        ..Preset::default()
-    }
-}
-
-async fn until_revision(scene: &Scene, revision: u64) {
-    scene
-        .until("in force", |status| {
-            status.view.in_force.revision.0 >= revision
-        })
-        .await;
+/// An operator puts a preset in force, and every node shows it.
+async fn put_in_force(scene: &Scene, retry_share: f64, mark: &str) -> InForce {
+    let put = scene.put_in_force(preset(retry_share), mark).await;
+    let in_force = put.expect("accepted");
+    until_revision(scene, in_force.revision.0).await;
+    in_force
 }
 
 async fn until_entries(scene: &Scene, count: usize) {
@@ -46,17 +39,9 @@
 #[tokio::test]
 async fn change_accepted_before_the_loss_stays_in_force() {
     let mut scene = processes(hosts(4)).await;
-    let first = scene
-        .put_in_force(preset(0.1), "first")
-        .await
-        .expect("accepted");
-    until_revision(&scene, first.revision.0).await;
+    put_in_force(&scene, 0.1, "first").await;
     scene.store.take_copy();
-    let second = scene
-        .put_in_force(preset(0.2), "second")
-        .await
-        .expect("accepted");
-    until_revision(&scene, second.revision.0).await;
+    let second = put_in_force(&scene, 0.2, "second").await;
     scene.kill(3).await;
     let never = Drill {
         operators_repeat_after: Duration::from_secs(8),
@@ -84,11 +69,7 @@
 #[tokio::test]
 async fn change_after_the_return_is_in_force() {
     let scene = processes(hosts(3)).await;
-    let first = scene
-        .put_in_force(preset(0.1), "first")
-        .await
-        .expect("accepted");
-    until_revision(&scene, first.revision.0).await;
+    put_in_force(&scene, 0.1, "first").await;
     scene.store.take_copy();
     for n in 0..20 {
         let key = format!("key-{n}");
@@ -148,11 +129,7 @@
     scene.store.remove_all(SEEDS);
     scene.store.take_copy();
     until_entries(&scene, 3).await;
-    let second = scene
-        .put_in_force(preset(0.2), "second")
-        .await
-        .expect("accepted");
-    until_revision(&scene, second.revision.0).await;
+    let second = put_in_force(&scene, 0.2, "second").await;
     scene.process(2).signal(Signal::STOP).expect("paused");
     scene.store.drill(Drill::default()).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -168,11 +145,7 @@
 #[tokio::test]
 async fn loss_of_all_nodes_during_the_drill_ends_with_what_was_repeated() {
     let mut scene = processes(hosts(3)).await;
-    let first = scene
-        .put_in_force(preset(0.1), "first")
-        .await
-        .expect("accepted");
-    until_revision(&scene, first.revision.0).await;
+    put_in_force(&scene, 0.1, "first").await;
     scene.store.take_copy();
     let second = scene
         .put_in_force(preset(0.2), "second")
@@ -194,20 +167,13 @@
 #[tokio::test]
 async fn two_losses_beside_a_restart_keep_the_preset_and_the_callers() {
     let mut scene = processes(hosts(3)).await;
-    let mut newest = scene
-        .put_in_force(preset(0.1), "first")
-        .await
-        .expect("accepted");
+    let mut newest = put_in_force(&scene, 0.1, "first").await;
     for loss in 0..2_u32 {
         until_revision(&scene, newest.revision.0).await;
         scene.store.take_copy();
         let share = 0.2 + f64::from(loss) / 10.0;
         let mark = format!("change-{loss}");
-        newest = scene
-            .put_in_force(preset(share), &mark)
-            .await
-            .expect("accepted");
-        until_revision(&scene, newest.revision.0).await;
+        newest = put_in_force(&scene, share, &mark).await;
         scene.store.drill(Drill::default()).await;
         scene.stop(2).await;
         for n in 0..20 {
--- a/crates/node/tests/presets.rs
+++ b/crates/node/tests/presets.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Account, hosts, mixed_load, processes};
+use common::{Account, hosts, mixed_load, preset, processes, until_revision};
 use mintridge_core::preset::{InForce, Preset, Revision};
 use mintridge_node::settings::Settings;
 use mintridge_standin::cost::calls_since;
@@ -16,21 +16,6 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
-fn preset(retry_share: f64) -> Preset {
-    Preset {
-        retry_share,
-        ..Preset::default()
-    }
-}
-
-async fn until_revision(scene: &Scene, revision: u64) {
-    scene
-        .until("the revision is in force everywhere", |status| {
-            status.view.in_force.revision.0 >= revision
-        })
-        .await;
-}
-
 /// Puts ana's preset in force and ben's after it; what the store held in between, and the
 /// latest.
 async fn two_in_force(scene: &Scene) -> (Vec<u8>, InForce) {
