--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -52,8 +52,7 @@
 /// Bytes of a request body that may be on their way before its handler reads it.
 ///
 /// A request that is refused before it is handed over has carried this much of its body for
-/// nothing. A larger body takes a round trip for each such part, so that a handler whose callers
-/// hold bodies back themselves asks for more.
+/// nothing. A larger body takes a round trip for each such part.
 const WINDOW: u32 = 16 * 1024;
 
 impl Default for Limits {
