test(claims): two returns of the store in a row name a key twice in one write, failing

What was remembered is copied into the line of those who wait, once for each return, and a transaction that names a key twice is refused whole by etcd.

--- a/crates/core/tests/claim.rs
+++ b/crates/core/tests/claim.rs
@@ -395,3 +395,37 @@
     assert_eq!(run(&mut one, &mut store, returned_at), []);
     assert!(store.keys.is_empty());
 }
+
+/// The store comes back twice before a claim is there again. A transaction may name each key once;
+/// one that names a key twice is refused whole, however often it is sent.
+#[test]
+fn store_returned_twice_writes_each_key_once() {
+    let now = Instant::now();
+    let (_, mut one) = lost_claim(now);
+    one.store_returned(now);
+    one.store_returned(now);
+    let written = loop {
+        match one.poll(now) {
+            Some(Action::Write(batch)) => break batch,
+            Some(Action::Check) => one.checked(),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(written, [claim("key", "one")]);
+}
+
+/// The store comes back again while a claim is being written to it: whether that write is in the
+/// newer state nobody knows, so that it is made once more.
+#[test]
+fn store_returned_during_a_rewrite_writes_again() {
+    let now = Instant::now();
+    let (mut store, mut one) = lost_claim(now);
+    one.store_returned(now);
+    while !matches!(one.poll(now), Some(Action::Write(_))) {
+        one.checked();
+    }
+    one.store_returned(now);
+    one.written(Written::Applied);
+    assert_eq!(run(&mut one, &mut store, now), []);
+    assert_eq!(store.keys.len(), 1);
+}
