fix(claims): what has to be written again is read off what is remembered

Callers would have had a key run a second time after the store came back twice within seconds: the claim was named twice in one write, which a store that allows each key once refuses, however often it is sent.

Cause: claims to be written again were copied into the line of those who wait, under nobody's ticket, so each place that handles the line had a case of its own for them.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -105,12 +105,13 @@
 struct Kept {
     claim: Claim,
     until: Instant,
+    /// Whether the store holds it, since it last came back.
+    written: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Asked {
-    /// Who asks; nobody for a claim that is written again.
-    ticket: Option<Ticket>,
+    ticket: Ticket,
     claim: Claim,
     deadline: Instant,
 }
@@ -121,6 +122,8 @@
     Writing(Vec<Asked>),
     ReadDue(Vec<Asked>),
     Reading(Vec<Asked>),
+    /// Claims remembered here are written again.
+    Rewriting(Vec<Claim>),
     Releasing,
     Checking,
 }
@@ -146,7 +149,7 @@
     /// Asks for a claim; the answer comes by [`Action::Answer`].
     pub fn ask(&mut self, ticket: Ticket, claim: Claim, deadline: Instant) {
         let asked = Asked {
-            ticket: Some(ticket),
+            ticket,
             claim,
             deadline,
         };
@@ -167,12 +170,12 @@
     pub fn store_returned(&mut self, now: Instant) {
         self.doubtful_until = Some(now + self.settings.doubtful_for);
         self.forget(now);
-        for kept in self.kept.iter().rev() {
-            self.waiting.push_front(Asked {
-                ticket: None,
-                claim: kept.claim.clone(),
-                deadline: kept.until,
-            });
+        for kept in &mut self.kept {
+            kept.written = false;
+        }
+        // Whether a write on its way is in the newer state nobody knows.
+        if let Call::Rewriting(claims) = &mut self.call {
+            claims.clear();
         }
     }
 
@@ -192,11 +195,9 @@
         self.forget(now);
         self.give_up_late(now);
         self.refuse_in_doubt(now);
-        while let Some((asked, verdict)) = self.answers.pop_front() {
-            if let Some(ticket) = asked.ticket {
-                let verdict = self.judge(now, asked.claim, verdict);
-                return Some(Action::Answer(ticket, verdict));
-            }
+        if let Some((asked, verdict)) = self.answers.pop_front() {
+            let verdict = self.judge(now, asked.claim, verdict);
+            return Some(Action::Answer(asked.ticket, verdict));
         }
         match std::mem::replace(&mut self.call, Call::Idle) {
             Call::Idle => self.next_call(now),
@@ -216,7 +217,8 @@
     #[must_use]
     pub fn wake_at(&self) -> Option<Instant> {
         let deadline = self.waiting.iter().map(|asked| asked.deadline).min();
-        let wants_write = !self.waiting.is_empty() || !self.releases.is_empty();
+        let to_rewrite = self.kept.iter().any(|kept| !kept.written);
+        let wants_write = to_rewrite || !self.waiting.is_empty() || !self.releases.is_empty();
         let affordable = (matches!(self.call, Call::Idle) && wants_write).then(|| {
             let missing = (1.0 - self.tokens).max(0.0);
             let seconds = missing / self.settings.writes_per_second;
@@ -228,16 +230,14 @@
 
     /// The open write ended.
     pub fn written(&mut self, written: Written) {
-        let Call::Writing(asked) = std::mem::replace(&mut self.call, Call::Idle) else {
-            return;
+        let asked = match std::mem::replace(&mut self.call, Call::Idle) {
+            Call::Writing(asked) => asked,
+            Call::Rewriting(claims) => return self.rewritten(&claims, &written),
+            _ => return,
         };
         match written {
             Written::Applied => self.answer_all(asked, Verdict::Granted),
-            Written::NotApplied => {
-                let (asked, again) = split(asked);
-                self.waiting.extend(again);
-                self.answer_all(asked, Verdict::Unavailable);
-            }
+            Written::NotApplied => self.answer_all(asked, Verdict::Unavailable),
             Written::Conflict(holders) => self.settle_conflict(asked, &holders),
             Written::Lost => self.call = Call::ReadDue(asked),
         }
@@ -258,10 +258,6 @@
             let verdict = match holder {
                 Some(Some(mark)) if *mark == asked.claim.mark => Verdict::Granted,
                 Some(Some(_)) => Verdict::Duplicate,
-                Some(None) | None if asked.ticket.is_none() => {
-                    self.waiting.push_back(asked);
-                    continue;
-                }
                 Some(None) | None => {
                     self.release(asked.claim.clone());
                     Verdict::Unavailable
@@ -294,6 +290,12 @@
         if self.tokens < 1.0 {
             return None;
         }
+        let claims = self.to_rewrite();
+        if !claims.is_empty() {
+            self.tokens -= 1.0;
+            self.call = Call::Rewriting(claims.clone());
+            return Some(Action::Write(claims));
+        }
         if !self.waiting.is_empty() {
             self.tokens -= 1.0;
             let most = self.settings.batch_most.min(self.waiting.len());
@@ -312,7 +314,7 @@
     fn holds_other(&self, claim: &Claim) -> bool {
         let open: &[Asked] = match &self.call {
             Call::Writing(asked) | Call::ReadDue(asked) | Call::Reading(asked) => asked,
-            Call::Idle | Call::Releasing | Call::Checking => &[],
+            Call::Idle | Call::Rewriting(_) | Call::Releasing | Call::Checking => &[],
         };
         self.waiting
             .iter()
@@ -333,7 +335,7 @@
         }
     }
 
-    fn answer_all(&mut self, asked: Vec<Asked>, verdict: Verdict) {
+    fn answer_all(&mut self, asked: impl IntoIterator<Item = Asked>, verdict: Verdict) {
         let answered = asked.into_iter().map(|asked| (asked, verdict));
         self.answers.extend(answered);
     }
@@ -352,10 +354,44 @@
         self.kept.push_back(Kept {
             claim,
             until: now + self.settings.copy_age_most,
+            written: true,
         });
         verdict
     }
 
+    /// Claims that the store may lack, for one write: it may name each key once.
+    fn to_rewrite(&self) -> Vec<Claim> {
+        let mut claims: Vec<Claim> = Vec::new();
+        for kept in self.kept.iter().filter(|kept| !kept.written) {
+            if claims.len() >= self.settings.batch_most {
+                break;
+            }
+            if claims.iter().all(|claim| claim.key != kept.claim.key) {
+                claims.push(kept.claim.clone());
+            }
+        }
+        claims
+    }
+
+    /// A write of claims that are remembered here ended. Whoever holds a key now, it is held; all
+    /// others are written again.
+    fn rewritten(&mut self, claims: &[Claim], written: &Written) {
+        for (index, claim) in claims.iter().enumerate() {
+            let is_held = match written {
+                Written::Applied => true,
+                Written::Conflict(holders) => holders.get(index).is_some_and(Option::is_some),
+                Written::NotApplied | Written::Lost => false,
+            };
+            if is_held {
+                let same = self
+                    .kept
+                    .iter_mut()
+                    .filter(|kept| kept.claim.key == claim.key);
+                same.for_each(|kept| kept.written = true);
+            }
+        }
+    }
+
     fn is_doubtful(&self, now: Instant) -> bool {
         self.doubtful_until.is_some_and(|until| now < until)
     }
@@ -365,8 +401,7 @@
         if !self.is_doubtful(now) {
             return;
         }
-        let (asked, again) = split(std::mem::take(&mut self.waiting));
-        self.waiting = again.into();
+        let asked = std::mem::take(&mut self.waiting);
         self.answer_all(asked, Verdict::Doubtful);
     }
 
@@ -396,11 +431,6 @@
     }
 }
 
-/// Those somebody waits for, and those that are written again.
-fn split(asked: impl IntoIterator<Item = Asked>) -> (Vec<Asked>, Vec<Asked>) {
-    asked.into_iter().partition(|asked| asked.ticket.is_some())
-}
-
 fn claims_of(asked: &[Asked]) -> Vec<Claim> {
     asked.iter().map(|asked| asked.claim.clone()).collect()
 }
