refactor(store): one judgement of whether the store has come back

Five places compared two epochs, in three ways: two told the first epoch that a store names from a return, the others did not need to by luck of order. epoch::Rise says it once; logs and callers take it. No change in what is read or written again.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -6,7 +6,7 @@
 
 use mintridge_core::claim::{Action, Claim, Claims, Mark, Ticket, Verdict, Written};
 use mintridge_store::client::Client;
-use mintridge_store::epoch::Epoch;
+use mintridge_store::epoch::{Epoch, Rise};
 use mintridge_store::operation::Freshness;
 use mintridge_store::{keys, wire};
 use tokio::sync::{mpsc, oneshot};
@@ -138,12 +138,10 @@
     /// after it counts.
     fn follow_epoch(&mut self) {
         let newest = self.context.epochs.newest();
-        if let (Some(before), Some(now)) = (self.epoch, newest)
-            && before != now
-        {
+        if let Some(rise) = Rise::between(self.epoch, newest) {
             log::warn!(
-                epoch_before = before.0,
-                epoch = now.0;
+                epoch_before = rise.before.0,
+                epoch = rise.now.0;
                 "the store came back from an older copy: claims are written again, none is granted"
             );
             self.lease = None;
--- a/crates/node/src/control/epochs.rs
+++ b/crates/node/src/control/epochs.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use mintridge_store::epoch::Epoch;
+use mintridge_store::epoch::Rise;
 
 use super::Control;
 
@@ -16,19 +16,19 @@
     let mut before = *newest.borrow_and_update();
     while newest.changed().await.is_ok() {
         let now = *newest.borrow_and_update();
-        if let (Some(before), Some(now)) = (before, now) {
-            returned(&control, before, now);
+        if let Some(rise) = Rise::between(before, now) {
+            returned(&control, rise);
         }
         before = now;
     }
 }
 
-fn returned(control: &Control, before: Epoch, now: Epoch) {
+fn returned(control: &Control, rise: Rise) {
     let holds_back = !control.state.borrow().quarantine.held().is_empty();
     let had_entry = control.state.borrow_mut().seed_lease.take().is_some();
     log::warn!(
-        epoch_before = before.0,
-        epoch = now.0,
+        epoch_before = rise.before.0,
+        epoch = rise.now.0,
         had_entry = had_entry,
         holds_back = holds_back;
         "the store came back from an older copy: what was written there is written again"
--- a/crates/node/src/control/followed.rs
+++ b/crates/node/src/control/followed.rs
@@ -128,9 +128,9 @@
         };
         let changes = tokio::select! {
             changes = control.store.changes(key, read_at, wait) => changes?,
-            () = epochs.left(epoch) => return Ok(()),
+            () = epochs.risen_since(epoch) => return Ok(()),
         };
-        if epochs.newest() != epoch {
+        if epochs.has_risen_since(epoch) {
             return Ok(());
         }
         read_at = changes.read_at.max(read_at);
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -196,7 +196,7 @@
     let epoch = control.store.epochs().newest();
     match write_seed(control).await {
         // A lease of an earlier epoch may be another node's by now.
-        Ok(_) if epoch.is_some() && control.store.epochs().newest() != epoch => false,
+        Ok(_) if control.store.epochs().has_risen_since(epoch) => false,
         Ok(lease) => {
             control.state.borrow_mut().seed_lease = Some(lease);
             true
--- a/crates/node/src/control/lasting.rs
+++ b/crates/node/src/control/lasting.rs
@@ -81,7 +81,7 @@
     control.context.metrics.store_call("held");
     let swapped = control.store.swap(&swap).await?;
     // A store that came back in between has lost it, or took the revision for another one.
-    Ok(swapped && control.store.epochs().newest() == epoch)
+    Ok(swapped && !control.store.epochs().has_risen_since(epoch))
 }
 
 /// Reads once what was held back before this node started.
--- a/crates/store/src/epoch.rs
+++ b/crates/store/src/epoch.rs
@@ -15,6 +15,24 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Epoch(pub u64);
 
+/// The store came back between two looks at its epoch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rise {
+    /// The epoch at the first look.
+    pub before: Epoch,
+    /// The epoch at the second.
+    pub now: Epoch,
+}
+
+impl Rise {
+    /// What lies between two looks; the first epoch that a store names is no return.
+    #[must_use]
+    pub fn between(before: Option<Epoch>, now: Option<Epoch>) -> Option<Self> {
+        let (before, now) = (before?, now?);
+        (before != now).then_some(Self { before, now })
+    }
+}
+
 /// The newest epoch that any call of a process has seen.
 #[derive(Clone, Debug, Default)]
 pub struct Epochs {
@@ -44,11 +62,19 @@
         self.newest.subscribe()
     }
 
-    /// Waits until the store is in a later epoch than this.
-    pub async fn left(&self, epoch: Option<Epoch>) {
+    /// Whether the store has come back since it was in this epoch.
+    #[must_use]
+    pub fn has_risen_since(&self, epoch: Option<Epoch>) -> bool {
+        Rise::between(epoch, self.newest()).is_some()
+    }
+
+    /// Waits until the store has come back since it was in this epoch.
+    pub async fn risen_since(&self, epoch: Option<Epoch>) {
         let mut newest = self.newest.subscribe();
         // This handle keeps the sender alive.
-        let _ = newest.wait_for(|newest| *newest != epoch).await;
+        let _ = newest
+            .wait_for(|newest| Rise::between(epoch, *newest).is_some())
+            .await;
     }
 
     /// Notes the epoch of an answer; false if the answer is of an earlier one than the newest.
--- a/crates/store/tests/epoch.rs
+++ b/crates/store/tests/epoch.rs
@@ -49,17 +49,17 @@
 /// What was read in one epoch is used until the next is seen in any answer, also one to another
 /// client of the same process.
 #[tokio::test]
-async fn left_ends_with_the_first_answer_of_the_next_epoch() {
+async fn risen_since_ends_with_the_first_answer_of_the_next_epoch() {
     let one = client(&["3", "4"]).await;
     let other = one.clone();
     assert!(one.read("key").await.is_ok());
     let epoch = one.epochs().newest();
-    let left = one.epochs().left(epoch);
-    tokio::pin!(left);
-    let early = tokio::time::timeout(Duration::from_millis(50), left.as_mut()).await;
+    let risen = one.epochs().risen_since(epoch);
+    tokio::pin!(risen);
+    let early = tokio::time::timeout(Duration::from_millis(50), risen.as_mut()).await;
     assert!(early.is_err(), "nothing has changed yet");
     assert!(other.read("key").await.is_ok());
-    left.await;
+    risen.await;
 }
 
 /// An answer that names no epoch, or bytes that are none, tells nothing of a return.
