refactor(node): what is held back is asked for once a change; a body read ahead keeps its errors

suspects::change asked the quarantine for what is held back twice and once more for each line it logs; read_ahead wrapped errors that are io errors already.

--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -48,7 +48,7 @@
 /// Symptom: upstreams go on ending until all three are known in one place. What is news goes to a
 /// few peers at once, and each to whom it is news does the same.
 fn change(control: &Control, act: impl FnOnce(&Control) -> Change) {
-    let before = held(control);
+    let before = fingerprints(&control.state.borrow().quarantine.held());
     let digest = control.state.borrow().quarantine.digest();
     let change = act(control);
     if change == Change::None {
@@ -60,9 +60,9 @@
     let held_changed = state.quarantine.digest() != digest;
     drop(state);
     control.context.latest.screen.send_replace(screen);
-    let after = held(control);
+    let after = control.state.borrow().quarantine.held();
     control.context.metrics.suspects(suspects, after.len());
-    tell_changes(control, &before, &after);
+    tell_changes(&before, &after);
     if change == Change::Urgent {
         control.news.notify_one();
     }
@@ -71,25 +71,21 @@
     }
 }
 
-fn held(control: &Control) -> BTreeSet<Fingerprint> {
-    let state = control.state.borrow();
-    let held = state.quarantine.held();
+fn fingerprints(held: &[Suspect]) -> BTreeSet<Fingerprint> {
     held.iter().map(|suspect| suspect.fingerprint).collect()
 }
 
-fn tell_changes(control: &Control, before: &BTreeSet<Fingerprint>, after: &BTreeSet<Fingerprint>) {
-    let state = control.state.borrow();
-    for fingerprint in after.difference(before).take(CHANGES_TOLD) {
-        let found = state.quarantine.held();
-        let found = found.iter().find(|held| held.fingerprint == *fingerprint);
+fn tell_changes(before: &BTreeSet<Fingerprint>, after: &[Suspect]) {
+    let is_new = |held: &&Suspect| !before.contains(&held.fingerprint);
+    for held in after.iter().filter(is_new).take(CHANGES_TOLD) {
         log::warn!(
-            fingerprint:% = fingerprint,
-            ends = found.map_or(0, |held| held.ends.len()),
-            trials = found.map_or(0, |held| held.trials);
+            fingerprint:% = held.fingerprint,
+            ends = held.ends.len(),
+            trials = held.trials;
             "request is held back: upstreams ended under it"
         );
     }
-    for fingerprint in before.difference(after).take(CHANGES_TOLD) {
+    for fingerprint in before.difference(&fingerprints(after)).take(CHANGES_TOLD) {
         log::info!(
             fingerprint:% = fingerprint;
             "request is no longer held back"
--- a/crates/node/src/guard/screening.rs
+++ b/crates/node/src/guard/screening.rs
@@ -6,11 +6,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, BodyStream, StreamBody};
 use hyper::Request;
-use hyper::body::Frame;
 use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::membership::Upstream;
 use mintridge_core::outcome::{Reason, Refusal};
@@ -71,20 +69,18 @@
 /// Reads as much of a body as tells whose it is, and puts it back in front of the rest.
 async fn read_ahead(digest: &Digest, request: Request<Body>) -> Request<Body> {
     let (parts, mut body) = request.into_parts();
-    let mut read: Vec<Result<Frame<Bytes>, std::io::Error>> = Vec::new();
+    let mut read = Vec::new();
     while digest.fingerprint().body.is_none() {
         let Some(frame) = body.frame().await else {
             break;
         };
         let broken = frame.is_err();
-        read.push(frame.map_err(std::io::Error::other));
+        read.push(frame);
         if broken {
             break;
         }
     }
-    let rest = http_body_util::BodyStream::new(body);
-    let rest = rest.map(|frame| frame.map_err(std::io::Error::other));
-    let whole = StreamBody::new(stream::iter(read).chain(rest));
+    let whole = StreamBody::new(stream::iter(read).chain(BodyStream::new(body)));
     Request::from_parts(parts, Body::new(whole))
 }
 
