--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -187,7 +187,7 @@
             }
             Event::Peers(_) => self.networks[host].peers.set(Condition::Normal),
             Event::StoreLink(_) => self.networks[host].store.set(Condition::Normal),
-            Event::StoreDrill => self.drill().await,
+            Event::StoreDrill => self.scene.store.drill(Drill::default()).await,
             event => self.store_fault(event, false),
         }
         Ok(())
@@ -212,12 +212,6 @@
         self.scene.store.set_faults(self.faults.clone());
     }
 
-    /// The store is away for a moment and comes back from its copy, with the faults that it had.
-    async fn drill(&mut self) {
-        self.scene.store.drill(Drill::default()).await;
-        self.scene.store.set_faults(self.faults.clone());
-    }
-
     /// Puts a new preset in force; during faults the store may refuse it.
     async fn change(&mut self) {
         self.changes += 1;
--- a/crates/standin/src/store/drill.rs
+++ b/crates/standin/src/store/drill.rs
@@ -6,7 +6,7 @@
 
 use mintridge_store::{keys, wire};
 
-use super::{Data, Store};
+use super::{Data, Faults, Store};
 
 /// Header of every answer: how often the store has come back from a copy.
 pub const EPOCH: &str = "store-era";
@@ -36,13 +36,13 @@
         inner.copy = Some(inner.data.clone());
     }
 
-    /// Goes away and comes back from the copy; returns once it is back. Without a copy it comes
-    /// back as it was.
+    /// Goes away and comes back from the copy, with the faults that it had; returns once it is
+    /// back. Without a copy it comes back as it was.
     pub async fn drill(self: &Arc<Self>, drill: Drill) {
-        self.set_down(true);
+        let was_down = self.set_down(true);
         tokio::time::sleep(drill.away_for).await;
         let lost = self.come_back();
-        self.set_down(false);
+        self.set_down(was_down);
         let store = Arc::clone(self);
         tokio::spawn(async move {
             tokio::time::sleep(drill.operators_repeat_after).await;
@@ -53,10 +53,12 @@
         });
     }
 
-    fn set_down(&self, down: bool) {
-        let mut faults = self.inner.lock().faults.clone();
-        faults.down = down;
-        self.set_faults(faults);
+    /// Returns whether it was down before.
+    fn set_down(&self, down: bool) -> bool {
+        let faults = self.inner.lock().faults.clone();
+        let was_down = faults.down;
+        self.set_faults(Faults { down, ..faults });
+        was_down
     }
 
     /// Puts the copy in place, and returns what operators wrote since.
