--- a/crates/http/tests/closing.rs
+++ b/crates/http/tests/closing.rs
@@ -2,11 +2,12 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{BUSY, Server, WAIT_MOST, answers, bodies, connect, get, start, until};
+use common::{BUSY, Server, WAIT_MOST, answers, bodies, connect, get, rest, start, until};
 use mintridge_http::server::Phase;
 use rstest::rstest;
 
@@ -20,11 +21,7 @@
         .write_all(get(&format!("{BUSY}100")).as_bytes())
         .expect("sent");
     until("the thread is busy", || {
-        server
-            .seen
-            .running
-            .load(std::sync::atomic::Ordering::SeqCst)
-            == 1
+        server.seen.running.load(Ordering::SeqCst) == 1
     });
     stream
 }
@@ -35,13 +32,6 @@
     });
 }
 
-fn rest(stream: &mut TcpStream) -> String {
-    let mut text = String::new();
-    let ended = stream.read_to_string(&mut text);
-    assert!(ended.is_ok(), "{ended:?} after {text:?}");
-    text
-}
-
 /// A caller sends a request on a connection that is kept open, while the node's thread is busy.
 /// The listener closes before the thread comes to read it. The request is in the node's buffer,
 /// so it is answered and not lost with the connection.
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -123,6 +123,14 @@
     text
 }
 
+/// Reads until the server closes the connection, which it must do in order.
+pub fn rest(stream: &mut TcpStream) -> String {
+    let mut text = String::new();
+    let ended = stream.read_to_string(&mut text);
+    assert!(ended.is_ok(), "{ended:?} after {text:?}");
+    text
+}
+
 pub fn bodies(text: &str) -> Vec<String> {
     let parts = text.split('<').skip(1);
     parts
--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{WAIT_MOST, answers, bodies, connect, get, start, start_with, until};
+use common::{WAIT_MOST, answers, bodies, connect, get, rest, start, start_with, until};
 use mintridge_http::server::{Limits, Phase};
 use rstest::rstest;
 
@@ -102,8 +102,7 @@
         server.seen.running.load(Ordering::SeqCst) == 2
     });
     server.phase.send_replace(phase);
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("closed in order");
+    let text = rest(&mut stream);
     assert_eq!(bodies(&text), ["100:", "120:"]);
     assert_eq!(text.matches("connection: close").count(), 1);
     let last = text.find("connection: close").expect("said");
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -2,11 +2,11 @@
 
 mod common;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::Duration;
 
-use common::{REFUSED, answers, bodies, connect, get, start, start_with};
+use common::{REFUSED, answers, bodies, connect, get, rest, start, start_with};
 use mintridge_http::server::Limits;
 use rstest::rstest;
 
@@ -53,8 +53,7 @@
     let server = start();
     let mut stream = connect(&server);
     stream.write_all(head.as_bytes()).expect("sent");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("closed in order");
+    let text = rest(&mut stream);
     assert_eq!(bodies(&text), ["refused:"]);
     assert!(text.contains(SAYS_CLOSE), "{text}");
 }
@@ -70,8 +69,7 @@
         "POST /{REFUSED} HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\nexpect: 100-continue\r\n\r\n"
     );
     stream.write_all(head.as_bytes()).expect("sent");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("closed in order");
+    let text = rest(&mut stream);
     assert!(text.starts_with("HTTP/1.1 503"), "{text}");
     assert!(text.contains(SAYS_CLOSE), "{text}");
     assert!(text.ends_with("<refused:>"), "{text}");
@@ -87,8 +85,7 @@
     });
     let mut stream = connect(&server);
     stream.write_all(get("600").as_bytes()).expect("sent");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("closed in order");
+    let text = rest(&mut stream);
     assert_eq!(bodies(&text), ["600:"]);
     assert!(text.contains(SAYS_CLOSE), "{text}");
 }
@@ -101,8 +98,7 @@
     let mut stream = connect(&server);
     let bytes = format!("{}no request at all\r\n\r\n", get("200"));
     stream.write_all(bytes.as_bytes()).expect("sent");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("closed in order");
+    let text = rest(&mut stream);
     assert_eq!(bodies(&text), ["200:"]);
     assert!(text.contains(SAYS_CLOSE), "{text}");
 }
