--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -12,9 +12,7 @@
     /// all their slots are taken, so that the last few cost more than they carry.
     pub slots_share: f64,
     /// How long a slow phase of the upstream's host is expected to go on: phases of some hundred
-    /// milliseconds are met when part of them is over. At 150 ms callers of small upstreams were
-    /// served 0.011 of their worth less (mean of 15 paired days with faults, error 0.003), at
-    /// 300 ms 0.006 less.
+    /// milliseconds are met when part of them is over.
     #[serde(with = "humantime_serde")]
     pub slow_phase: Duration,
     /// What the upstream told of its host's speed is taken as present for this long; after
@@ -23,9 +21,7 @@
     pub pace_fresh: Duration,
     /// A rank whose requests begin in time less than this share as often as those of all ranks
     /// stands beside the most urgent until it has caught up; 0 leaves the least urgent what is left
-    /// over. On one day on which a service was short for long the least urgent kind of request
-    /// earned 0.20 of what was owed at 0, 0.30 at 0.25, 0.33 at 0.35 and 0.39 at 0.5, and the kind
-    /// that calls that service 0.63, 0.59, 0.58 and 0.56.
+    /// over, and the higher it is, the more the urgent ones pay for them.
     pub rank_share_least: f64,
     /// Requests that may wait, per slot of the upstream.
     pub queue_per_slot: f64,
@@ -36,8 +32,7 @@
     pub service_time_initial: Duration,
     /// Weight of one answer in the mean time of a request, 0 to 1. At 0.2 the last five answers
     /// decide, and one that met a slow phase made the next requests look too long for their
-    /// targets: callers of a small upstream were served 0.004 of their worth less (mean of 60
-    /// paired days with faults, error 0.002).
+    /// targets.
     pub service_time_share: f64,
     /// The limit on concurrency never falls below this.
     pub limit_least: f64,
--- a/crates/core/src/preset.rs
+++ b/crates/core/src/preset.rs
@@ -9,9 +9,8 @@
 const PROBE_SHARE_MOST: f64 = 0.05;
 /// Share of upstream time that probes may cost unless a preset says otherwise. A question after
 /// the pace costs 6 ms of a slot; with six slots this buys one in 60 ms, several in a slow phase
-/// of some hundred. At a quarter of it one in three phases went unseen, and work that began in
-/// them took a tenth of the slots: callers of small upstreams were served 0.020 of their worth
-/// less (mean of 15 paired days with faults, error 0.003).
+/// of some hundred. With fewer, phases go unseen, and work that begins in them holds its slot for
+/// long.
 const PROBE_SHARE: f64 = 0.02;
 /// Largest share of traffic that a preset may grant to second attempts.
 const RETRY_SHARE_MOST: f64 = 0.5;
--- a/crates/node/src/configs/link.rs
+++ b/crates/node/src/configs/link.rs
@@ -17,9 +17,8 @@
     /// Time for that check; a link that misses it is replaced.
     #[serde(with = "humantime_serde")]
     pub check_within: Duration,
-    /// A link that was silent for this long is closed. While none was closed a node held some
-    /// 75 KB for each further host, by its memory in fleets of 23 and of 312 to 407. A new link
-    /// takes one trip more than the check of an old one.
+    /// A link that was silent for this long is closed, or the memory of a node would follow the size
+    /// of the fleet. A new link takes one trip more than the check of an old one.
     #[serde(with = "humantime_serde")]
     pub close_after_idle: Duration,
     /// How often a link with requests in progress is checked.
