feat(metrics): why a node reads the store itself, and the version of its routing table

Needed to tell apart the hypotheses on configurations that are not in force in time: a log line whenever the role changes, with when a peer was last heard, and two gauges, routes_version and reads_store.

--- a/crates/core/src/bootstrap.rs
+++ b/crates/core/src/bootstrap.rs
@@ -49,6 +49,30 @@
     pub holder: bool,
 }
 
+/// Why a node follows documents in the store itself, or that it learns of them from peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Role {
+    /// Peers bring what changes.
+    #[default]
+    Member,
+    /// It is among the few of its zone that read the store for all others.
+    Reader,
+    /// It has heard no peer for long and may be cut off from all of them.
+    Isolated,
+}
+
+impl Role {
+    /// Its name in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Member => "member",
+            Self::Reader => "reader",
+            Self::Isolated => "isolated",
+        }
+    }
+}
+
 /// What to do after a look at the entries of others in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -103,12 +127,22 @@
         }
     }
 
-    /// Whether the node follows documents in the store and keeps an entry there: as one of the
-    /// few that do it for all, or because it has heard nobody for long and may be cut off from
-    /// all peers.
+    /// Whether the node follows documents in the store and keeps an entry there, and why.
+    #[must_use]
+    pub fn role(&self, now: Instant, known: Known) -> Role {
+        if known.holder && self.is_settled(now) {
+            Role::Reader
+        } else if self.is_isolated(now, known) {
+            Role::Isolated
+        } else {
+            Role::Member
+        }
+    }
+
+    /// Whether the node follows documents in the store and keeps an entry there.
     #[must_use]
     pub fn follows(&self, now: Instant, known: Known) -> bool {
-        self.is_isolated(now, known) || (known.holder && self.is_settled(now))
+        self.role(now, known) != Role::Member
     }
 
     /// Whether the node has run long enough to know most others.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use mintridge_core::bootstrap::{self, Bootstrap, Known, Named};
+use mintridge_core::bootstrap::{self, Bootstrap, Known, Named, Role};
 use mintridge_core::evacuation;
 use mintridge_core::membership::{Record, Standing, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
@@ -59,6 +59,8 @@
     heard_at: Option<Instant>,
     differing: u32,
     seed_lease: Option<i64>,
+    /// What the log last said of this node's use of the store.
+    role: Role,
 }
 
 /// Works until the node ends, and says goodbye.
@@ -156,6 +158,7 @@
                 heard_at: None,
                 differing: 0,
                 seed_lease: None,
+                role: Role::default(),
             }),
             updates_due: Notify::new(),
             held_changed: Notify::new(),
@@ -238,6 +241,7 @@
         let current = state.routes.current().cloned();
         drop(state);
         log::info!(from = from, version = version.0; "routing table in force");
+        self.context.metrics.routes_version(version.0);
         self.log_faults(current.as_deref());
         log::debug!(document:? = current; "contents of the routing table");
         self.context.latest.routes.send_replace(current);
@@ -291,6 +295,26 @@
         }
     }
 
+    /// Logs why this node follows the store, or no longer does, if that has changed.
+    fn log_role(&self, now: Instant) {
+        let known = self.known();
+        let mut state = self.state.borrow_mut();
+        let role = state.bootstrap.role(now, known);
+        let before = std::mem::replace(&mut state.role, role);
+        drop(state);
+        if role == before {
+            return;
+        }
+        let silent = known.heard_at.map(|at| now.saturating_duration_since(at));
+        self.context.metrics.reads_store(role != Role::Member);
+        log::info!(
+            role = role.as_str(),
+            before = before.as_str(),
+            peer_heard_ms:? = silent.map(|silent| silent.as_millis());
+            "role in reading the store changed"
+        );
+    }
+
     /// Whether this node follows the store: it is one of the few of its zone that do, or it may
     /// be cut off from all others.
     fn follows_store(&self, now: Instant) -> bool {
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -27,6 +27,7 @@
     let mut seeds_at = Instant::now();
     loop {
         let now = Instant::now();
+        control.log_role(now);
         if control.store_regained.take() {
             seeds_at = now;
         }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,8 @@
     members: Gauge,
     links: Gauge,
     revision: Gauge,
+    routes_version: Gauge,
+    reads_store: Gauge,
     evacuated_zones: Gauge,
 }
 
@@ -108,6 +110,8 @@
             members: Gauge::default(),
             links: Gauge::default(),
             revision: Gauge::default(),
+            routes_version: Gauge::default(),
+            reads_store: Gauge::default(),
             evacuated_zones: Gauge::default(),
         };
         metrics.register();
@@ -179,6 +183,10 @@
         registry.register("links", "Open links to peers", self.links.clone());
         let help = "Revision of the preset in force here";
         registry.register("preset_revision", help, self.revision.clone());
+        let help = "Version of the routing table in force here";
+        registry.register("routes_version", help, self.routes_version.clone());
+        let help = "Whether this node follows documents in the store itself";
+        registry.register("reads_store", help, self.reads_store.clone());
     }
 
     /// A caller got the head of its answer.
@@ -298,6 +306,17 @@
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
     }
 
+    /// The routing table in force here has this version.
+    pub fn routes_version(&self, version: u64) {
+        self.routes_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Whether this node follows documents in the store itself.
+    pub fn reads_store(&self, reads: bool) {
+        self.reads_store.set(i64::from(reads));
+    }
+
     /// So many availability zones are evacuated.
     pub fn evacuated_zones(&self, zones: usize) {
         self.evacuated_zones
