test(configuration): changes while the regular readers of the store are turned away or have ended

The two cases of readers that are turned away fail: the change is in force nowhere for the minute that the test waits. The one of readers that end passes with its bound of five seconds.

--- /dev/null
+++ b/crates/node/tests/configuration.rs
@@ -0,0 +1,124 @@
+//! A change that the store has acknowledged is in force on every node in time, whichever nodes
+//! the store serves and whichever have just ended.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{Plan, Scene, processes, route};
+use mintridge_core::route::{Table, Version};
+use mintridge_standin::relay::{Condition, Relay};
+use mintridge_standin::scene::loopback;
+use rstest::rstest;
+use rustix::process::Signal;
+
+/// Key of the table.
+const KEY: &str = "operators/routes";
+/// Hosts of the one availability zone.
+const ALL: [usize; 5] = [0, 1, 2, 3, 4];
+/// Time in which a change is in force everywhere.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(5);
+/// A node that hears its peers does not turn to the store for want of them.
+const NEVER: Duration = Duration::from_hours(1);
+
+/// Hosts of one zone; each node reaches the store through a relay of its own.
+async fn relayed_stores() -> (Scene, Vec<Arc<Relay>>) {
+    let plan = Plan {
+        services: vec![],
+        adjust: |settings| {
+            settings.routes.key = Some(String::from(KEY));
+            settings.control.isolated_after = NEVER;
+            settings.control.watch_for = Duration::from_secs(12);
+            settings.control.store_read_every = Duration::from_secs(30);
+        },
+        ..Plan::default()
+    };
+    let mut scene = processes(plan).await;
+    let mut relays = Vec::new();
+    for index in ALL {
+        let relay = Arc::new(Relay::default());
+        let (listener, address) = loopback().await.expect("a free port");
+        tokio::spawn(Arc::clone(&relay).run(listener, scene.store_address));
+        relays.push(relay);
+        let name = format!("service-{index}");
+        let added = scene.add_with(&name, "service", "zone-a", <_>::default(), |settings| {
+            settings.store.address = address;
+        });
+        added.await.expect("it starts");
+    }
+    scene.until_joined().await;
+    write(&scene, 1);
+    until_version(&scene, &ALL, 1).await;
+    (scene, relays)
+}
+
+fn write(scene: &Scene, version: u64) {
+    let table = Table {
+        version: Version(version),
+        hosts: BTreeMap::from([(Arc::from("127.0.0.1"), vec![route("/")])]),
+        ..Table::default()
+    };
+    let written = serde_json::to_vec(&table).expect("it is written");
+    scene.store.overwrite(KEY, &written);
+}
+
+async fn until_version(scene: &Scene, of: &[usize], version: u64) {
+    scene
+        .until_of(of, "the version is in force", |status| {
+            status.routes_version == version
+        })
+        .await;
+}
+
+/// Nodes that read the store for the others, and the others.
+async fn readers(scene: &Scene) -> (Vec<usize>, Vec<usize>) {
+    let mut readers = Vec::new();
+    let mut others = Vec::new();
+    for index in ALL {
+        let status = scene.status(index).await.expect("it answers");
+        let group = if status.view.holder {
+            &mut readers
+        } else {
+            &mut others
+        };
+        group.push(index);
+    }
+    assert_eq!((readers.len(), others.len()), (2, 3));
+    (readers, others)
+}
+
+/// Guards against a zone whose regular readers the store turns away while it serves the others.
+#[rstest]
+#[case::silently(Condition::Silent)]
+#[case::by_resets(Condition::Cut)]
+#[tokio::test]
+async fn change_is_in_force_though_all_readers_are_turned_away(#[case] condition: Condition) {
+    let (scene, relays) = relayed_stores().await;
+    let (readers, _) = readers(&scene).await;
+    for reader in readers {
+        relays[reader].set(condition);
+    }
+    let written_at = Instant::now();
+    write(&scene, 2);
+    until_version(&scene, &ALL, 2).await;
+    let took = written_at.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+}
+
+/// Guards against a zone whose regular readers all end at the moment of a change.
+#[tokio::test]
+async fn change_is_in_force_though_all_readers_have_just_ended() {
+    let (scene, _relays) = relayed_stores().await;
+    let (readers, others) = readers(&scene).await;
+    for reader in readers {
+        let stopped = scene.process(reader).signal(Signal::STOP);
+        stopped.expect("it gets the signal");
+    }
+    let written_at = Instant::now();
+    write(&scene, 2);
+    until_version(&scene, &others, 2).await;
+    let took = written_at.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+}
