fix(failover): readers of the store prove that it answers them, others take their place

What callers saw: requests refused with 404, or run by the service of before, more than two seconds after a change was acknowledged, through nodes that the store served all the while. Cause: the few nodes of a zone that read the store for the others are chosen by membership, which says that they live and not that the store answers them. All of them turned away, or just dead, left a zone without a reader, and a node that hears its peers never asked the store itself. Class: a duty handed over on a sign of life. Now a reader checks every 400 ms that the store answers it and tells its zone by datagram; a zone that hears of none for a second takes turns, eight nodes at most, and whoever is answered reads and reports until one ahead does. A report names the versions in force, so that a node that is behind catches up from there. A watch from before a silence is given up once the store answers again.

--- a/crates/core/src/bootstrap.rs
+++ b/crates/core/src/bootstrap.rs
@@ -59,6 +59,8 @@
     Reader,
     /// It has heard no peer for long and may be cut off from all of them.
     Isolated,
+    /// The readers of its zone do not tell that the store answers them, and it answers this node.
+    StandIn,
 }
 
 impl Role {
@@ -69,6 +71,7 @@
             Self::Member => "member",
             Self::Reader => "reader",
             Self::Isolated => "isolated",
+            Self::StandIn => "stand-in",
         }
     }
 }
--- a/crates/core/src/configs.rs
+++ b/crates/core/src/configs.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod bootstrap;
 pub mod claim;
+pub mod failover;
 pub mod gate;
 pub mod health;
 pub mod membership;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,8 +17,9 @@
 //! | what is the caller told? | [`outcome`] |
 //!
 //! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
-//! in force), [`evacuation`] (which zones get nothing), [`bootstrap`] (when a node turns to the store) and [`probe`] (what measuring
-//! may cost).
+//! in force), [`evacuation`] (which zones get nothing), [`bootstrap`] (when a node turns to the store),
+//! [`failover`] (who reads the store when its regular readers do not) and [`probe`] (what
+//! measuring may cost).
 
 pub mod admission;
 pub mod attempts;
@@ -28,6 +29,7 @@
 pub mod configs;
 pub mod evacuation;
 pub mod ewma;
+pub mod failover;
 pub mod fingerprint;
 pub mod gate;
 pub mod health;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -365,14 +365,31 @@
     /// agree, and their number follows the zones and not the fleet.
     #[must_use]
     pub fn is_holder(&self) -> bool {
-        let own = rank(&self.own.host);
+        self.successor_place() == 0
+    }
+
+    /// This node's place among those that take over when the regular users of the store in its
+    /// zone fail; 0 if it is one of them.
+    #[must_use]
+    pub fn successor_place(&self) -> usize {
         let ahead = self
-            .others()
+            .zone()
             .filter(|record| record.standing == Standing::Alive)
-            .filter(|record| record.availability_zone == self.own.availability_zone)
-            .filter(|record| rank(&record.host) < own)
+            .filter(|record| self.is_ahead(&record.host))
             .count();
-        ahead < self.settings.holders_per_zone
+        (ahead + 1).saturating_sub(self.settings.holders_per_zone)
+    }
+
+    /// Whether this host comes before the own one in the order of the zone.
+    #[must_use]
+    pub fn is_ahead(&self, host: &str) -> bool {
+        rank(host) < rank(&self.own.host)
+    }
+
+    /// Records of the others in this node's zone.
+    pub fn zone(&self) -> impl Iterator<Item = &Record> {
+        self.others()
+            .filter(|record| record.availability_zone == self.own.availability_zone)
     }
 
     fn present_others(&self) -> Vec<Arc<str>> {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -5,6 +5,7 @@
 mod epochs;
 mod evacuations;
 mod exchange;
+mod failover;
 mod holder;
 mod peer;
 mod persistence;
@@ -18,6 +19,7 @@
 
 use mintridge_core::bootstrap::{self, Bootstrap, Known, Named, Role};
 use mintridge_core::evacuation;
+use mintridge_core::failover::Failover;
 use mintridge_core::membership::{Record, Standing, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
 use mintridge_core::quarantine::{Event, Quarantine};
@@ -47,11 +49,14 @@
     recalled: Cell<bool>,
     /// The store answers again after an outage, in which entries may have lapsed.
     store_regained: Cell<bool>,
+    /// What this node knows of the store's answers to itself.
+    reach: failover::Reach,
 }
 
 struct State {
     table: Table,
     bootstrap: Bootstrap,
+    failover: Failover,
     register: Register,
     routes: route::Register,
     quarantine: Quarantine,
@@ -75,6 +80,7 @@
             tokio::task::spawn_local(exchange::rounds(Rc::clone(&control)));
             tokio::task::spawn_local(exchange::pushes(Rc::clone(&control)));
             tokio::task::spawn_local(holder::work(Rc::clone(&control)));
+            tokio::task::spawn_local(failover::listen(Rc::clone(&control)));
             tokio::task::spawn_local(watch::preset(Rc::clone(&control)));
             tokio::task::spawn_local(watch::routes(Rc::clone(&control)));
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
@@ -133,6 +139,7 @@
             upstream: None,
             packs: true,
         };
+        let settled_at = Instant::now() + settings.bootstrap.settled_after;
         let seed = bootstrap::seed(context.host(), context.incarnation);
         let bootstrap = Bootstrap::new(
             settings.bootstrap.clone(),
@@ -151,6 +158,7 @@
             state: RefCell::new(State {
                 table: Table::new(settings.membership.clone(), own, seed),
                 bootstrap,
+                failover: Failover::new(settings.failover.clone(), settled_at),
                 register: Register::default(),
                 routes: route::Register::default(),
                 quarantine: Quarantine::new(settings.quarantine.clone(), seed),
@@ -164,6 +172,7 @@
             held_changed: Notify::new(),
             recalled: Cell::new(false),
             store_regained: Cell::new(false),
+            reach: failover::Reach::default(),
             context,
         }
     }
@@ -295,32 +304,39 @@
         }
     }
 
+    /// Why this node follows the store, or that it does not.
+    fn role(&self, now: Instant) -> Role {
+        let known = self.known();
+        let role = self.state.borrow().bootstrap.role(now, known);
+        if role == Role::Member && self.reach.stands_in() {
+            Role::StandIn
+        } else {
+            role
+        }
+    }
+
+    /// Whether this node follows the store itself.
+    fn follows_store(&self, now: Instant) -> bool {
+        self.role(now) != Role::Member
+    }
+
     /// Logs why this node follows the store, or no longer does, if that has changed.
     fn log_role(&self, now: Instant) {
-        let known = self.known();
-        let mut state = self.state.borrow_mut();
-        let role = state.bootstrap.role(now, known);
-        let before = std::mem::replace(&mut state.role, role);
-        drop(state);
+        let role = self.role(now);
+        let before = std::mem::replace(&mut self.state.borrow_mut().role, role);
         if role == before {
             return;
         }
-        let silent = known.heard_at.map(|at| now.saturating_duration_since(at));
+        let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at).as_millis());
         self.context.metrics.reads_store(role != Role::Member);
         log::info!(
             role = role.as_str(),
             before = before.as_str(),
-            peer_heard_ms:? = silent.map(|silent| silent.as_millis());
+            peer_heard_ms:? = age(self.known().heard_at),
+            store_answered_ms:? = age(self.reach.answered_at());
             "role in reading the store changed"
         );
     }
-
-    /// Whether this node follows the store: it is one of the few of its zone that do, or it may
-    /// be cut off from all others.
-    fn follows_store(&self, now: Instant) -> bool {
-        let known = self.known();
-        self.state.borrow().bootstrap.follows(now, known)
-    }
 }
 
 /// Which hosts the settings name to join through.
--- /dev/null
+++ b/crates/node/src/control/failover.rs
@@ -0,0 +1,267 @@
+//! Readers of the store tell their zone that it answers them; others take their place when
+//! none does.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use mintridge_core::preset::Revision;
+use mintridge_core::route::Version;
+use mintridge_store::client::Error;
+use mintridge_store::keys;
+use mintridge_store::operation::Freshness;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use super::{Control, codec, exchange};
+
+/// Longest datagram taken, in bytes: a host's name and three figures.
+const DATAGRAM_MOST: usize = 1024;
+
+/// What a node knows of the store's answers to itself.
+#[derive(Default)]
+pub struct Reach {
+    /// When the last call was made that the store answered.
+    answered_at: Cell<Option<Instant>>,
+    /// Documents whose last read or watch failed are read again and again: no check is needed.
+    failing: Cell<bool>,
+    /// A check was not answered since the last one that was.
+    missed: Cell<bool>,
+    /// This node takes the place of its zone's readers.
+    stands_in: Cell<bool>,
+    /// An exchange is under way with a peer that has something newer in force.
+    catching_up: Cell<bool>,
+    /// Whether the node follows the store may have changed.
+    changed: Notify,
+    /// The store answers again; a watch from before may be deaf.
+    back: Notify,
+}
+
+impl Reach {
+    /// A call made at `asked_at` was answered.
+    pub fn answered(&self, asked_at: Instant) {
+        self.answered_at
+            .set(self.answered_at.get().max(Some(asked_at)));
+        self.failing.set(false);
+        if self.missed.replace(false) {
+            log::info!("the store answers again");
+            self.back.notify_waiters();
+        }
+    }
+
+    /// A read or watch of a document failed.
+    pub fn failed(&self) {
+        self.failing.set(true);
+    }
+
+    /// When the last call was made that the store answered.
+    pub fn answered_at(&self) -> Option<Instant> {
+        self.answered_at.get()
+    }
+
+    /// Whether this node takes the place of its zone's readers, and the store answers it.
+    pub fn stands_in(&self) -> bool {
+        self.stands_in.get() && !self.missed.get() && self.answered_at.get().is_some()
+    }
+
+    /// Waits until whether the node follows the store may have changed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Waits until the store answers again after a check that it did not answer.
+    pub async fn back(&self) {
+        self.back.notified().await;
+    }
+}
+
+/// A reader's report, as a datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Report {
+    host: Arc<str>,
+    /// How long ago the call was made that the store answered last, in milliseconds.
+    age_millis: u64,
+    preset: Revision,
+    routes: Version,
+}
+
+/// Sends and takes reports until the thread ends, at the address of exchanges.
+pub async fn listen(control: Rc<Control>) {
+    let address = control.context.addresses.control;
+    let socket = match UdpSocket::bind(address).await {
+        Ok(socket) => Rc::new(socket),
+        Err(error) => {
+            log::error!(address:% = address, error:% = error; "readers of the store are not heard");
+            return;
+        }
+    };
+    tokio::task::spawn_local(receive(Rc::clone(&control), Rc::clone(&socket)));
+    check(&control, &socket).await;
+}
+
+async fn receive(control: Rc<Control>, socket: Rc<UdpSocket>) {
+    let mut bytes = [0_u8; DATAGRAM_MOST];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
+            continue;
+        };
+        match serde_json::from_slice(&bytes[..length]) {
+            Ok(report) => apply(&control, &report),
+            Err(_) => control.context.metrics.bad_input("reader-report"),
+        }
+    }
+}
+
+fn apply(control: &Rc<Control>, report: &Report) {
+    let now = Instant::now();
+    let mut state = control.state.borrow_mut();
+    let sender = state.table.zone().find(|record| record.host == report.host);
+    let Some(address) = sender.map(|record| record.control_address) else {
+        return;
+    };
+    let ahead = state.table.is_ahead(&report.host);
+    let age = Duration::from_millis(report.age_millis);
+    if let Some(answered_at) = now.checked_sub(age) {
+        state.failover.reported(answered_at, ahead);
+    }
+    let theirs = codec::Versions {
+        preset: report.preset,
+        routes: report.routes,
+    };
+    let is_behind = state.versions().is_behind(&theirs);
+    drop(state);
+    if is_behind {
+        catch_up(control, address);
+    }
+}
+
+/// Has one exchange with the node at this address, which has something newer in force.
+fn catch_up(control: &Rc<Control>, address: SocketAddr) {
+    if control.reach.catching_up.replace(true) {
+        return;
+    }
+    let control = Rc::clone(control);
+    tokio::task::spawn_local(async move {
+        if let Err(error) = exchange::with(&control, address).await {
+            log::debug!(peer:% = address, error:% = error; "newer documents not taken");
+        }
+        control.reach.catching_up.set(false);
+    });
+}
+
+/// Checks that the store answers this node, while it reads documents there, and reports it.
+async fn check(control: &Rc<Control>, socket: &UdpSocket) {
+    let every = control.context.settings.failover.check_every;
+    loop {
+        let now = Instant::now();
+        let reads = reads_store(control, now);
+        if reads && is_check_due(control, now) {
+            ask_store(control).await;
+        }
+        if reads && is_answered(control, Instant::now()) {
+            send(control, socket).await;
+        }
+        let turn_at = (!reads).then(|| turn_at(control)).flatten();
+        let next_at = turn_at.map_or(now + every, |turn_at| turn_at.min(now + every));
+        tokio::time::sleep_until(next_at.into()).await;
+    }
+}
+
+/// Whether this node reads documents in the store, or is to, in place of its zone's readers.
+fn reads_store(control: &Control, now: Instant) -> bool {
+    let known = control.known();
+    let mut state = control.state.borrow_mut();
+    if state.bootstrap.follows(now, known) {
+        control.reach.stands_in.set(false);
+        return true;
+    }
+    let place = state.table.successor_place();
+    let stands_in = state.failover.stands_in(now, place);
+    if stands_in && !control.reach.stands_in.replace(stands_in) {
+        // Nothing is read in full before the store has answered a check.
+        control.reach.missed.set(true);
+    }
+    control.reach.stands_in.set(stands_in);
+    stands_in
+}
+
+fn turn_at(control: &Control) -> Option<Instant> {
+    let state = control.state.borrow();
+    state.failover.due_at(state.table.successor_place())
+}
+
+/// Whether the store is to be asked: nothing else has shown lately that it answers, nor fails.
+fn is_check_due(control: &Control, now: Instant) -> bool {
+    let reach = &control.reach;
+    let every = control.context.settings.failover.check_every;
+    let is_recent = reach.answered_at.get().is_some_and(|at| now < at + every);
+    let is_read_again = reach.failing.get() && !reach.stands_in.get();
+    !is_recent && !is_read_again
+}
+
+/// Asks the store for something short, by a read that may lag, which costs it little.
+async fn ask_store(control: &Control) {
+    let reach = &control.reach;
+    let key = keys::seed(control.context.host());
+    control.context.metrics.store_call("check-may-lag");
+    let asked_at = Instant::now();
+    match control.store.list(&key, Freshness::MayLag).await {
+        Ok(_) => reach.answered(asked_at),
+        Err(error) => missed(control, &error),
+    }
+    reach.changed.notify_waiters();
+}
+
+fn missed(control: &Control, error: &Error) {
+    if control.reach.missed.replace(true) {
+        return;
+    }
+    let answered_at = control.reach.answered_at.get();
+    let age = answered_at.map(|at| at.elapsed().as_millis());
+    log::warn!(store_answered_ms:? = age, error:% = error; "the store does not answer a check");
+}
+
+fn is_answered(control: &Control, now: Instant) -> bool {
+    let reach = &control.reach;
+    let doubted_after = control.context.settings.failover.doubted_after;
+    let answered_at = reach.answered_at.get();
+    let is_recent = answered_at.is_some_and(|at| now < at + doubted_after);
+    is_recent && !reach.missed.get() && !reach.failing.get()
+}
+
+async fn send(control: &Control, socket: &UdpSocket) {
+    let (versions, zone) = {
+        let state = control.state.borrow();
+        let present = state.table.zone().filter(|record| record.is_present());
+        let zone: Vec<SocketAddr> = present.map(|record| record.control_address).collect();
+        (state.versions(), zone)
+    };
+    let age = control.reach.answered_at.get().map(|at| at.elapsed());
+    let report = Report {
+        host: Arc::clone(control.context.host()),
+        age_millis: age.map_or(u64::MAX, |age| {
+            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        }),
+        preset: versions.preset,
+        routes: versions.routes,
+    };
+    let written = match serde_json::to_vec(&report) {
+        Ok(written) => written,
+        Err(error) => {
+            log::error!(error:% = error; "reader report cannot be written");
+            return;
+        }
+    };
+    for address in zone {
+        match socket.send_to(&written, address).await {
+            Ok(bytes) => {
+                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+                control.context.metrics.control_sent("reader-report", bytes);
+            }
+            Err(error) => log::debug!(peer:% = address, error:% = error; "reader report not sent"),
+        }
+    }
+}
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -89,11 +89,15 @@
             } else {
                 LOOK_FOR_ROUTES_EVERY
             };
-            tokio::time::sleep(pause).await;
+            tokio::select! {
+                () = tokio::time::sleep(pause) => {}
+                () = control.reach.changed() => {}
+            }
             continue;
         }
         let ended = read_and_watch(&control, &source, &mut stagger, &mut lost).await;
         let Err(error) = ended else { continue };
+        control.reach.failed();
         if !matches!(error, Error::Compacted | Error::Cut) {
             if !lost {
                 log::warn!(key = key, error:% = error; "store lost");
@@ -144,6 +148,9 @@
 /// nodes that use the store end at different times: the next one brings what the others lost.
 /// Beside them the key is read at a rate that does not follow the size of the fleet.
 ///
+/// Failure: the store leaves this node's calls unanswered for a while. Symptom: the watch that was
+/// open goes on and may have missed a change. Once the store answers again, all is read anew.
+///
 /// Failure: the store comes back from an older copy and gives revisions out again. Symptom: a
 /// watch that goes on from a revision of before never hears of what is written under a lower one.
 /// A revision is used within the epoch in which it was read; in a later one all is read anew.
@@ -164,6 +171,7 @@
         control.store_regained.set(true);
     }
     control.heard(asked_at);
+    control.reach.answered(asked_at);
     take_read(control, kind, found).await;
     let read_again_at = asked_at + settings.store_read_every;
     while Instant::now() < read_again_at && control.follows_store(Instant::now()) {
@@ -175,6 +183,7 @@
         let changes = tokio::select! {
             changes = control.store.changes(&source.prefix, read_at, wait) => changes?,
             () = epochs.risen_since(epoch) => return Ok(()),
+            () = control.reach.back() => return Ok(()),
         };
         if epochs.has_risen_since(epoch) {
             return Ok(());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -80,6 +80,9 @@
     /// When a node that starts turns to the store.
     #[serde(default)]
     pub bootstrap: core::bootstrap::Settings,
+    /// Failover between readers of the store.
+    #[serde(default)]
+    pub failover: core::failover::Settings,
     /// Choice of an upstream.
     #[serde(default)]
     pub placement: core::placement::Settings,
@@ -122,6 +125,7 @@
             health: core::health::Settings::default(),
             membership: core::membership::Settings::default(),
             bootstrap: core::bootstrap::Settings::default(),
+            failover: core::failover::Settings::default(),
             placement: core::placement::Settings::default(),
             probe: core::probe::Settings::default(),
             quarantine: core::quarantine::Settings::default(),
