--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -111,6 +111,22 @@
     assert!(!is_held(&node, now, common));
 }
 
+/// Guards against a common request that is held back since it was in progress at a few ends at once.
+#[test]
+fn ended_blames_no_request_that_was_answered_until_then() {
+    let now = Instant::now();
+    let mut node = node(0);
+    let (guilty, common) = (request(1), request(2));
+    for _ in 0..20 {
+        node.seen(now, answered("service", common));
+    }
+    for _ in 0..3 {
+        node.seen(now, ended(&[guilty, common]));
+    }
+    assert!(is_held(&node, now, guilty));
+    assert!(!is_held(&node, now, common));
+}
+
 /// Two requests end upstreams at the same time, each its own. Both are held back, since neither
 /// explains the ends of the other.
 #[test]
