--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -372,10 +372,11 @@
     /// zone fail; 0 if it is one of them.
     #[must_use]
     pub fn successor_place(&self) -> usize {
+        let own = rank(&self.own.host);
         let ahead = self
             .zone()
             .filter(|record| record.standing == Standing::Alive)
-            .filter(|record| self.is_ahead(&record.host))
+            .filter(|record| rank(&record.host) < own)
             .count();
         (ahead + 1).saturating_sub(self.settings.holders_per_zone)
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -31,6 +31,7 @@
 
 use crate::context::{Context, Stage, View};
 use crate::packed;
+use crate::request_log::millis;
 
 /// Routes that cannot be read are told one by one up to this many, so that a table of
 /// thousands of them does not fill the log.
@@ -305,8 +306,7 @@
     }
 
     /// Why this node follows the store, or that it does not.
-    fn role(&self, now: Instant) -> Role {
-        let known = self.known();
+    fn role(&self, now: Instant, known: Known) -> Role {
         let role = self.state.borrow().bootstrap.role(now, known);
         if role == Role::Member && self.reach.stands_in() {
             Role::StandIn
@@ -317,22 +317,22 @@
 
     /// Whether this node follows the store itself.
     fn follows_store(&self, now: Instant) -> bool {
-        self.role(now) != Role::Member
+        self.role(now, self.known()) != Role::Member
     }
 
     /// Logs why this node follows the store, or no longer does, if that has changed.
-    fn log_role(&self, now: Instant) {
-        let role = self.role(now);
+    fn log_role(&self, now: Instant, known: Known) {
+        let role = self.role(now, known);
         let before = std::mem::replace(&mut self.state.borrow_mut().role, role);
         if role == before {
             return;
         }
-        let age = |at: Option<Instant>| at.map(|at| now.saturating_duration_since(at).as_millis());
+        let age = |at: Option<Instant>| at.map(|at| millis(now.saturating_duration_since(at)));
         self.context.metrics.reads_store(role != Role::Member);
         log::info!(
             role = role.as_str(),
             before = before.as_str(),
-            peer_heard_ms:? = age(self.known().heard_at),
+            peer_heard_ms:? = age(known.heard_at),
             store_answered_ms:? = age(self.reach.answered_at());
             "role in reading the store changed"
         );
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -17,9 +17,11 @@
 use tokio::sync::Notify;
 
 use super::{Control, codec, exchange};
+use crate::datagram;
+use crate::request_log::millis;
 
-/// Longest datagram taken, in bytes: a host's name and three figures.
-const DATAGRAM_MOST: usize = 1024;
+/// What reports of readers count as in the metrics.
+const KIND: &str = "reader-report";
 
 /// What a node knows of the store's answers to itself.
 #[derive(Default)]
@@ -64,7 +66,7 @@
 
     /// Whether this node takes the place of its zone's readers, and the store answers it.
     pub fn stands_in(&self) -> bool {
-        self.stands_in.get() && !self.missed.get() && self.answered_at.get().is_some()
+        self.stands_in.get() && !self.missed.get()
     }
 
     /// Waits until whether the node follows the store may have changed.
@@ -103,16 +105,8 @@
 }
 
 async fn receive(control: Rc<Control>, socket: Rc<UdpSocket>) {
-    let mut bytes = [0_u8; DATAGRAM_MOST];
-    loop {
-        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
-            continue;
-        };
-        match serde_json::from_slice(&bytes[..length]) {
-            Ok(report) => apply(&control, &report),
-            Err(_) => control.context.metrics.bad_input("reader-report"),
-        }
-    }
+    let metrics = &control.context.metrics;
+    datagram::receive(&socket, metrics, KIND, |report| apply(&control, &report)).await;
 }
 
 fn apply(control: &Rc<Control>, report: &Report) {
@@ -157,14 +151,15 @@
     let every = control.context.settings.failover.check_every;
     loop {
         let now = Instant::now();
-        let reads = reads_store(control, now);
-        if reads && is_check_due(control, now) {
-            ask_store(control).await;
-        }
-        if reads && is_answered(control, Instant::now()) {
+        let turn_at = if reads_store(control, now) {
+            if is_check_due(control, now) {
+                ask_store(control).await;
+            }
             send(control, socket).await;
-        }
-        let turn_at = (!reads).then(|| turn_at(control)).flatten();
+            None
+        } else {
+            turn_at(control)
+        };
         let next_at = turn_at.map_or(now + every, |turn_at| turn_at.min(now + every));
         tokio::time::sleep_until(next_at.into()).await;
     }
@@ -174,20 +169,18 @@
 fn reads_store(control: &Control, now: Instant) -> bool {
     let known = control.known();
     let mut state = control.state.borrow_mut();
-    if state.bootstrap.follows(now, known) {
-        control.reach.stands_in.set(false);
-        return true;
-    }
+    let follows = state.bootstrap.follows(now, known);
     let place = state.table.successor_place();
-    let stands_in = state.failover.stands_in(now, place);
-    if stands_in && !control.reach.stands_in.replace(stands_in) {
+    let stands_in = !follows && state.failover.stands_in(now, place);
+    if stands_in && !control.reach.stands_in.get() {
         // Nothing is read in full before the store has answered a check.
         control.reach.missed.set(true);
     }
     control.reach.stands_in.set(stands_in);
-    stands_in
+    follows || stands_in
 }
 
+/// When this node's turn comes to take the place of its zone's readers.
 fn turn_at(control: &Control) -> Option<Instant> {
     let state = control.state.borrow();
     state.failover.due_at(state.table.successor_place())
@@ -219,49 +212,36 @@
     if control.reach.missed.replace(true) {
         return;
     }
-    let answered_at = control.reach.answered_at.get();
-    let age = answered_at.map(|at| at.elapsed().as_millis());
+    let answered_at = control.reach.answered_at();
+    let age = answered_at.map(|at| millis(at.elapsed()));
     log::warn!(store_answered_ms:? = age, error:% = error; "the store does not answer a check");
 }
 
-fn is_answered(control: &Control, now: Instant) -> bool {
+/// How long ago the call was made that the store answered last, if it answers still.
+fn answered_ago(control: &Control) -> Option<Duration> {
     let reach = &control.reach;
     let doubted_after = control.context.settings.failover.doubted_after;
-    let answered_at = reach.answered_at.get();
-    let is_recent = answered_at.is_some_and(|at| now < at + doubted_after);
-    is_recent && !reach.missed.get() && !reach.failing.get()
+    let ago = reach.answered_at()?.elapsed();
+    let answers = !reach.missed.get() && !reach.failing.get();
+    (answers && ago < doubted_after).then_some(ago)
 }
 
+/// Tells the zone that the store answers this node, if it does.
 async fn send(control: &Control, socket: &UdpSocket) {
+    let Some(ago) = answered_ago(control) else {
+        return;
+    };
     let (versions, zone) = {
         let state = control.state.borrow();
         let present = state.table.zone().filter(|record| record.is_present());
         let zone: Vec<SocketAddr> = present.map(|record| record.control_address).collect();
         (state.versions(), zone)
     };
-    let age = control.reach.answered_at.get().map(|at| at.elapsed());
     let report = Report {
         host: Arc::clone(control.context.host()),
-        age_millis: age.map_or(u64::MAX, |age| {
-            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-        }),
+        age_millis: millis(ago),
         preset: versions.preset,
         routes: versions.routes,
     };
-    let written = match serde_json::to_vec(&report) {
-        Ok(written) => written,
-        Err(error) => {
-            log::error!(error:% = error; "reader report cannot be written");
-            return;
-        }
-    };
-    for address in zone {
-        match socket.send_to(&written, address).await {
-            Ok(bytes) => {
-                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-                control.context.metrics.control_sent("reader-report", bytes);
-            }
-            Err(error) => log::debug!(peer:% = address, error:% = error; "reader report not sent"),
-        }
-    }
+    datagram::send(socket, &control.context.metrics, KIND, &report, &zone).await;
 }
--- a/crates/node/src/control/holder.rs
+++ b/crates/node/src/control/holder.rs
@@ -27,11 +27,11 @@
     let mut seeds_at = Instant::now();
     loop {
         let now = Instant::now();
-        control.log_role(now);
         if control.store_regained.take() {
             seeds_at = now;
         }
         let known = control.known();
+        control.log_role(now, known);
         if control
             .state
             .borrow()
--- a/crates/node/src/control/persistence.rs
+++ b/crates/node/src/control/persistence.rs
@@ -18,6 +18,7 @@
 
 use super::{Control, suspects};
 use crate::context::unix_millis;
+use crate::request_log::millis;
 
 /// The few nodes that could write what has changed wait for different times up to this, so that
 /// mostly one writes and the others find it written.
@@ -140,12 +141,11 @@
     let told_at = unix_millis();
     let stored = held.iter().map(|held| {
         let left = held.forgotten_at.saturating_duration_since(now);
-        let left = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         Stored {
             fingerprint: held.fingerprint,
             ends: held.ends.clone(),
             trials: held.trials,
-            forgotten_at: told_at.saturating_add(left),
+            forgotten_at: told_at.saturating_add(millis(left)),
         }
     });
     stored.collect()
--- a/crates/node/src/guard/reporting.rs
+++ b/crates/node/src/guard/reporting.rs
@@ -10,7 +10,8 @@
 use tokio::sync::Notify;
 
 use super::Guard;
-use crate::reports::Datagram;
+use crate::datagram;
+use crate::reports::{self, Datagram};
 
 /// Nodes to tell, and whether there is something to tell.
 #[derive(Default)]
@@ -44,33 +45,15 @@
     let interval = guard.context.settings.guard.report_every;
     loop {
         guard.reporting.changed.notified().await;
-        if let Some(datagram) = guard.datagram() {
-            send(&guard, &socket, &datagram).await;
+        if let Some(report) = guard.datagram() {
+            let nodes = guard.reporting.audience.lock().current(Instant::now());
+            let metrics = &guard.context.metrics;
+            datagram::send(&socket, metrics, reports::KIND, &report, &nodes).await;
         }
         tokio::time::sleep(interval).await;
     }
 }
 
-async fn send(guard: &Guard, socket: &UdpSocket, datagram: &Datagram) {
-    let nodes = guard.reporting.audience.lock().current(Instant::now());
-    let written = match serde_json::to_vec(datagram) {
-        Ok(written) => written,
-        Err(error) => {
-            log::error!(error:% = error; "load report cannot be written");
-            return;
-        }
-    };
-    for node in nodes {
-        match socket.send_to(&written, node).await {
-            Ok(bytes) => {
-                let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-                guard.context.metrics.control_sent("report", bytes);
-            }
-            Err(error) => log::debug!(node:% = node, error:% = error; "load report not sent"),
-        }
-    }
-}
-
 impl Guard {
     /// What peers are told; nothing until the upstream has announced itself.
     fn datagram(&self) -> Option<Datagram> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod configs;
 pub mod context;
 pub mod control;
+pub mod datagram;
 pub mod duties;
 pub mod entry;
 mod flags;
--- a/crates/node/src/reports.rs
+++ b/crates/node/src/reports.rs
@@ -1,6 +1,4 @@
 //! Load reports that arrive between answers.
-//!
-//! A report that is lost or late costs nothing but freshness: the next answer brings another.
 
 use std::sync::Arc;
 
@@ -9,9 +7,10 @@
 use tokio::net::UdpSocket;
 
 use crate::context::Context;
+use crate::datagram;
 
-/// Longest datagram taken, in bytes: names of a host and a service, and five figures.
-const DATAGRAM_MOST: usize = 1024;
+/// What load reports count as in the metrics.
+pub const KIND: &str = "report";
 
 /// A load report on its way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,18 +33,9 @@
             return;
         }
     };
-    let mut bytes = [0_u8; DATAGRAM_MOST];
-    loop {
-        let Ok((length, _)) = socket.recv_from(&mut bytes).await else {
-            continue;
-        };
-        let Ok(datagram) = serde_json::from_slice::<Datagram>(&bytes[..length]) else {
-            context.metrics.bad_input("report");
-            continue;
-        };
-        match datagram.report.parse() {
-            Ok(report) => take(&datagram, report),
-            Err(_) => context.metrics.bad_input("report"),
-        }
-    }
+    let read = |datagram: Datagram| match datagram.report.parse() {
+        Ok(report) => take(&datagram, report),
+        Err(_) => context.metrics.bad_input(KIND),
+    };
+    datagram::receive(&socket, &context.metrics, KIND, read).await;
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! The one helper of these tests: scenes, calls, and load with an account.
 #![allow(dead_code)]
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -12,7 +12,7 @@
 use mintridge_bench::caller::{Call, Told};
 use mintridge_bench::load::{self, Plan as Load};
 use mintridge_core::preset::Preset;
-use mintridge_core::route::{Kind, Part, Route};
+use mintridge_core::route::{Kind, Part, Route, Table, Version};
 use mintridge_node::operators::Status;
 use mintridge_standin::relay::Relay;
 use mintridge_standin::scene::loopback;
@@ -86,6 +86,25 @@
     }
 }
 
+/// Key of the routing table.
+pub const ROUTES: &str = "operators/routes";
+
+/// A table with these routes.
+pub fn table(version: u64, routes: Vec<Route>) -> Table {
+    Table {
+        version: Version(version),
+        hosts: BTreeMap::from([(Arc::from("127.0.0.1"), routes)]),
+        ..Table::default()
+    }
+}
+
+/// Writes a table as operators do; its length in bytes.
+pub fn write_table(scene: &Scene, table: &Table) -> usize {
+    let written = serde_json::to_vec(table).expect("it is written");
+    scene.store.overwrite(ROUTES, &written);
+    written.len()
+}
+
 /// A repeatable call.
 pub fn get(id: &str) -> Call {
     Call {
