fix(node): a request that met its deadline before it was sent is told "not run"

What callers saw: 504, outcome unknown, for requests that nobody had been sent; unrepeatable ones could not be repeated.

Cause: one timeout covered the wait for a link (its lock, its check, a new one) and the wait for the answer, and its end was told as "may have run". The same beside the upstream for a new connection, and for an announced restart while a connection was being opened.

Why this holds: each wait has its own timeout and error, so the outcome follows from how far the request came. Whether bytes that wait in the HTTP/2 library were written is not known, and stays unknown.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -81,21 +81,23 @@
         return never_sent(now, Reason::NoUpstream);
     };
     let until = head.deadline + entry.context.settings.callers.grace;
-    let sending = entry.links.send(address, request);
+    let sending = entry.links.send(address, request, until);
     let opening = async {
         match &gate {
-            Some(gate) => deferred::open_with_slot(&entry, address, &head.request, gate).await,
+            Some(gate) => {
+                deferred::open_with_slot(&entry, address, &head.request, until, gate).await
+            }
             None => pending().await,
         }
     };
     let answered = tokio::select! {
         biased;
-        answered = tokio::time::timeout_at(until.into(), sending) => answered,
+        answered = sending => answered,
         never = opening => match never {},
     };
     let now = Instant::now();
     match answered {
-        Ok(Ok(response)) => {
+        Ok(response) => {
             let attempted = read_answer(&entry, now, placed, response);
             // An upstream may answer before it has read the body, and read on.
             if let (Some(gate), Attempt::Answered(_)) = (&gate, &attempted) {
@@ -103,17 +105,21 @@
             }
             attempted
         }
-        Ok(Err(link::Error::NeverSent)) => {
+        Err(link::Error::NeverSent) => {
             placed.ending = Ending::Avoid;
             never_sent(now, Reason::Unreachable)
         }
-        Ok(Err(link::Error::Broken)) => {
+        Err(link::Error::NoLinkInTime) => {
+            placed.ending = Ending::Avoid;
+            never_sent(now, Reason::Deadline)
+        }
+        Err(link::Error::Broken) => {
             if !entry.links.can_connect(address).await {
                 placed.ending = Ending::Avoid;
             }
             may_have_run(now, Reason::LinkLost)
         }
-        Err(_) => {
+        Err(link::Error::Unanswered) => {
             placed.ending = Ending::Avoid;
             may_have_run(now, Reason::Deadline)
         }
--- a/crates/node/src/entry/deferred.rs
+++ b/crates/node/src/entry/deferred.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::task::AtomicWaker;
@@ -104,10 +105,11 @@
     entry: &Entry,
     address: SocketAddr,
     number: &str,
+    until: Instant,
     gate: &Gate,
 ) -> Infallible {
     if let Some(question) = link::slot_question(number) {
-        let told = entry.links.send(address, question).await;
+        let told = entry.links.send(address, question, until).await;
         if let Err(error) = told {
             log::debug!(request = number, error:% = error; "not told of a slot");
         }
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -39,19 +39,19 @@
     let in_left = head.deadline.saturating_duration_since(handed_at);
     guard.prepare(&mut request, head, in_left);
     let run = guard.run(slot.id, digest.clone());
-    let handed = traces::within(
+    let answered = traces::within(
         traces::hop("upstream"),
-        guard.upstream.send(address, request),
-    );
-    let answered = tokio::time::timeout_at(head.deadline.into(), handed).await;
+        guard.upstream.send(address, request, head.deadline),
+    )
+    .await;
     let now = Instant::now();
     let (mut parts, body) = match answered {
-        Ok(Ok(Received::Answer(parts, body))) => (parts, body),
-        Ok(Ok(Received::NotRun {
+        Ok(Received::Answer(parts, body)) => (parts, body),
+        Ok(Received::NotRun {
             instance,
             misdirected,
             load,
-        })) => {
+        }) => {
             drop(run);
             guard.observe_load(now, load.as_ref());
             if misdirected {
@@ -59,13 +59,12 @@
             }
             return Err(guard.shed(now, slot.id, load.as_ref()));
         }
-        Ok(Err(error)) => {
+        Err(error) => {
             if matches!(error, upstream::Error::Broken(_)) {
                 guard.broke(&run, address);
             }
-            return Err(guard.failed(now, &error, &head.request, &digest));
+            return Err(guard.failed(now, &error, in_left, &head.request, &digest));
         }
-        Err(_) => return Err(guard.silent(now, in_left)),
     };
     guard.observe_load(now, guard.upstream.load(&parts.headers).as_ref());
     guard.answered(now, slot.id, parts.status, now - handed_at);
@@ -135,17 +134,24 @@
         traces::inject(fields);
     }
 
-    /// The upstream gave no answer: what that proves.
+    /// The upstream gave no answer within `waited`: what that proves.
     fn failed(
         &self,
         now: Instant,
         error: &upstream::Error,
+        waited: Duration,
         request: &str,
         digest: &Digest,
     ) -> Refusal {
-        if !matches!(error, upstream::Error::Restarted) {
-            self.judge(now, Some(Verdict::Failed));
-        }
+        let verdict = match error {
+            upstream::Error::Restarted => None,
+            upstream::Error::NoConnectionInTime | upstream::Error::Unanswered => {
+                let state = self.state.lock();
+                state.health.silent(waited, state.admission.service_time())
+            }
+            _ => Some(Verdict::Failed),
+        };
+        self.judge(now, verdict);
         if self.log.admits(1) {
             log::info!(
                 request = request,
@@ -156,6 +162,8 @@
         }
         match error {
             upstream::Error::NeverSent => self.not_run(Reason::Unreachable),
+            upstream::Error::NoConnectionInTime => self.not_run(Reason::Deadline),
+            upstream::Error::Unanswered => self.unknown(now, Reason::Deadline),
             upstream::Error::Broken(_) | upstream::Error::Restarted => {
                 self.unknown(now, Reason::LinkLost)
             }
@@ -195,16 +203,6 @@
         state.admission.refusal(now, Reason::Misdirected)
     }
 
-    /// The upstream did not answer by the deadline.
-    fn silent(&self, now: Instant, waited: Duration) -> Refusal {
-        let verdict = {
-            let state = self.state.lock();
-            state.health.silent(waited, state.admission.service_time())
-        };
-        self.judge(now, verdict);
-        self.unknown(now, Reason::Deadline)
-    }
-
     /// The upstream began to answer, after `took`.
     fn answered(&self, now: Instant, id: Id, status: StatusCode, took: Duration) {
         let shed = matches!(
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -28,9 +28,15 @@
     /// No byte of it was sent.
     #[error("the peer cannot be reached; nothing was sent")]
     NeverSent,
+    /// No link was ready in time, so no byte of it was sent.
+    #[error("no link to the peer was ready in time; nothing was sent")]
+    NoLinkInTime,
     /// It was sent, and the link broke before the answer.
     #[error("the link broke before the answer")]
     Broken,
+    /// It was sent, and no answer came in time.
+    #[error("the peer did not answer in time")]
+    Unanswered,
 }
 
 type Sender = http2::SendRequest<Body>;
@@ -123,19 +129,25 @@
         slots.len()
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response until `until`.
+    ///
+    /// Waiting for the link and waiting for the answer end apart, since a request that met its
+    /// deadline before it was sent certainly did not run.
     ///
     /// # Errors
-    /// If the link cannot be opened or breaks.
+    /// If the link cannot be opened or breaks, or time runs out.
     pub async fn send(
         &self,
         address: SocketAddr,
         request: Request<Body>,
+        until: Instant,
     ) -> Result<Response<Incoming>, Error> {
+        let until = until.into();
         let slot = self.slot(address);
-        let mut sender = self.ready(&slot, address).await?;
-        let sent = sender.try_send_request(request).await;
-        match sent {
+        let ready = tokio::time::timeout_at(until, self.ready(&slot, address)).await;
+        let mut sender = ready.map_err(|_| Error::NoLinkInTime)??;
+        let sent = tokio::time::timeout_at(until, sender.try_send_request(request)).await;
+        match sent.map_err(|_| Error::Unanswered)? {
             Ok(response) => {
                 slot.heard();
                 Ok(response)
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -37,6 +37,12 @@
     /// No connection could be opened, or none of the request was written.
     #[error("the upstream cannot be reached; nothing was sent")]
     NeverSent,
+    /// The deadline passed before a connection was open, so nothing of the request was written.
+    #[error("no connection to the upstream by the deadline; nothing was sent")]
+    NoConnectionInTime,
+    /// The request was sent, and the deadline passed.
+    #[error("the upstream did not answer by the deadline")]
+    Unanswered,
     /// The connection broke, or the answer was cut short.
     #[error("the upstream broke off: {0}")]
     Broken(#[from] hyper::Error),
@@ -138,10 +144,10 @@
         self.starts.send_modify(|starts| *starts += 1);
     }
 
-    /// Sends a request and waits for its answer.
+    /// Sends a request and waits for its answer until the deadline.
     ///
     /// Dropping the future closes the connection, by which the upstream learns that
-    /// nobody waits any more.
+    /// nobody waits any more. Until a connection is open nothing was sent, whatever ends the wait.
     ///
     /// # Errors
     /// If no answer to this request came.
@@ -149,22 +155,28 @@
         &self,
         address: SocketAddr,
         request: Request<Body>,
+        deadline: Instant,
     ) -> Result<Received, Error> {
+        let deadline = deadline.into();
         let mut starts = self.starts.subscribe();
-        let answered = self.exchange(address, request);
+        let connecting = tokio::time::timeout_at(deadline, self.connection(address));
+        let connection = tokio::select! {
+            connected = connecting => connected.map_err(|_| Error::NoConnectionInTime)??,
+            _ = starts.changed() => return Err(Error::NeverSent),
+        };
+        let answered = tokio::time::timeout_at(deadline, self.exchange(connection, request));
         tokio::select! {
-            received = answered => received,
+            received = answered => received.map_err(|_| Error::Unanswered)?,
             _ = starts.changed() => Err(Error::Restarted),
         }
     }
 
     async fn exchange(
         &self,
-        address: SocketAddr,
+        mut connection: Idle,
         request: Request<Body>,
     ) -> Result<Received, Error> {
         let asked = Asked::of(self.request_header.as_deref(), request.headers());
-        let mut connection = self.connection(address).await?;
         let sent = connection.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| {
             if error.take_message().is_some() {
--- /dev/null
+++ b/crates/node/tests/link.rs
@@ -0,0 +1,90 @@
+//! A link between two nodes, against a peer that a test scripts.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use mintridge_http::reply;
+use mintridge_node::configs::link::Settings;
+use mintridge_node::link::{CHECK_PATH, Error, Links};
+use tokio::net::TcpListener;
+
+/// Time that the peer takes for a request.
+const TAKES: Duration = Duration::from_millis(1_500);
+
+/// A peer on a thread of its own, which answers every check and counts the other requests.
+fn peer() -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let runs = Arc::new(AtomicU32::new(0));
+    let counted = Arc::clone(&runs);
+    thread::spawn(move || runtime().block_on(serve(listener, counted)));
+    (address, runs)
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    builder.enable_all().build().expect("a runtime")
+}
+
+async fn serve(listener: std::net::TcpListener, runs: Arc<AtomicU32>) {
+    listener.set_nonblocking(true).expect("set");
+    let listener = TcpListener::from_std(listener).expect("taken over");
+    loop {
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let runs = Arc::clone(&runs);
+        let service = service_fn(move |request: Request<hyper::body::Incoming>| {
+            let runs = Arc::clone(&runs);
+            async move {
+                if request.uri().path() != CHECK_PATH {
+                    runs.fetch_add(1, Ordering::SeqCst);
+                    tokio::time::sleep(TAKES).await;
+                }
+                Ok::<_, Infallible>(Response::new(reply::empty()))
+            }
+        });
+        let builder = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
+        tokio::spawn(builder.serve_connection(TokioIo::new(stream), service));
+    }
+}
+
+/// A peer that accepts connections and never says anything.
+fn mute() -> (SocketAddr, std::net::TcpListener) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    (listener.local_addr().expect("an address"), listener)
+}
+
+fn request() -> Request<mintridge_http::Body> {
+    let request = Request::builder().uri("http://peer/");
+    request.body(reply::empty()).expect("a request")
+}
+
+/// Guards against "may have run" for a request that met its deadline while a link was being opened.
+#[test]
+fn send_says_that_nothing_was_sent_by_the_deadline() {
+    let (address, _listener) = mute();
+    let links = Links::new(Settings {
+        check_within: Duration::from_secs(10),
+        ..Settings::default()
+    });
+    let until = Instant::now() + Duration::from_millis(300);
+    let sent = runtime().block_on(links.send(address, request(), until));
+    assert_eq!(sent.err(), Some(Error::NoLinkInTime));
+}
+
+/// Guards against "not run" for a request that was sent and met its deadline without an answer.
+#[test]
+fn send_says_that_a_sent_request_is_unanswered() {
+    let (address, runs) = peer();
+    let links = Links::new(Settings::default());
+    let until = Instant::now() + TAKES / 2;
+    let sent = runtime().block_on(links.send(address, request(), until));
+    assert_eq!(sent.err(), Some(Error::Unanswered));
+    assert_eq!(runs.load(Ordering::SeqCst), 1);
+}
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{ENTRY, Plan, get, hosts, processes, relayed, within};
+use common::{ENTRY, Plan, bare_post, get, hosts, processes, relayed, within};
 use mintridge_standin::relay::Condition;
 use tokio::task::JoinSet;
 
@@ -72,3 +72,14 @@
         assert!(heard.took < TOLD_WITHIN, "told after {:?}", heard.took);
     }
 }
+
+/// Guards against "may have run" for a request that met its deadline while its link was checked.
+#[tokio::test]
+async fn silent_link_is_not_run_for_who_met_its_deadline_waiting() {
+    let (scene, relay) = relayed().await;
+    assert!(scene.call(ENTRY, &get("opens-the-link")).await.is_success());
+    relay.set(Condition::Silent);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let told = scene.call(ENTRY, &within(100, bare_post("waits"))).await;
+    assert!(told.is_not_run(), "{told:?}");
+}
