fix(entry): an unknown outcome is told with the reason of the attempt that may have run

What callers saw: 502, unknown, "unreachable", and explain saying "nothing ran" of a request that had run.

Cause: the outcome told is that of all attempts, the reason was the last one's. Elsewhere: explain took from the reason whether a request ran, also where the store cannot tell whether a key was taken; it goes by the status now.

Evidence: node/answers refusal_after_a_lost_link_tells_of_the_lost_link failed on the code before with exactly these words and passes now; node/answers (21) and node/explain (3) pass.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -119,37 +119,45 @@
     let outcome = line.kvs.get("outcome").map_or_else(String::new, plain);
     let status = line.kvs.get("status").map_or_else(String::new, plain);
     let meaning = match outcome.as_str() {
-        "answered" => "an upstream answered; a status of 500 and above is its own",
-        "caller-left" => "the caller closed its connection before the answer",
-        reason => Reason::parse(reason).map_or("the reason is not known here", meaning),
+        "answered" => "an upstream answered; a status of 500 and above is its own".to_owned(),
+        "caller-left" => "the caller closed its connection before the answer".to_owned(),
+        reason => refused(reason, &status),
     };
     format!("{outcome} ({status}): {meaning}")
 }
 
+/// Why a request was refused, and by the status whether it may have run.
+fn refused(reason: &str, status: &str) -> String {
+    let why = Reason::parse(reason).map_or("the reason is not known here", meaning);
+    let ran = match status {
+        "409" | "502" | "504" => "it may have run",
+        _ => "nothing ran",
+    };
+    format!("{why}; {ran}")
+}
+
 const fn meaning(reason: Reason) -> &'static str {
     match reason {
-        Reason::Busy => "all slots were taken and the queue was full; nothing ran",
+        Reason::Busy => "all slots were taken and the queue was full",
         Reason::Deadline => "the time allowed would have passed, or passed, before the answer",
-        Reason::Late => "no host could answer in time; nothing ran",
-        Reason::Leaving => "the hosts asked were leaving; nothing ran",
-        Reason::Evacuated => "the hosts asked stood in an evacuated zone; nothing ran",
-        Reason::Doubtful => "the upstreams kept failing and were being checked; nothing ran",
-        Reason::Unannounced => "the upstream had not announced itself lately; nothing ran",
-        Reason::Stale => "the node had been paused and had heard nobody since; nothing ran",
-        Reason::NoUpstream => "the node knew of no host with the service; nothing ran",
-        Reason::StoreUnavailable => "the store did not confirm the idempotency key; nothing ran",
+        Reason::Late => "no host could answer in time",
+        Reason::Leaving => "the hosts asked were leaving",
+        Reason::Evacuated => "the hosts asked stood in an evacuated zone",
+        Reason::Doubtful => "the upstreams kept failing and were being checked",
+        Reason::Unannounced => "the upstream had not announced itself lately",
+        Reason::Stale => "the node had been paused and had heard nobody since",
+        Reason::NoUpstream => "the node knew of no host with the service",
+        Reason::StoreUnavailable => "the store did not confirm the idempotency key",
         Reason::Duplicate => "the idempotency key was used before",
-        Reason::LinkLost => "a connection broke after the request was sent; it may have run",
-        Reason::Unreachable => "no connection could be opened; nothing ran",
-        Reason::BadRequest => "the request was malformed or missed a header; nothing ran",
-        Reason::Shed => "the upstreams themselves refused it; nothing ran",
-        Reason::Misdirected => "another instance stood at the address; nothing ran",
-        Reason::ForeignAnswer => "what came back was not its answer; it may have run",
-        Reason::Unconfigured => "the node did not know the routing table yet; nothing ran",
-        Reason::NoRoute => "the routing table in force had no route for it; nothing ran",
-        Reason::Quarantined => {
-            "upstreams ended under the same request before; this one did not run"
-        }
+        Reason::LinkLost => "a connection broke after the request was sent",
+        Reason::Unreachable => "no connection could be opened",
+        Reason::BadRequest => "the request was malformed or missed a header",
+        Reason::Shed => "the upstreams themselves refused it",
+        Reason::Misdirected => "another instance stood at the address",
+        Reason::ForeignAnswer => "what came back was not its answer",
+        Reason::Unconfigured => "the node did not know the routing table yet",
+        Reason::NoRoute => "the routing table in force had no route for it",
+        Reason::Quarantined => "upstreams ended under the same request before",
     }
 }
 
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -26,8 +26,8 @@
     attempts: Attempts,
     /// Whether the request may hold its claim.
     claimed: bool,
-    /// Whether any attempt so far may have run.
-    may_have_run: bool,
+    /// Why nothing is known of the last attempt that may have run.
+    may_have_run: Option<Reason>,
     /// A failure that an upstream answered, told if no further attempt does better.
     failure: Option<(Response<Incoming>, Placed)>,
 }
@@ -48,7 +48,7 @@
         sent,
         attempts: Attempts::default(),
         claimed: false,
-        may_have_run: false,
+        may_have_run: None,
         failure: None,
     };
     loop {
@@ -91,7 +91,6 @@
                 if !again {
                     return Verdict::PassOn(Box::new((response, placed)));
                 }
-                forwarding.may_have_run = true;
                 forwarding.failure = Some((response, placed));
                 Verdict::Again
             }
@@ -102,7 +101,9 @@
             } => {
                 let may_have_run = progress == Progress::MayHaveRun;
                 forwarding.claimed |= claimed;
-                forwarding.may_have_run |= may_have_run;
+                if may_have_run {
+                    forwarding.may_have_run = Some(refusal.reason);
+                }
                 let again = if forwarding.sent.only_on.is_some() {
                     false
                 } else if refusal.spared_upstreams() {
@@ -228,16 +229,15 @@
     ///
     /// Failure: a repeatable request runs on one host, breaks, and is refused by the
     /// next. Symptom: its caller is told of the last refusal alone, "not run", which is
-    /// false. What any attempt may have done decides.
+    /// false. What any attempt may have done decides, and its reason is told.
     fn give_up(&self, mut forwarding: Forwarding, refusal: Refusal) -> Response<Body> {
         if let Some((response, placed)) = forwarding.failure.take() {
             return self.pass_on(response, placed, forwarding.sent);
         }
         let head = &forwarding.sent.request.head;
-        let refusal = if forwarding.may_have_run {
-            Refusal::unknown(refusal.reason, refusal.retry_at)
-        } else {
-            refusal
+        let refusal = match forwarding.may_have_run {
+            Some(reason) => Refusal::unknown(reason, refusal.retry_at),
+            None => refusal,
         };
         if let Some(claim) = &head.claim
             && forwarding.claimed
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -11,7 +11,7 @@
 };
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
-use mintridge_core::outcome::Reason;
+use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::relay::Condition;
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::upstream::{Manner, Result as Answer};
@@ -297,3 +297,39 @@
         assert!(scene.call(0, &call).await.is_success());
     }
 }
+
+/// Guards against a reason that says nothing ran beside an outcome that says something may have.
+#[tokio::test]
+async fn refusal_after_a_lost_link_tells_of_the_lost_link() {
+    let mut scene = processes_and_entry(2).await;
+    for index in 0..2 {
+        scene.behave(index, |behaviour| behaviour.manner = Manner::Silent);
+    }
+    let entry = scene.addresses(2).callers;
+    let caller = scene.caller.clone();
+    let call = within(20_000, get("lost"));
+    let asking = tokio::spawn(async move { caller.call(entry, &call).await.told });
+    wait_for("the request runs", || scene.runs("lost") == 1).await;
+    let has_run = |index: usize| {
+        scene.hosts[index]
+            .upstream
+            .account()
+            .runs
+            .contains_key("lost")
+    };
+    let (runs_on, other) = if has_run(0) { (0, 1) } else { (1, 0) };
+    scene.end_upstream(other);
+    scene.kill(runs_on).await;
+    let told = asking.await.expect("the caller lives");
+    assert!(
+        matches!(
+            told,
+            Told::Refused {
+                outcome: Outcome::Unknown,
+                reason: Reason::LinkLost,
+                ..
+            }
+        ),
+        "{told:?}"
+    );
+}
