fix(http): a request that arrived while its node was frozen is answered

What callers saw: a connection that ended without a word after the time for a header section, the request not run.

Cause: after a pause the runtime fires its timers before it has asked which sockets have bytes, since the wait for them was interrupted; the time for the header section was over, and the connection ended with the request in its buffer.

Why this holds: the timer asks the system whether bytes are unread before it elapses. The side that writes answers had the same limit and no need of one.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod handler;
 pub mod pipeline;
 pub mod problem;
+pub mod quiet_timer;
 pub mod reply;
 pub mod server;
+pub mod socket;
 
 /// Body of requests and responses, as gotham defines it.
 pub type Body = gotham::helpers::http::Body;
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -13,7 +13,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -31,7 +30,9 @@
 
 use self::body::track;
 use self::side::{ReadSide, WriteSide};
+use crate::quiet_timer::Timer;
 use crate::server::Phase;
+use crate::socket::has_unread;
 use crate::{Body, reply};
 
 /// How long a closed connection is still read, so that what the caller has sent meanwhile
@@ -171,6 +172,8 @@
         stream: Arc::clone(stream),
         shared: Arc::clone(&shared),
     };
+    let mut builder = builder.clone();
+    builder.timer(Timer::new(Arc::clone(stream)));
     let mut connection = pin!(builder.serve_connection(io, service));
     let idle_when_closing = async {
         closing(&mut phase).await;
@@ -225,7 +228,9 @@
             Ok::<_, Dropped>(response)
         }
     });
-    let connection = builder.half_close(true).serve_connection(io, service);
+    // Only the side that reads requests knows whether one is on its way.
+    builder.header_read_timeout(None).half_close(true);
+    let connection = builder.serve_connection(io, service);
     if let Err(error) = connection.await {
         log::debug!(error:% = error; "answer not written whole");
     }
@@ -263,13 +268,6 @@
     }
 }
 
-/// Asks the system, since the runtime may not have looked for a while.
-fn has_unread(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(peeked, Ok(read) if read > 0)
-}
-
 /// Reads and throws away until the caller closes its side, counting the bytes.
 async fn until_gone(stream: &TcpStream, unread: &mut usize) {
     let mut scratch = [0_u8; SCRATCH];
--- a/crates/http/src/pipeline/side.rs
+++ b/crates/http/src/pipeline/side.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::{Pending, SCRATCH, Shared};
+use crate::socket;
 
 /// The socket as the reading side sees it: the empty answers written to it are thrown away.
 ///
@@ -33,11 +34,7 @@
     ) -> Poll<io::Result<()>> {
         let mut scratch = [0_u8; SCRATCH];
         let room = buffer.remaining().min(SCRATCH);
-        let stream = &self.stream;
-        let read = ready!(when_ready(
-            || stream.poll_read_ready(cx),
-            || stream.try_read(&mut scratch[..room]),
-        ))?;
+        let read = ready!(socket::poll_read(&self.stream, cx, &mut scratch[..room]))?;
         buffer.put_slice(&scratch[..read]);
         Poll::Ready(Ok(()))
     }
@@ -67,20 +64,6 @@
     }
 }
 
-/// Tries as often as the socket says that it is ready; it may turn out not to be.
-fn when_ready<T>(
-    mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
-    mut act: impl FnMut() -> io::Result<T>,
-) -> Poll<io::Result<T>> {
-    loop {
-        ready!(poll_ready())?;
-        match act() {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            done => return Poll::Ready(done),
-        }
-    }
-}
-
 /// The socket as the writing side sees it: stubs are read in place of requests.
 pub(super) struct WriteSide {
     pub(super) stream: Arc<TcpStream>,
@@ -108,10 +91,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        when_ready(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write(bytes),
-        )
+        socket::poll_write(&self.stream, cx, bytes)
     }
 
     fn poll_write_vectored(
@@ -119,10 +99,7 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        when_ready(
-            || self.stream.poll_write_ready(cx),
-            || self.stream.try_write_vectored(buffers),
-        )
+        socket::poll_write_vectored(&self.stream, cx, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -134,7 +111,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let shut = socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write);
-        Poll::Ready(shut)
+        Poll::Ready(socket::shutdown(&self.stream))
     }
 }
--- /dev/null
+++ b/crates/http/src/socket.rs
@@ -0,0 +1,77 @@
+//! A socket that is read and written without exclusive access.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::task::{Context, Poll, ready};
+
+use tokio::net::TcpStream;
+
+/// Reads what has arrived.
+///
+/// # Errors
+/// If the connection is broken.
+pub fn poll_read(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    buffer: &mut [u8],
+) -> Poll<io::Result<usize>> {
+    when_ready(|| stream.poll_read_ready(cx), || stream.try_read(buffer))
+}
+
+/// Writes as much as there is room for.
+///
+/// # Errors
+/// If the connection is broken.
+pub fn poll_write(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    bytes: &[u8],
+) -> Poll<io::Result<usize>> {
+    when_ready(|| stream.poll_write_ready(cx), || stream.try_write(bytes))
+}
+
+/// As [`poll_write`], from several buffers.
+///
+/// # Errors
+/// If the connection is broken.
+pub fn poll_write_vectored(
+    stream: &TcpStream,
+    cx: &mut Context<'_>,
+    buffers: &[io::IoSlice<'_>],
+) -> Poll<io::Result<usize>> {
+    when_ready(
+        || stream.poll_write_ready(cx),
+        || stream.try_write_vectored(buffers),
+    )
+}
+
+/// Ends this side of the connection.
+///
+/// # Errors
+/// If the connection is broken.
+pub fn shutdown(stream: &TcpStream) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write)
+}
+
+/// Whether anything that has arrived is unread; the system is asked, since the runtime may not
+/// have looked for a while.
+#[must_use]
+pub fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Ok(read) if read > 0)
+}
+
+/// Tries as often as the socket says that it is ready; it may turn out not to be.
+fn when_ready<T>(
+    mut poll_ready: impl FnMut() -> Poll<io::Result<()>>,
+    mut act: impl FnMut() -> io::Result<T>,
+) -> Poll<io::Result<T>> {
+    loop {
+        ready!(poll_ready())?;
+        match act() {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            done => return Poll::Ready(done),
+        }
+    }
+}
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -12,11 +12,14 @@
 use hyper::Method;
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
+use mintridge_node::settings::Settings;
 use mintridge_standin::relay::Condition;
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::upstream::{Manner, Result as Answer};
 use rstest::rstest;
 use rustix::process::Signal;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 fn bytes(length: usize) -> Call {
     Call {
@@ -333,3 +336,38 @@
         "{told:?}"
     );
 }
+
+/// Longer than a frozen node's callers may take for a header section.
+const FROZEN: Duration = Duration::from_millis(900);
+
+fn short_header_time(settings: &mut Settings) {
+    settings.callers.header_within = Duration::from_millis(500);
+}
+
+/// Guards against a request that waits in its connection while the node is frozen and ends without a word.
+#[tokio::test]
+async fn frozen_node_answers_what_arrived_meanwhile() {
+    let scene = processes(Plan {
+        adjust: short_header_time,
+        ..hosts(1)
+    })
+    .await;
+    for play in 0..5 {
+        let entry = scene.addresses(0).callers;
+        let mut idle = TcpStream::connect(entry).await.expect("connected");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        scene.process(0).signal(Signal::STOP).expect("frozen");
+        let head = "GET / HTTP/1.1\r\nhost: a\r\nmintridge-service: service\r\n\
+                    mintridge-client-account: a\r\nmintridge-timeout-ms: 5000\r\n\
+                    connection: close\r\n\r\n";
+        idle.write_all(head.as_bytes()).await.expect("sent");
+        tokio::time::sleep(FROZEN).await;
+        scene.process(0).signal(Signal::CONT).expect("woken");
+        let mut answer = String::new();
+        let read = idle.read_to_string(&mut answer).await;
+        assert!(
+            answer.starts_with("HTTP/1.1 "),
+            "play {play}: {read:?} {answer:?}"
+        );
+    }
+}
