fix(link): a link is not given up while what was waited for lies unread in its socket

What callers saw: 502, link lost, unknown, for everything in progress on a link between two sound nodes.

Cause: the HTTP/2 library asks its ping timer before it reads the socket, so a thread that did not run for 0.7 s finds the timer elapsed and closes the link with the pong unread. The check before a request was sent gave up links, and did not take new ones, in the same way.

New line "link ended under requests": why, age, how many.

Why this holds: these timers elapse only when the system says that nothing that has arrived is unread; a silent peer leaves nothing unread, so that it is found as quickly as before.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -173,7 +173,7 @@
         shared: Arc::clone(&shared),
     };
     let mut builder = builder.clone();
-    builder.timer(Timer::new(Arc::clone(stream)));
+    builder.timer(Timer::new(stream));
     let mut connection = pin!(builder.serve_connection(io, service));
     let idle_when_closing = async {
         closing(&mut phase).await;
--- a/crates/http/src/quiet_timer.rs
+++ b/crates/http/src/quiet_timer.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
@@ -19,14 +19,16 @@
 /// Failure: the process is frozen or starved for longer than a timeout, and what was waited for has
 /// arrived meanwhile. Symptom: the runtime fires the timer before it has looked at the socket, and
 /// the connection ends with a request or an answer in its buffer. The system is asked instead.
+///
+/// It does not keep the connection open.
 #[derive(Clone, Debug)]
-pub struct Timer(Arc<TcpStream>);
+pub struct Timer(Weak<TcpStream>);
 
 impl Timer {
     /// Makes timers for this connection.
     #[must_use]
-    pub const fn new(stream: Arc<TcpStream>) -> Self {
-        Self(stream)
+    pub fn new(stream: &Arc<TcpStream>) -> Self {
+        Self(Arc::downgrade(stream))
     }
 }
 
@@ -38,7 +40,7 @@
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
         Box::pin(Quiet {
             sleep: Box::pin(tokio::time::sleep_until(deadline.into())),
-            stream: Arc::clone(&self.0),
+            stream: Weak::clone(&self.0),
         })
     }
 }
@@ -46,7 +48,7 @@
 /// Elapses once its time is over and nothing that has arrived is unread.
 struct Quiet {
     sleep: Pin<Box<tokio::time::Sleep>>,
-    stream: Arc<TcpStream>,
+    stream: Weak<TcpStream>,
 }
 
 impl Sleep for Quiet {}
@@ -57,7 +59,8 @@
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             ready!(self.sleep.as_mut().poll(cx));
-            if !has_unread(&self.stream) {
+            let stream = self.stream.upgrade();
+            if !stream.is_some_and(|stream| has_unread(&stream)) {
                 return Poll::Ready(());
             }
             let again = tokio::time::Instant::now() + LOOK_EVERY;
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -1,11 +1,60 @@
-//! A socket that is read and written without exclusive access.
+//! A socket with several owners, read and written without exclusive access.
 
 use std::io;
 use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// A handle of a socket that others hold as well; one of them reads and one writes.
+#[derive(Clone, Debug)]
+pub struct Shared(pub Arc<TcpStream>);
+
+impl AsyncRead for Shared {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let read = ready!(poll_read(&self.0, cx, buffer.initialize_unfilled()))?;
+        buffer.advance(read);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Shared {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        poll_write(&self.0, cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        poll_write_vectored(&self.0, cx, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(shutdown(&self.0))
+    }
+}
+
 /// Reads what has arrived.
 ///
 /// # Errors
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -3,12 +3,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use hyper::body::Incoming;
 use hyper::client::conn::http2;
+use hyper::rt::Timer as _;
 use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use mintridge_http::quiet_timer::Timer;
+use mintridge_http::socket::Shared;
 use mintridge_http::{Body, reply};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -41,6 +45,30 @@
 
 type Sender = http2::SendRequest<Body>;
 
+/// An open link and how many requests are in progress on it.
+#[derive(Clone, Debug)]
+struct Link {
+    sender: Sender,
+    timer: Timer,
+    in_progress: Arc<AtomicUsize>,
+}
+
+/// A request in progress on a link until this is dropped.
+struct InProgress(Arc<AtomicUsize>);
+
+impl InProgress {
+    fn begin(link: &Link) -> Self {
+        link.in_progress.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(&link.in_progress))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// The question whether a request has a slot; `None` if its number cannot be sent.
 #[must_use]
 pub fn slot_question(number: &str) -> Option<Request<Body>> {
@@ -63,7 +91,7 @@
 /// A link and what is known of it. Whoever checks it or opens a new one holds the lock of `open`.
 #[derive(Debug, Default)]
 struct Slot {
-    open: tokio::sync::Mutex<Option<Sender>>,
+    open: tokio::sync::Mutex<Option<Link>>,
     seen: Mutex<Seen>,
 }
 
@@ -145,8 +173,9 @@
         let until = until.into();
         let slot = self.slot(address);
         let ready = tokio::time::timeout_at(until, self.ready(&slot, address)).await;
-        let mut sender = ready.map_err(|_| Error::NoLinkInTime)??;
-        let sent = tokio::time::timeout_at(until, sender.try_send_request(request)).await;
+        let mut link = ready.map_err(|_| Error::NoLinkInTime)??;
+        let _in_progress = InProgress::begin(&link);
+        let sent = tokio::time::timeout_at(until, link.sender.try_send_request(request)).await;
         match sent.map_err(|_| Error::Unanswered)? {
             Ok(response) => {
                 slot.heard();
@@ -182,14 +211,14 @@
     /// Failure: a host falls silent while many requests wait for its link. Symptom: each makes an
     /// attempt of its own when its turn comes, and the last ones meet their deadline in the line.
     /// An attempt that failed while a request waited tells it what one of its own would.
-    async fn ready(&self, slot: &Slot, address: SocketAddr) -> Result<Sender, Error> {
+    async fn ready(&self, slot: &Slot, address: SocketAddr) -> Result<Link, Error> {
         let asked_at = Instant::now();
         let mut open = slot.open.lock().await;
-        if let Some(sender) = open.as_mut()
-            && !sender.is_closed()
-            && self.is_alive(slot, sender).await
+        if let Some(link) = open.as_mut()
+            && !link.sender.is_closed()
+            && self.is_alive(slot, link).await
         {
-            return Ok(sender.clone());
+            return Ok(link.clone());
         }
         if open.take().is_some() {
             log::info!(peer:% = address; "link ended or is silent; another is opened");
@@ -199,9 +228,9 @@
             return Err(Error::NeverSent);
         }
         let opened = self.open(address).await;
-        if let Ok(sender) = &opened {
+        if let Ok(link) = &opened {
             slot.heard();
-            *open = Some(sender.clone());
+            *open = Some(link.clone());
         } else {
             slot.seen.lock().failed_at = Some(Instant::now());
             let took = asked_at.elapsed().as_millis();
@@ -210,39 +239,41 @@
         opened
     }
 
-    async fn open(&self, address: SocketAddr) -> Result<Sender, Error> {
-        let mut sender = self.connect(address).await?;
-        if self.answers(&mut sender).await {
-            Ok(sender)
+    async fn open(&self, address: SocketAddr) -> Result<Link, Error> {
+        let mut link = self.connect(address).await?;
+        if self.answers(&mut link).await {
+            Ok(link)
         } else {
             Err(Error::NeverSent)
         }
     }
 
-    async fn is_alive(&self, slot: &Slot, sender: &mut Sender) -> bool {
+    async fn is_alive(&self, slot: &Slot, link: &mut Link) -> bool {
         let since = Instant::now().checked_sub(self.settings.check_after_idle);
         if slot.was_heard_since(since) {
             return true;
         }
-        let alive = self.answers(sender).await;
+        let alive = self.answers(link).await;
         if alive {
             slot.heard();
         }
         alive
     }
 
-    async fn answers(&self, sender: &mut Sender) -> bool {
+    async fn answers(&self, link: &mut Link) -> bool {
         let request = Request::builder()
             .method(Method::GET)
             .uri(format!("http://peer{CHECK_PATH}"))
             .body(reply::empty());
         let Ok(request) = request else { return false };
-        let check = sender.send_request(request);
-        let answered = tokio::time::timeout(self.settings.check_within, check).await;
-        matches!(answered, Ok(Ok(_)))
+        tokio::select! {
+            biased;
+            answered = link.sender.send_request(request) => answered.is_ok(),
+            () = link.timer.sleep(self.settings.check_within) => false,
+        }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<Sender, Error> {
+    async fn connect(&self, address: SocketAddr) -> Result<Link, Error> {
         let connected = self.handshake(address);
         tokio::time::timeout(self.settings.connect_within, connected)
             .await
@@ -250,24 +281,61 @@
     }
 
     /// Pings run only while requests are open, so that idle links cost nothing.
-    async fn handshake(&self, address: SocketAddr) -> Result<Sender, Error> {
+    async fn handshake(&self, address: SocketAddr) -> Result<Link, Error> {
         let stream = TcpStream::connect(address)
             .await
             .map_err(|_| Error::NeverSent)?;
         stream.set_nodelay(true).map_err(|_| Error::NeverSent)?;
+        let stream = Arc::new(stream);
+        let timer = Timer::new(&stream);
         let (sender, connection) = http2::Builder::new(TokioExecutor::new())
-            .timer(TokioTimer::new())
+            .timer(timer.clone())
             .keep_alive_interval(self.settings.ping_every)
             .keep_alive_timeout(self.settings.ping_within)
             .keep_alive_while_idle(false)
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Shared(stream)))
             .await
             .map_err(|_| Error::NeverSent)?;
+        let in_progress = Arc::new(AtomicUsize::new(0));
+        let link = Link {
+            sender,
+            timer,
+            in_progress: Arc::clone(&in_progress),
+        };
+        let opened_at = Instant::now();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(peer:% = address, error:% = error; "link ended");
-            }
+            let ended = connection.await;
+            log_end(
+                address,
+                opened_at,
+                in_progress.load(Ordering::Relaxed),
+                ended,
+            );
         });
-        Ok(sender)
+        Ok(link)
+    }
+}
+
+/// One line for a link that ended under requests, whose outcome is unknown from here on.
+fn log_end(
+    address: SocketAddr,
+    opened_at: Instant,
+    in_progress: usize,
+    ended: Result<(), hyper::Error>,
+) {
+    let reason = match ended {
+        Ok(()) => String::from("closed, or no pong in time"),
+        Err(error) => error.to_string(),
+    };
+    if in_progress == 0 {
+        log::debug!(peer:% = address, reason = &*reason; "link ended");
+        return;
     }
+    log::warn!(
+        peer:% = address,
+        age_ms:% = opened_at.elapsed().as_millis(),
+        in_progress = in_progress,
+        reason = &*reason;
+        "link ended under requests"
+    );
 }
--- a/crates/node/tests/link.rs
+++ b/crates/node/tests/link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,10 +14,17 @@
 use mintridge_http::reply;
 use mintridge_node::configs::link::Settings;
 use mintridge_node::link::{CHECK_PATH, Error, Links};
+use mintridge_standin::relay::{Condition, Relay};
+use mintridge_standin::scene::loopback;
+use rstest::rstest;
 use tokio::net::TcpListener;
 
 /// Time that the peer takes for a request.
 const TAKES: Duration = Duration::from_millis(1_500);
+/// Time for which this side's thread does not run; the peer's pong comes meanwhile.
+const STARVED: Duration = Duration::from_millis(400);
+/// Milliseconds that bytes take to the peer, and back.
+const WAY: u64 = 50;
 
 /// A peer on a thread of its own, which answers every check and counts the other requests.
 fn peer() -> (SocketAddr, Arc<AtomicU32>) {
@@ -54,6 +62,21 @@
     }
 }
 
+/// The address of a relay to the peer that takes its time.
+fn far(peer: SocketAddr) -> SocketAddr {
+    let (told, address) = mpsc::channel();
+    thread::spawn(move || {
+        runtime().block_on(async move {
+            let (listener, address) = loopback().await.expect("a port");
+            told.send(address).expect("the test waits");
+            let relay = Arc::new(Relay::default());
+            relay.set(Condition::Slow(WAY));
+            relay.run(listener, peer).await;
+        });
+    });
+    address.recv().expect("the relay listens")
+}
+
 /// A peer that accepts connections and never says anything.
 fn mute() -> (SocketAddr, std::net::TcpListener) {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -65,6 +88,34 @@
     request.body(reply::empty()).expect("a request")
 }
 
+/// Guards against a link that is given up because this node's own thread was starved.
+#[rstest]
+#[case::while_it_opens(Duration::ZERO)]
+#[case::under_a_request(TAKES / 3)]
+fn send_outlives_a_thread_that_does_not_run(#[case] starved_after: Duration) {
+    let (peer, _) = peer();
+    let address = far(peer);
+    let links = Links::new(Settings {
+        ping_every: Duration::from_millis(100),
+        ping_within: Duration::from_millis(200),
+        ..Settings::default()
+    });
+    let sent = runtime().block_on(async {
+        let starving = async {
+            tokio::time::sleep(starved_after).await;
+            loop {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                thread::sleep(STARVED);
+            }
+        };
+        tokio::select! {
+            sent = links.send(address, request(), Instant::now() + 4 * TAKES) => sent,
+            () = starving => unreachable!(),
+        }
+    });
+    assert!(sent.is_ok(), "{sent:?}");
+}
+
 /// Guards against "may have run" for a request that met its deadline while a link was being opened.
 #[test]
 fn send_says_that_nothing_was_sent_by_the_deadline() {
