--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,6 +1,7 @@
 //! Links to peers: one HTTP/2 connection to each, checked while it is in use.
 
 use std::collections::HashMap;
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -325,7 +326,9 @@
 ) {
     let reason = match ended {
         Ok(()) => String::from("closed, or no pong in time"),
-        Err(error) => error.to_string(),
+        Err(error) => error
+            .source()
+            .map_or_else(|| error.to_string(), |source| format!("{error}: {source}")),
     };
     if in_progress == 0 {
         log::debug!(peer:% = address, reason = &*reason; "link ended");
