fix(quarantine): a common request that was answered before is not blamed beside one that never was

What callers saw: after a loss of all upstreams of a service, 503 quarantined for a request that everybody sends, for seconds; not run, and nobody was to blame but another request.

Fix: the node beside an upstream remembers what it answered (bounded) and tells its control part of requests that are answered again and again. An answer known before an end travels as an end that was cleared, so no message changes; of requests that explain the ends equally well those that were ever answered are blamed only if all were. Elsewhere: a request that was answered before it became deadly is blamed as before, and one blamed in its place is let go at the next end.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 //! measuring may cost).
 
 pub mod admission;
+pub mod answered;
 pub mod attempts;
 pub mod audience;
 pub mod bootstrap;
--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -10,7 +10,8 @@
 //! of those in progress shows by comparison: a request under which [`ends_least`] ended that no
 //! other request explains better is held back, the others of the same ends are not. A request that
 //! an upstream answers is cleared of the ends known then: one that is common is in progress at
-//! many ends, and is answered all the time.
+//! many ends, and is answered all the time. Where requests explain the ends equally well, those that
+//! were ever answered are not blamed beside one that never was.
 //!
 //! A request that is held back is tried now and then, by one node, so that one that was blamed
 //! by chance, or whose upstreams were mended, is not refused for good, and one that still ends
@@ -26,6 +27,7 @@
 use serde::{Deserialize, Serialize};
 use siphasher::sip::SipHasher13;
 
+use crate::answered::Answered;
 use crate::configs::quarantine::Settings;
 use crate::fingerprint::Fingerprint;
 use crate::screen::Screen;
@@ -53,7 +55,8 @@
 pub struct Suspect {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Ends at which it was in progress, by their ids.
+    /// Ends at which it was in progress, by their ids; an answer known before an end stands here
+    /// as an end that was cleared.
     pub ends: Vec<End>,
     /// Times it was tried while held back.
     pub trials: u32,
@@ -110,6 +113,8 @@
     node: u64,
     ends_seen: u64,
     suspects: BTreeMap<Fingerprint, Known>,
+    /// Requests that this node's upstream answered.
+    answered: Answered,
 }
 
 #[derive(Debug)]
@@ -126,17 +131,22 @@
     fn open_ends(&self) -> impl Iterator<Item = &End> {
         self.ends.values().filter(|end| !end.cleared)
     }
+
+    fn was_answered(&self) -> bool {
+        self.ends.values().any(|end| end.cleared)
+    }
 }
 
 impl Quarantine {
     /// Knows of nothing; `node` tells nodes and their starts apart.
     #[must_use]
-    pub const fn new(settings: Settings, node: u64) -> Self {
+    pub fn new(settings: Settings, node: u64) -> Self {
         Self {
             settings,
             node,
             ends_seen: 0,
             suspects: BTreeMap::new(),
+            answered: Answered::default(),
         }
     }
 
@@ -245,12 +255,21 @@
             service: digest_of(service),
             cleared: false,
         };
+        let answered_before = End {
+            id: digest_of((end.id, "answered before")),
+            cleared: true,
+            ..end
+        };
         let forgotten_at = now + self.settings.remember_for;
         let mut change = Change::None;
         for fingerprint in in_progress {
+            let mut ends = vec![end];
+            if self.answered.contains(*fingerprint) {
+                ends.push(answered_before);
+            }
             let suspect = Suspect {
                 fingerprint: *fingerprint,
-                ends: vec![end],
+                ends,
                 trials: 0,
                 forgotten_at,
             };
@@ -262,6 +281,7 @@
     /// An answer clears a request of the ends of the answering service: another service that gets
     /// part of its traffic may well be able to run it.
     fn answered(&mut self, now: Instant, service: &str, fingerprint: Fingerprint) -> Change {
+        self.answered.note(fingerprint);
         let service = digest_of(service);
         let by_head = Fingerprint {
             body: None,
@@ -362,6 +382,9 @@
     /// Failure: six requests are in progress at each end, and some innocent ones are common.
     /// Symptom: held back for their number of ends alone, half a service would be refused. The
     /// request with most ends explains all of them; another is to blame only for what is left.
+    ///
+    /// Failure: all upstreams of a service end at once, with a common request in progress at each.
+    /// Symptom: it has as many ends as the one to blame, and its callers are refused for seconds.
     fn to_blame(&self) -> BTreeSet<Fingerprint> {
         let mut blamed = BTreeSet::new();
         let mut explained: BTreeSet<u64> = BTreeSet::new();
@@ -382,6 +405,11 @@
             if heaviest.is_empty() {
                 return blamed;
             }
+            let never_answered =
+                |fingerprint: &Fingerprint| !self.suspects[fingerprint].was_answered();
+            if heaviest.iter().any(never_answered) {
+                heaviest.retain(never_answered);
+            }
             for fingerprint in heaviest {
                 let ends = self.suspects[&fingerprint].open_ends();
                 explained.extend(ends.map(|end| end.id));
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -127,6 +127,53 @@
     assert!(!is_held(&node, now, common));
 }
 
+/// Guards against a request that is spared for ever since it was answered before it began to end upstreams.
+#[test]
+fn ended_blames_a_request_that_was_answered_before() {
+    let now = Instant::now();
+    let mut node = node(0);
+    let guilty = request(1);
+    for _ in 0..20 {
+        node.seen(now, answered("service", guilty));
+    }
+    for n in 0..3 {
+        node.seen(now, ended(&[guilty, request(10 + n)]));
+    }
+    assert!(is_held(&node, now, guilty));
+}
+
+/// Guards against an innocent request that stays blamed in place of one that was answered before.
+#[test]
+fn ended_corrects_whom_it_blames_by_the_next_end() {
+    let now = Instant::now();
+    let mut node = node(0);
+    let (guilty, slow) = (request(1), request(2));
+    node.seen(now, answered("service", guilty));
+    for _ in 0..3 {
+        node.seen(now, ended(&[guilty, slow]));
+    }
+    node.seen(now, ended(&[guilty]));
+    assert!(is_held(&node, now, guilty));
+    assert!(!is_held(&node, now, slow));
+}
+
+/// Guards against a common request that is held back on nodes whose own upstream never answered it.
+#[test]
+fn ended_tells_other_nodes_what_was_answered_before() {
+    let now = Instant::now();
+    let mut nodes: Vec<Quarantine> = (0..4).map(node).collect();
+    let (guilty, common) = (request(1), request(2));
+    for node in &mut nodes[..3] {
+        node.seen(now, answered("service", common));
+        node.seen(now, ended(&[guilty, common]));
+    }
+    spread(now, &mut nodes);
+    for node in &nodes {
+        assert!(is_held(node, now, guilty));
+        assert!(!is_held(node, now, common));
+    }
+}
+
 /// Two requests end upstreams at the same time, each its own. Both are held back, since neither
 /// explains the ends of the other.
 #[test]
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -24,6 +24,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use mintridge_core::admission::{Action, Admission};
+use mintridge_core::answered::Answered;
 use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
 use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::gate::Gate;
@@ -95,6 +96,8 @@
     runs: Runs,
     /// Requests that are held back and tried at this moment.
     trials: HashSet<Fingerprint>,
+    /// Requests that the upstream answered.
+    answered: Answered,
 }
 
 /// Serves peers until the node closes their listener.
@@ -196,6 +199,7 @@
                 next_id: 0,
                 runs: Runs::default(),
                 trials: HashSet::new(),
+                answered: Answered::default(),
             }),
             queued: Notify::new(),
             reporting: Reporting::default(),
--- a/crates/node/src/guard/screening.rs
+++ b/crates/node/src/guard/screening.rs
@@ -134,14 +134,14 @@
         sent
     }
 
-    /// The upstream answered: a request that was suspected is cleared.
+    /// The upstream answered: a request that was suspected is cleared, and one that is answered
+    /// again and again is remembered.
     pub(super) fn clear(&self, head: &Head, digest: &Digest) {
-        let screen = self.context.screen();
-        if screen.is_empty() {
-            return;
-        }
         let fingerprint = digest.fingerprint();
-        if screen.suspects(fingerprint) {
+        let times = self.state.lock().answered.note(fingerprint);
+        // Told at each doubling, which bounds the messages and makes up for one that was lost.
+        let is_common = times > 1 && times.is_power_of_two();
+        if is_common || self.context.screen().suspects(fingerprint) {
             self.suspicion(Event::Answered {
                 service: Arc::clone(&head.service),
                 fingerprint,
