--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
+use std::fs;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::{Plan, ROUTES, Scene, processes, route, table, write_table};
+use mintridge_node::settings::Settings;
 use mintridge_standin::relay::{Condition, Relay};
 use mintridge_standin::scene::loopback;
 use rstest::rstest;
@@ -112,3 +114,58 @@
     let took = written_at.elapsed();
     assert!(took < IN_FORCE_WITHIN, "{took:?}");
 }
+
+/// Guards against a change that waits for a watch whose connection has fallen silent for good.
+#[tokio::test]
+async fn change_is_in_force_though_connections_to_the_store_fell_silent() {
+    let (scene, relays) = relayed_stores().await;
+    for relay in relays {
+        relay.lose_open_connections();
+    }
+    let written_at = Instant::now();
+    write(&scene, 2);
+    until_version(&scene, &ALL, 2).await;
+    let took = written_at.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+}
+
+/// Columns of the system's table of connections: the other end, the state, the timer that runs.
+const PEER: usize = 2;
+const STATE: usize = 3;
+const TIMER: usize = 5;
+const ESTABLISHED: &str = "01";
+/// A timer that repeats what was not acknowledged yet.
+const RETRANSMIT: &str = "01:";
+/// A timer that probes an idle connection.
+const KEEP_ALIVE: &str = "02";
+/// Kernel ticks in which a watch that fell silent alone has to be probed first: a second.
+const PROBED_WITHIN_TICKS: u64 = 100;
+
+/// Guards against a watch that falls silent alone, while checks on another connection are answered.
+#[tokio::test]
+async fn watches_of_the_store_are_probed() {
+    let (scene, _relays) = relayed_stores().await;
+    let (readers, _) = readers(&scene).await;
+    for reader in readers {
+        let process = scene.process(reader);
+        let settings = process.settings().expect("its settings");
+        let settings: Settings = json5::from_str(&settings).expect("settings");
+        let peer = format!("0100007F:{:04X}", settings.store.address.port());
+        let table = fs::read_to_string(format!("/proc/{}/net/tcp", process.id()));
+        let table = table.expect("connections");
+        let timers: Vec<&str> = table
+            .lines()
+            .map(|line| line.split_whitespace().collect::<Vec<_>>())
+            .filter(|columns| columns[PEER] == peer && columns[STATE] == ESTABLISHED)
+            .map(|columns| columns[TIMER])
+            .filter(|timer| !timer.starts_with(RETRANSMIT))
+            .collect();
+        assert!(!timers.is_empty(), "no connection to the store");
+        for timer in timers {
+            let (kind, due) = timer.split_once(':').expect("a timer");
+            let due = u64::from_str_radix(due, 16).expect("ticks");
+            assert_eq!(kind, KEEP_ALIVE, "{timer}");
+            assert!(due <= PROBED_WITHIN_TICKS, "{timer}");
+        }
+    }
+}
