fix(http): the time for the next header section runs from the end of the last answer

What callers saw: the request after a slow answer ended without a word, not run, on nodes that were not stopping.

Cause: the time ran from the moment at which the last request was read. If that took 4.9 of 5 s, its answer promised that the connection goes on, and it ended 0.1 s later.

Why this holds: a timer whose time is over is held off until the time has passed since the last answer was written.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -62,11 +62,39 @@
     used: AtomicBool,
     /// No further request is taken.
     stopped: AtomicBool,
+    /// Since when all that was read is answered; none while an answer is being written.
+    idle_since: Mutex<Option<Instant>>,
     /// Stubs that the writing side has read, with their answers.
     begun: Mutex<VecDeque<Pending>>,
     phase: watch::Receiver<Phase>,
 }
 
+impl Shared {
+    /// Notes whether all that was read is answered.
+    fn note_idle(&self, is_idle: bool) {
+        let mut idle_since = self.idle_since.lock();
+        if is_idle {
+            idle_since.get_or_insert_with(Instant::now);
+        } else {
+            *idle_since = None;
+        }
+    }
+
+    /// Until when the next header section may be awaited at least.
+    ///
+    /// Failure: a request takes nearly as long as the next header section may. Symptom: its answer
+    /// says nothing of an end, and the connection ends right behind it, with the caller's next
+    /// request on its way. The time is counted from the end of the last answer. One that is not
+    /// begun yet can still say that the connection ends, so it holds off nothing.
+    fn next_header_by(&self, header_within: Duration) -> Option<Instant> {
+        if self.unanswered.load(Ordering::Relaxed) > 0 {
+            return None;
+        }
+        let idle_since = self.idle_since.lock().unwrap_or_else(Instant::now);
+        Some(idle_since + header_within)
+    }
+}
+
 /// Serves one connection.
 ///
 /// At most `most` requests are worked on at once; further ones wait in the socket. When the
@@ -76,6 +104,7 @@
     stream: TcpStream,
     builder: &http1::Builder,
     most: usize,
+    header_within: Duration,
     phase: watch::Receiver<Phase>,
     respond: F,
 ) where
@@ -88,11 +117,20 @@
         unanswered: AtomicUsize::new(0),
         used: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
+        idle_since: Mutex::new(Some(Instant::now())),
         begun: Mutex::default(),
         phase: phase.clone(),
     });
     let (sender, pending) = mpsc::unbounded_channel();
-    let reading = read(&stream, builder, most, Arc::clone(&shared), sender, respond);
+    let reading = read(
+        &stream,
+        builder,
+        most,
+        header_within,
+        Arc::clone(&shared),
+        sender,
+        respond,
+    );
     let writing = write(&stream, builder.clone(), shared, pending);
     let mut unread = 0;
     tokio::select! {
@@ -121,6 +159,7 @@
     stream: &Arc<TcpStream>,
     builder: &http1::Builder,
     most: usize,
+    header_within: Duration,
     shared: Arc<Shared>,
     sender: mpsc::UnboundedSender<Pending>,
     respond: F,
@@ -173,7 +212,9 @@
         shared: Arc::clone(&shared),
     };
     let mut builder = builder.clone();
-    builder.timer(Timer::new(stream));
+    let of_timer = Arc::clone(&shared);
+    let not_before = move || of_timer.next_header_by(header_within);
+    builder.timer(Timer::held_off(stream, not_before));
     let mut connection = pin!(builder.serve_connection(io, service));
     let idle_when_closing = async {
         closing(&mut phase).await;
--- a/crates/http/src/pipeline/side.rs
+++ b/crates/http/src/pipeline/side.rs
@@ -77,7 +77,10 @@
         cx: &mut Context<'_>,
         mut buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        if let Some(pending) = ready!(self.pending.poll_recv(cx)) {
+        let polled = self.pending.poll_recv(cx);
+        // The next stub is asked for once the answer before it is on its way.
+        self.shared.note_idle(polled.is_pending());
+        if let Some(pending) = ready!(polled) {
             buffer.put_slice(pending.stub);
             self.shared.begun.lock().push_back(pending);
         }
--- a/crates/http/src/quiet_timer.rs
+++ b/crates/http/src/quiet_timer.rs
@@ -1,5 +1,6 @@
 //! Timers of one connection that do not elapse while bytes that have arrived on it are unread.
 
+use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::{Arc, Weak};
@@ -21,14 +22,52 @@
 /// the connection ends with a request or an answer in its buffer. The system is asked instead.
 ///
 /// It does not keep the connection open.
-#[derive(Clone, Debug)]
-pub struct Timer(Weak<TcpStream>);
+#[derive(Clone)]
+pub struct Timer {
+    stream: Weak<TcpStream>,
+    not_before: NotBefore,
+}
+
+/// Tells the instant before which no timer of the connection may elapse, if there is one.
+type NotBefore = Arc<dyn Fn() -> Option<Instant> + Send + Sync>;
+
+impl fmt::Debug for Timer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Timer").finish_non_exhaustive()
+    }
+}
 
 impl Timer {
     /// Makes timers for this connection.
     #[must_use]
     pub fn new(stream: &Arc<TcpStream>) -> Self {
-        Self(Arc::downgrade(stream))
+        Self::held_off(stream, || None)
+    }
+
+    /// Makes timers for this connection that do not elapse before the instant that `not_before`
+    /// tells when their time is over.
+    #[must_use]
+    pub fn held_off(
+        stream: &Arc<TcpStream>,
+        not_before: impl Fn() -> Option<Instant> + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            stream: Arc::downgrade(stream),
+            not_before: Arc::new(not_before),
+        }
+    }
+}
+
+impl Timer {
+    /// When to look again, if a timer whose time is over must not elapse yet.
+    fn again_at(&self, now: Instant) -> Option<Instant> {
+        if let Some(not_before) = (self.not_before)()
+            && not_before > now
+        {
+            return Some(not_before);
+        }
+        let stream = self.stream.upgrade()?;
+        has_unread(&stream).then(|| now + LOOK_EVERY)
     }
 }
 
@@ -40,7 +79,7 @@
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
         Box::pin(Quiet {
             sleep: Box::pin(tokio::time::sleep_until(deadline.into())),
-            stream: Weak::clone(&self.0),
+            timer: self.clone(),
         })
     }
 }
@@ -48,7 +87,7 @@
 /// Elapses once its time is over and nothing that has arrived is unread.
 struct Quiet {
     sleep: Pin<Box<tokio::time::Sleep>>,
-    stream: Weak<TcpStream>,
+    timer: Timer,
 }
 
 impl Sleep for Quiet {}
@@ -59,12 +98,11 @@
     fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             ready!(self.sleep.as_mut().poll(cx));
-            let stream = self.stream.upgrade();
-            if !stream.is_some_and(|stream| has_unread(&stream)) {
+            let now = Instant::now();
+            let Some(again) = self.timer.again_at(now) else {
                 return Poll::Ready(());
-            }
-            let again = tokio::time::Instant::now() + LOOK_EVERY;
-            self.sleep.as_mut().reset(again);
+            };
+            self.sleep.as_mut().reset(again.into());
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -178,10 +178,10 @@
             return;
         };
         let working = self.working.clone();
-        let builder = http1(&self.limits);
+        let limits = self.limits.clone();
         let phase = self.phase.clone();
         tokio::spawn(async move {
-            pipelined(connection, handler, &builder, most, phase).await;
+            pipelined(connection, handler, &limits, most, phase).await;
             drop(working);
         });
     }
@@ -253,7 +253,7 @@
 async fn pipelined<H>(
     connection: Connection,
     handler: Arc<H>,
-    builder: &hyper::server::conn::http1::Builder,
+    limits: &Limits,
     most: usize,
     phase: watch::Receiver<Phase>,
 ) where
@@ -264,7 +264,17 @@
         log::debug!(error:% = error; "no-delay not set");
     }
     let respond = move |request| handle(Arc::clone(&handler), request, peer);
-    pipeline::serve(connection.stream, builder, most, phase, respond).await;
+    let builder = http1(limits);
+    let header_within = limits.header_within;
+    pipeline::serve(
+        connection.stream,
+        &builder,
+        most,
+        header_within,
+        phase,
+        respond,
+    )
+    .await;
     drop(connection.counted);
 }
 
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -90,6 +90,22 @@
     assert!(text.contains(SAYS_CLOSE), "{text}");
 }
 
+/// Guards against a connection that ends right behind an answer that took nearly the time for a header.
+#[test]
+fn serve_gives_the_time_for_a_header_after_the_answer() {
+    let server = start_with(Limits {
+        header_within: Duration::from_millis(400),
+        ..Limits::default()
+    });
+    let mut stream = connect(&server);
+    stream.write_all(get("300").as_bytes()).expect("sent");
+    let text = answers(&mut stream, 1);
+    assert!(!text.contains(SAYS_CLOSE), "{text}");
+    std::thread::sleep(Duration::from_millis(200));
+    stream.write_all(get("1").as_bytes()).expect("sent");
+    assert_eq!(bodies(&answers(&mut stream, 1)), ["1:"]);
+}
+
 /// A caller sends a proper request and behind it bytes that are none. The first is answered,
 /// and the answer says that nothing behind it was read.
 #[test]
