fix(entry): a request whose link was lost is told so by its deadline

What callers saw: 502, link lost, after their deadline, by as long as a new link takes to open.

Cause: the entry tried a new link before it answered, without an end.

--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -114,7 +114,10 @@
             never_sent(now, Reason::Deadline)
         }
         Err(link::Error::Broken) => {
-            if !entry.links.can_connect(address).await {
+            // Nobody waits for a new link beyond the time for an answer.
+            let reconnecting = entry.links.can_connect(address);
+            let reached = tokio::time::timeout_at(until.into(), reconnecting).await;
+            if reached != Ok(true) {
                 placed.ending = Ending::Avoid;
             }
             may_have_run(now, Reason::LinkLost)
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -4,8 +4,11 @@
 
 use std::time::{Duration, Instant};
 
-use common::{ENTRY, Plan, bare_post, get, hosts, processes, relayed, within};
+use common::{BEHIND, ENTRY, Plan, bare_post, get, hosts, processes, relayed, within};
+use mintridge_node::operators::Status;
 use mintridge_standin::relay::Condition;
+use mintridge_standin::scene::wait_for;
+use mintridge_standin::upstream::Manner;
 use tokio::task::JoinSet;
 
 /// Generous limit on any wait for a condition.
@@ -83,3 +86,37 @@
     let told = scene.call(ENTRY, &within(100, bare_post("waits"))).await;
     assert!(told.is_not_run(), "{told:?}");
 }
+
+/// Time in which a request with three seconds is told that its link was lost; a new link that falls
+/// silent as well takes five.
+const LOST_TOLD_WITHIN: Duration = Duration::from_millis(4_500);
+
+/// Guards against an answer that waits beyond its deadline for a new link after the old one was lost.
+#[tokio::test]
+async fn lost_link_is_told_at_the_deadline() {
+    let (mut scene, relay) = relayed().await;
+    let patient = scene.add_with("patient", "other", "zone-b", <_>::default(), |settings| {
+        settings.link.check_within = WAIT_MOST;
+        settings.link.ping_within = Duration::from_secs(2);
+    });
+    patient.await.expect("it starts");
+    let entry = scene.hosts.len() - 1;
+    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
+    scene.until_of(&[entry], "it knows the host", knows).await;
+    assert!(scene.call(entry, &get("opens-the-link")).await.is_success());
+    scene.behave(BEHIND, |behaviour| behaviour.manner = Manner::Silent);
+    let asking = {
+        let caller = scene.caller.clone();
+        let address = scene.addresses(entry).callers;
+        tokio::spawn(async move {
+            caller
+                .call(address, &within(3_000, bare_post("lost")))
+                .await
+        })
+    };
+    wait_for("the request runs", || scene.runs("lost") == 1).await;
+    relay.set(Condition::Silent);
+    let heard = asking.await.expect("the caller lives");
+    assert!(heard.told.is_unknown(), "{:?}", heard.told);
+    assert!(heard.took < LOST_TOLD_WITHIN, "told after {:?}", heard.took);
+}
