fix(http): a refused upload is read on for as long as its caller sends

What callers saw: a large upload refused, and no answer: the connection broke.

Cause: a closed connection was read for half a second in all; a caller that sends its whole body first needs longer, and the unread bytes reset the connection and the answer with it.

Why this holds: half a second is now the longest pause of the caller, and 30 s the bound.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -35,9 +35,10 @@
 use crate::socket::has_unread;
 use crate::{Body, reply};
 
-/// How long a closed connection is still read, so that what the caller has sent meanwhile
-/// does not reset the connection and take the last answer with it.
+/// How long the caller of a closed connection may pause before it is read no longer.
 const LINGER: Duration = Duration::from_millis(500);
+/// How long a closed connection is read at most: a large upload at ten megabits a second.
+const LINGER_MOST: Duration = Duration::from_secs(30);
 /// How long a connection that was accepted is kept for its first request while the listener
 /// closes: its caller was just told that it is connected, so a request is on its way.
 const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(500);
@@ -136,7 +137,8 @@
     tokio::select! {
         () = reading => {}
         () = writing => {
-            let _ = tokio::time::timeout(LINGER, until_gone(&stream, &mut unread)).await;
+            let lingering = linger(&stream, &mut unread);
+            let _ = tokio::time::timeout(LINGER_MOST, lingering).await;
         }
     }
     if unread > 0 {
@@ -309,6 +311,20 @@
     }
 }
 
+/// Reads what the caller still sends on a closed connection, until it is gone or pauses.
+///
+/// Failure: a large upload is refused, and its caller sends all of it before it reads the answer.
+/// Symptom: bytes that nobody reads reset the connection and take the answer with them.
+async fn linger(stream: &TcpStream, unread: &mut usize) {
+    loop {
+        let before = *unread;
+        let gone = tokio::time::timeout(LINGER, until_gone(stream, unread)).await;
+        if gone.is_ok() || *unread == before {
+            return;
+        }
+    }
+}
+
 /// Reads and throws away until the caller closes its side, counting the bytes.
 async fn until_gone(stream: &TcpStream, unread: &mut usize) {
     let mut scratch = [0_u8; SCRATCH];
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -90,6 +90,25 @@
     assert!(text.contains(SAYS_CLOSE), "{text}");
 }
 
+/// Guards against a refusal that is lost since its caller takes long to send the rest of its body.
+#[test]
+fn serve_delivers_a_refusal_to_who_sends_slowly() {
+    let server = start();
+    let mut stream = connect(&server);
+    let part = vec![7; 64 * 1024];
+    let parts = 40;
+    stream
+        .write_all(post(REFUSED, parts * part.len()).as_bytes())
+        .expect("sent");
+    for _ in 0..parts {
+        std::thread::sleep(Duration::from_millis(40));
+        stream.write_all(&part).expect("taken");
+    }
+    let text = rest(&mut stream);
+    assert!(text.contains(SAYS_CLOSE), "{text}");
+    assert!(text.ends_with("<refused:>"), "{text}");
+}
+
 /// Guards against a connection that ends right behind an answer that took nearly the time for a header.
 #[test]
 fn serve_gives_the_time_for_a_header_after_the_answer() {
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 use common::{bare_post, hosts, post, processes, processes_and_entry, runs, within};
 use mintridge_bench::caller::{Call, Told};
 use mintridge_core::outcome::{Outcome, Reason};
-use mintridge_standin::scene::wait_for;
+use mintridge_standin::scene::{Scene, wait_for};
 use mintridge_standin::store::Faults;
 use mintridge_standin::upstream::Manner;
 use mintridge_store::keys::{CLAIMS, SEEDS};
@@ -238,12 +238,21 @@
     }
 }
 
+/// Ends the upstream of the first host, and waits until its listener is closed: before that a
+/// connection is accepted and reset, and a request on it may have run for all that the node can know.
+async fn end_first_upstream(scene: &Scene) {
+    let address = scene.hosts[0].upstream_address;
+    scene.end_upstream(0);
+    let refused = || std::net::TcpStream::connect(address).is_err();
+    wait_for("connections are refused", refused).await;
+}
+
 /// The upstream does not accept connections: that is not run, and another host takes
 /// the request under the claim it already has.
 #[tokio::test]
 async fn unreachable_upstream_is_left_for_another() {
     let scene = processes(hosts(2)).await;
-    scene.end_upstream(0);
+    end_first_upstream(&scene).await;
     for round in 0..6 {
         let id = format!("id-{round}");
         let told = scene.call(0, &post(&id, &id)).await;
@@ -257,16 +266,11 @@
 #[tokio::test]
 async fn refused_everywhere_gives_the_claim_back() {
     let scene = processes(hosts(1)).await;
-    let address = scene.hosts[0].upstream_address;
-    scene.end_upstream(0);
-    // Until its listener is closed, a connection is accepted and reset, and the request may have
-    // run for all that the node can know.
-    let refused = || std::net::TcpStream::connect(address).is_err();
-    wait_for("connections are refused", refused).await;
+    end_first_upstream(&scene).await;
     let told = scene.call(0, &post("first", "key")).await;
     assert!(told.is_not_run(), "{told:?}");
     wait_for("the claim is given back", || scene.store.count(CLAIMS) == 0).await;
-    let listener = tokio::net::TcpListener::bind(address)
+    let listener = tokio::net::TcpListener::bind(scene.hosts[0].upstream_address)
         .await
         .expect("binds again");
     let phase = tokio::sync::watch::Sender::new(mintridge_http::server::Phase::Open);
