fix(guard): an upstream that starts again is not doubted for requests that waited for a connection

What callers saw: after an upstream's start, requests refused as not run, "doubtful", until a probe was answered.

The error says again that the upstream started, and besides whether the request had been sent.

--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -144,7 +144,7 @@
         digest: &Digest,
     ) -> Refusal {
         let verdict = match error {
-            upstream::Error::Restarted => None,
+            upstream::Error::Restarted { .. } => None,
             upstream::Error::NoConnectionInTime | upstream::Error::Unanswered => {
                 let state = self.state.lock();
                 state.health.silent(waited, state.admission.service_time())
@@ -161,10 +161,12 @@
             );
         }
         match error {
-            upstream::Error::NeverSent => self.not_run(Reason::Unreachable),
+            upstream::Error::NeverSent | upstream::Error::Restarted { sent: false } => {
+                self.not_run(Reason::Unreachable)
+            }
             upstream::Error::NoConnectionInTime => self.not_run(Reason::Deadline),
             upstream::Error::Unanswered => self.unknown(now, Reason::Deadline),
-            upstream::Error::Broken(_) | upstream::Error::Restarted => {
+            upstream::Error::Broken(_) | upstream::Error::Restarted { sent: true } => {
                 self.unknown(now, Reason::LinkLost)
             }
             upstream::Error::Foreign => self.unknown(now, Reason::ForeignAnswer),
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -46,9 +46,12 @@
     /// The connection broke, or the answer was cut short.
     #[error("the upstream broke off: {0}")]
     Broken(#[from] hyper::Error),
-    /// The upstream started again while the request was in it.
+    /// The upstream started again before it answered.
     #[error("the upstream started again before it answered")]
-    Restarted,
+    Restarted {
+        /// Whether the request was sent to the start before.
+        sent: bool,
+    },
     /// The answer belongs to another request, or bears no mark of the upstream.
     #[error("what came back is not the upstream's answer to this request")]
     Foreign,
@@ -162,12 +165,12 @@
         let connecting = tokio::time::timeout_at(deadline, self.connection(address));
         let connection = tokio::select! {
             connected = connecting => connected.map_err(|_| Error::NoConnectionInTime)??,
-            _ = starts.changed() => return Err(Error::NeverSent),
+            _ = starts.changed() => return Err(Error::Restarted { sent: false }),
         };
         let answered = tokio::time::timeout_at(deadline, self.exchange(connection, request));
         tokio::select! {
             received = answered => received.map_err(|_| Error::Unanswered)?,
-            _ = starts.changed() => Err(Error::Restarted),
+            _ = starts.changed() => Err(Error::Restarted { sent: true }),
         }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -18,6 +18,7 @@
 use mintridge_standin::scene::loopback;
 pub use mintridge_standin::scene::{Plan, Scene};
 use mintridge_standin::upstream::{Manner, Result as Answer};
+use socket2::{Domain, Socket, Type};
 
 /// A scene with each node as threads of this process.
 pub async fn threads(plan: Plan) -> Scene {
@@ -69,6 +70,20 @@
     address
 }
 
+/// A listener that takes no further connection, and the connections that fill its queue.
+pub fn full() -> (SocketAddr, TcpListener, Vec<TcpStream>) {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    listener.bind(&any.into()).expect("a port");
+    listener.listen(0).expect("it listens");
+    let listener = TcpListener::from(listener);
+    let address = listener.local_addr().expect("an address");
+    let within = Duration::from_millis(100);
+    let waiting = (0..4).map_while(|_| TcpStream::connect_timeout(&address, within).ok());
+    let waiting = waiting.collect();
+    (address, listener, waiting)
+}
+
 /// A route to the service, by the beginning of the path.
 pub fn route(prefix: &str) -> Route {
     Route {
