--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,7 +13,7 @@
 //! | may it be tried again elsewhere? | [`attempts`], [`retry`] |
 //! | may it run now, or wait, and in which order? | [`admission`] by [`queue`], [`shares`], [`work`], [`pace`], [`limit`] and [`warm_up`], closed by [`gate`] and [`health`] |
 //! | did this key run before? | [`claim`] |
-//! | did upstreams end under it before? | [`screen`], as [`quarantine`] decides by [`fingerprint`] |
+//! | did upstreams end under it before? | [`screen`], as [`quarantine`] decides by [`fingerprint`] and what was [`answered`] |
 //! | what is the caller told? | [`outcome`] |
 //!
 //! Beside the path of requests: [`membership`] (who is there), [`preset`] (what is
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -4,8 +4,9 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
+use std::time::Instant;
 
-use mintridge_core::outcome::Reason;
+use mintridge_core::outcome::{Reason, Refusal};
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
@@ -128,12 +129,16 @@
 
 /// Why a request was refused, and by the status whether it may have run.
 fn refused(reason: &str, status: &str) -> String {
-    let why = Reason::parse(reason).map_or("the reason is not known here", meaning);
-    let ran = match status {
-        "409" | "502" | "504" => "it may have run",
-        _ => "nothing ran",
+    let Some(reason) = Reason::parse(reason) else {
+        return "the reason is not known here".to_owned();
     };
-    format!("{why}; {ran}")
+    let unknown = Refusal::unknown(reason, Instant::now()).status();
+    let ran = if status == unknown.to_string() {
+        "it may have run"
+    } else {
+        "nothing ran"
+    };
+    format!("{}; {ran}", meaning(reason))
 }
 
 const fn meaning(reason: Reason) -> &'static str {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 //! Gotham's own start functions set neither limits nor a graceful stop, so the
 //! connections are driven here and the handlers are gotham's.
 
+pub mod counted;
 pub mod handler;
 pub mod pipeline;
 pub mod problem;
--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -57,6 +57,8 @@
 
 /// What the two sides of a connection share.
 struct Shared {
+    /// Time for a header section to arrive.
+    header_within: Duration,
     /// Requests read and not yet answered.
     unanswered: AtomicUsize,
     /// Whether any request was read.
@@ -87,12 +89,12 @@
     /// says nothing of an end, and the connection ends right behind it, with the caller's next
     /// request on its way. The time is counted from the end of the last answer. One that is not
     /// begun yet can still say that the connection ends, so it holds off nothing.
-    fn next_header_by(&self, header_within: Duration) -> Option<Instant> {
+    fn next_header_by(&self) -> Option<Instant> {
         if self.unanswered.load(Ordering::Relaxed) > 0 {
             return None;
         }
         let idle_since = self.idle_since.lock().unwrap_or_else(Instant::now);
-        Some(idle_since + header_within)
+        Some(idle_since + self.header_within)
     }
 }
 
@@ -115,6 +117,7 @@
     let caller = stream.peer_addr().ok();
     let stream = Arc::new(stream);
     let shared = Arc::new(Shared {
+        header_within,
         unanswered: AtomicUsize::new(0),
         used: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
@@ -123,15 +126,7 @@
         phase: phase.clone(),
     });
     let (sender, pending) = mpsc::unbounded_channel();
-    let reading = read(
-        &stream,
-        builder,
-        most,
-        header_within,
-        Arc::clone(&shared),
-        sender,
-        respond,
-    );
+    let reading = read(&stream, builder, most, Arc::clone(&shared), sender, respond);
     let writing = write(&stream, builder.clone(), shared, pending);
     let mut unread = 0;
     tokio::select! {
@@ -161,7 +156,6 @@
     stream: &Arc<TcpStream>,
     builder: &http1::Builder,
     most: usize,
-    header_within: Duration,
     shared: Arc<Shared>,
     sender: mpsc::UnboundedSender<Pending>,
     respond: F,
@@ -215,7 +209,7 @@
     };
     let mut builder = builder.clone();
     let of_timer = Arc::clone(&shared);
-    let not_before = move || of_timer.next_header_by(header_within);
+    let not_before = move || of_timer.next_header_by();
     builder.timer(Timer::held_off(stream, not_before));
     let mut connection = pin!(builder.serve_connection(io, service));
     let idle_when_closing = async {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
+use crate::counted::Counted;
 use crate::{Body, pipeline};
 
 /// Protocol spoken on a listener.
@@ -227,22 +228,6 @@
     }
 }
 
-/// Counts an open connection for as long as it lives.
-struct Counted(Arc<AtomicUsize>);
-
-impl Counted {
-    fn new(open: Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// An accepted connection.
 struct Connection {
     stream: TcpStream,
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -73,6 +73,14 @@
     start_with(Limits::default())
 }
 
+/// A server that waits so long for a header section.
+pub fn start_waiting(header_within: Duration) -> Server {
+    start_with(Limits {
+        header_within,
+        ..Limits::default()
+    })
+}
+
 pub fn start_with(limits: Limits) -> Server {
     let seen = Arc::new(Seen::default());
     let phase = watch::Sender::new(Phase::Open);
--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -6,8 +6,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use common::{WAIT_MOST, answers, bodies, connect, get, rest, start, start_with, until};
-use mintridge_http::server::{Limits, Phase};
+use common::{WAIT_MOST, answers, bodies, connect, get, rest, start, start_waiting, until};
+use mintridge_http::server::Phase;
 use rstest::rstest;
 
 /// A request takes longer than a header section may take to arrive, and its caller sends
@@ -15,10 +15,7 @@
 /// still comes, and only then does the connection end.
 #[test]
 fn serve_answers_a_request_longer_than_the_time_for_a_header() {
-    let server = start_with(Limits {
-        header_within: Duration::from_millis(100),
-        ..Limits::default()
-    });
+    let server = start_waiting(Duration::from_millis(100));
     let mut stream = connect(&server);
     stream.write_all(get("600").as_bytes()).expect("sent");
     let text = answers(&mut stream, 1);
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -6,8 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use common::{REFUSED, answers, bodies, connect, get, rest, start, start_with};
-use mintridge_http::server::Limits;
+use common::{REFUSED, answers, bodies, connect, get, rest, start, start_waiting};
 use rstest::rstest;
 
 const SAYS_CLOSE: &str = "connection: close";
@@ -79,10 +78,7 @@
 /// from its caller. The answer says so, or the caller's next request would be lost.
 #[test]
 fn serve_says_that_it_ends_after_the_time_for_a_header() {
-    let server = start_with(Limits {
-        header_within: Duration::from_millis(100),
-        ..Limits::default()
-    });
+    let server = start_waiting(Duration::from_millis(100));
     let mut stream = connect(&server);
     stream.write_all(get("600").as_bytes()).expect("sent");
     let text = rest(&mut stream);
@@ -112,10 +108,7 @@
 /// Guards against a connection that ends right behind an answer that took nearly the time for a header.
 #[test]
 fn serve_gives_the_time_for_a_header_after_the_answer() {
-    let server = start_with(Limits {
-        header_within: Duration::from_millis(400),
-        ..Limits::default()
-    });
+    let server = start_waiting(Duration::from_millis(400));
     let mut stream = connect(&server);
     stream.write_all(get("300").as_bytes()).expect("sent");
     let text = answers(&mut stream, 1);
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -12,6 +12,7 @@
 use hyper::rt::Timer as _;
 use hyper::{Method, Request, Response};
 use hyper_util::rt::{TokioExecutor, TokioIo};
+use mintridge_http::counted::Counted;
 use mintridge_http::quiet_timer::Timer;
 use mintridge_http::socket::Shared;
 use mintridge_http::{Body, reply};
@@ -54,22 +55,6 @@
     in_progress: Arc<AtomicUsize>,
 }
 
-/// A request in progress on a link until this is dropped.
-struct InProgress(Arc<AtomicUsize>);
-
-impl InProgress {
-    fn begin(link: &Link) -> Self {
-        link.in_progress.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(&link.in_progress))
-    }
-}
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// The question whether a request has a slot; `None` if its number cannot be sent.
 #[must_use]
 pub fn slot_question(number: &str) -> Option<Request<Body>> {
@@ -175,7 +160,7 @@
         let slot = self.slot(address);
         let ready = tokio::time::timeout_at(until, self.ready(&slot, address)).await;
         let mut link = ready.map_err(|_| Error::NoLinkInTime)??;
-        let _in_progress = InProgress::begin(&link);
+        let _in_progress = Counted::new(Arc::clone(&link.in_progress));
         let sent = tokio::time::timeout_at(until, link.sender.try_send_request(request)).await;
         match sent.map_err(|_| Error::Unanswered)? {
             Ok(response) => {
@@ -324,21 +309,24 @@
     in_progress: usize,
     ended: Result<(), hyper::Error>,
 ) {
-    let reason = match ended {
-        Ok(()) => String::from("closed, or no pong in time"),
-        Err(error) => error
-            .source()
-            .map_or_else(|| error.to_string(), |source| format!("{error}: {source}")),
-    };
     if in_progress == 0 {
-        log::debug!(peer:% = address, reason = &*reason; "link ended");
+        log::debug!(peer:% = address, reason = why(ended); "link ended");
         return;
     }
     log::warn!(
         peer:% = address,
         age_ms:% = opened_at.elapsed().as_millis(),
         in_progress = in_progress,
-        reason = &*reason;
+        reason = why(ended);
         "link ended under requests"
     );
 }
+
+fn why(ended: Result<(), hyper::Error>) -> String {
+    let Err(error) = ended else {
+        return String::from("closed, or no pong in time");
+    };
+    error
+        .source()
+        .map_or_else(|| error.to_string(), |source| format!("{error}: {source}"))
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -186,11 +186,16 @@
     scene.until_joined().await;
     scene.stop(0).await;
     add_entry(&mut scene).await;
+    until_known_behind(&scene, ENTRY).await;
+    (scene, relay)
+}
+
+/// Waits until the node of a host knows the one behind the relay.
+pub async fn until_known_behind(scene: &Scene, index: usize) {
     let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
     scene
-        .until_of(&[ENTRY], "the entry knows the host", knows)
+        .until_of(&[index], "the entry knows the host", knows)
         .await;
-    (scene, relay)
 }
 
 /// A preset that differs from the default in one value.
--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -81,6 +81,15 @@
     (readers, others)
 }
 
+/// Writes a change, and checks that these nodes have it in force in time.
+async fn change_is_in_force_in_time(scene: &Scene, of: &[usize]) {
+    let written_at = Instant::now();
+    write(scene, 2);
+    until_version(scene, of, 2).await;
+    let took = written_at.elapsed();
+    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+}
+
 /// Guards against a zone whose regular readers the store turns away while it serves the others.
 #[rstest]
 #[case::silently(Condition::Silent)]
@@ -92,11 +101,7 @@
     for reader in readers {
         relays[reader].set(condition);
     }
-    let written_at = Instant::now();
-    write(&scene, 2);
-    until_version(&scene, &ALL, 2).await;
-    let took = written_at.elapsed();
-    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+    change_is_in_force_in_time(&scene, &ALL).await;
 }
 
 /// Guards against a zone whose regular readers all end at the moment of a change.
@@ -108,11 +113,7 @@
         let stopped = scene.process(reader).signal(Signal::STOP);
         stopped.expect("it gets the signal");
     }
-    let written_at = Instant::now();
-    write(&scene, 2);
-    until_version(&scene, &others, 2).await;
-    let took = written_at.elapsed();
-    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+    change_is_in_force_in_time(&scene, &others).await;
 }
 
 /// Guards against a change that waits for a watch whose connection has fallen silent for good.
@@ -122,11 +123,7 @@
     for relay in relays {
         relay.lose_open_connections();
     }
-    let written_at = Instant::now();
-    write(&scene, 2);
-    until_version(&scene, &ALL, 2).await;
-    let took = written_at.elapsed();
-    assert!(took < IN_FORCE_WITHIN, "{took:?}");
+    change_is_in_force_in_time(&scene, &ALL).await;
 }
 
 /// Columns of the system's table of connections: the other end, the state, the timer that runs.
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -4,8 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use common::{BEHIND, ENTRY, Plan, bare_post, get, hosts, processes, relayed, within};
-use mintridge_node::operators::Status;
+use common::{
+    BEHIND, ENTRY, Plan, Scene, bare_post, get, hosts, processes, relayed, until_known_behind,
+    within,
+};
 use mintridge_standin::relay::Condition;
 use mintridge_standin::scene::wait_for;
 use mintridge_standin::upstream::Manner;
@@ -47,6 +49,15 @@
     assert!(told.is_success(), "{told:?}");
 }
 
+/// An entry whose link to the only host has fallen silent, for so long that it is checked before use.
+async fn silent_for_long() -> Scene {
+    let (scene, relay) = relayed().await;
+    assert!(scene.call(ENTRY, &get("opens-the-link")).await.is_success());
+    relay.set(Condition::Silent);
+    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    scene
+}
+
 /// Requests sent at once on a link that has fallen silent.
 const AT_ONCE: usize = 60;
 /// Time in which each is told that the host cannot be reached: one check of the link and one
@@ -59,10 +70,7 @@
 /// answers that had come on that link waited with them.
 #[tokio::test]
 async fn silent_link_is_checked_once_for_all_who_wait() {
-    let (scene, relay) = relayed().await;
-    assert!(scene.call(ENTRY, &get("opens-the-link")).await.is_success());
-    relay.set(Condition::Silent);
-    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let scene = silent_for_long().await;
     let entry = scene.addresses(ENTRY).callers;
     let mut sent = JoinSet::new();
     for n in 0..AT_ONCE {
@@ -79,10 +87,7 @@
 /// Guards against "may have run" for a request that met its deadline while its link was checked.
 #[tokio::test]
 async fn silent_link_is_not_run_for_who_met_its_deadline_waiting() {
-    let (scene, relay) = relayed().await;
-    assert!(scene.call(ENTRY, &get("opens-the-link")).await.is_success());
-    relay.set(Condition::Silent);
-    tokio::time::sleep(Duration::from_millis(1_300)).await;
+    let scene = silent_for_long().await;
     let told = scene.call(ENTRY, &within(100, bare_post("waits"))).await;
     assert!(told.is_not_run(), "{told:?}");
 }
@@ -101,8 +106,7 @@
     });
     patient.await.expect("it starts");
     let entry = scene.hosts.len() - 1;
-    let knows = |status: &Status| status.seen.iter().any(|seen| &*seen.host == "behind");
-    scene.until_of(&[entry], "it knows the host", knows).await;
+    until_known_behind(&scene, entry).await;
     assert!(scene.call(entry, &get("opens-the-link")).await.is_success());
     scene.behave(BEHIND, |behaviour| behaviour.manner = Manner::Silent);
     let asking = {
