feat(node): log and count the request limit and the leaving that an upstream names

Cause: neither logs nor metrics told in how many answers an upstream names a limit, so it could not be ruled out that the node beside it learns of it too late or loses it in between.

Change: two optional headers are read on answers to requests and to checks; their names stand in the settings template alone and their values are parsed by the adapter. No decision uses them. A value that can't be read is counted and logged, and says nothing. The counter notices_total tells requests from checks, and a log line gives each change.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,7 +28,8 @@
 //! preset in force), [`evacuation`] (which zones get no new requests), [`bootstrap`] (when a
 //! starting or isolated node reads the store), [`failover`] (which nodes read the store when its
 //! designated readers cannot), [`stagger`] (delays between calls to an unavailable store),
-//! [`instance`] (which incarnation of the upstream is running), [`recipients`] (which nodes receive
+//! [`instance`] (which incarnation of the upstream is running), [`notice`] (what the upstream
+//! states about itself in its responses), [`recipients`] (which nodes receive
 //! load reports between responses), [`probe`] (the budget for probes) and [`quota`] (the rate limit
 //! for log lines).
 
@@ -48,6 +49,7 @@
 pub mod limit;
 pub mod load;
 pub mod membership;
+pub mod notice;
 pub mod outcome;
 pub mod pace;
 pub mod placement;
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -41,6 +41,11 @@
     pub load: fn(&str) -> Option<UpstreamLoad>,
     /// Parses the remaining time for which an upstream stays cold; `None` if it cannot be parsed.
     pub cold: fn(&str) -> Option<Duration>,
+    /// Parses the request limit that an upstream names, in requests per second; `None` unless it
+    /// is a finite number that is not negative.
+    pub request_limit: fn(&str) -> Option<f64>,
+    /// Whether the value of the leaving header states that the upstream is leaving.
+    pub leaving: fn(&str) -> bool,
 }
 
 impl Default for Adapter {
@@ -52,6 +57,11 @@
             routes: |document| Ok(serde_json::from_slice(document)?),
             load: |value| serde_json::from_str(value).ok(),
             cold: |value| value.parse().ok().map(Duration::from_millis),
+            request_limit: |value| {
+                let limit = value.parse().ok();
+                limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
+            },
+            leaving: |value| value == "1",
         }
     }
 }
--- a/crates/node/src/configs/upstream.rs
+++ b/crates/node/src/configs/upstream.rs
@@ -25,6 +25,11 @@
     /// Header with the remaining time for which the upstream stays cold, on responses to health
     /// checks.
     pub cold_header: Option<String>,
+    /// Header with the requests per second that the upstream takes from all nodes together, on any
+    /// of its responses.
+    pub request_limit_header: Option<String>,
+    /// Header that states that the upstream is leaving, on any of its responses.
+    pub leaving_header: Option<String>,
     /// Maximum bytes of a response that are buffered until it is complete. A buffered response that
     /// breaks off can still be replaced by a retry; a longer response is streamed.
     pub answer_held_most: usize,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -4,6 +4,7 @@
 mod discovery;
 mod follow;
 mod hand_over;
+mod notices;
 mod pace;
 mod probing;
 mod reporting;
@@ -33,6 +34,7 @@
 use mintridge_core::instance;
 use mintridge_core::load::{Report, Upstream as UpstreamLoad};
 use mintridge_core::membership;
+use mintridge_core::notice::Notice;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::probe;
 use mintridge_core::request::Id;
@@ -95,6 +97,8 @@
     pace_budget: probe::Budget,
     announcement: Option<Announcement>,
     instance: instance::Register,
+    /// Statements of the last response.
+    notice: Notice,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
     runs: Runs,
@@ -202,6 +206,7 @@
                 pace_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 announcement: None,
                 instance: instance::Register::new(settings.gate.announcement_lapses),
+                notice: Notice::default(),
                 waiters: HashMap::new(),
                 next_id: 0,
                 runs: Runs::default(),
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -16,6 +16,7 @@
 use mintridge_core::request::Id;
 use mintridge_http::Body;
 
+use super::notices::Origin;
 use super::runs::Digest;
 use super::slot::Slot;
 use super::{Guard, screening};
@@ -51,12 +52,15 @@
             instance,
             misdirected,
             load,
+            notice,
+            ..
         }) => {
             drop(run);
             guard.observe_load(now, load.as_ref());
             if misdirected {
                 return Err(guard.record_misdirection(now, instance.as_ref()));
             }
+            guard.record_notice(Origin::Request, notice);
             return Err(guard.record_shed(now, slot.id, load.as_ref()));
         }
         Err(error) => {
@@ -67,6 +71,7 @@
         }
     };
     guard.observe_load(now, guard.upstream.load(&parts.headers).as_ref());
+    guard.record_notice(Origin::Request, guard.upstream.notice(&parts.headers));
     guard.record_response(now, slot.id, parts.status, now - handed_over_at);
     if !parts.status.is_server_error() && parts.status != StatusCode::TOO_MANY_REQUESTS {
         guard.report_answer(head, &digest);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,7 @@
 use hyper::Response;
 use mintridge_core::claim::Verdict as ClaimVerdict;
 use mintridge_core::health::Verdict;
+use mintridge_core::notice::{Limit, Notice};
 use mintridge_core::outcome::Refusal;
 use mintridge_http::{Body, problem};
 use prometheus_client::encoding::EncodeLabelSet;
@@ -29,6 +30,13 @@
     reason: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NoticeLabels {
+    from: &'static str,
+    limit: &'static str,
+    leaving: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct KindLabels {
     kind: &'static str,
@@ -63,6 +71,7 @@
     claims: Family<KindLabels, Counter>,
     store_calls: Family<KindLabels, Counter>,
     probes: Family<KindLabels, Counter>,
+    notices: Family<NoticeLabels, Counter>,
     rings_full: Family<KindLabels, Counter>,
     bad_input: Family<KindLabels, Counter>,
     exchanges: Family<KindLabels, Counter>,
@@ -98,6 +107,7 @@
             claims: Family::default(),
             store_calls: Family::default(),
             probes: Family::default(),
+            notices: Family::default(),
             rings_full: Family::default(),
             bad_input: Family::default(),
             exchanges: Family::default(),
@@ -158,6 +168,8 @@
             self.store_calls.clone(),
         );
         registry.register("probes", "Probes of the upstream", self.probes.clone());
+        let help = "Responses of the upstream by whether they name a request limit or leaving";
+        registry.register("notices", help, self.notices.clone());
         let help = "Messages refused because a ring was full";
         registry.register("rings_full", help, self.rings_full.clone());
         registry.register(
@@ -272,6 +284,21 @@
         count(&self.probes, kind);
     }
 
+    /// Counts a response of the upstream by what it states, and by whether it answers a request or
+    /// a check.
+    pub fn notice(&self, from: &'static str, notice: Notice) {
+        let labels = NoticeLabels {
+            from,
+            limit: match notice.limit {
+                Limit::Absent => "absent",
+                Limit::Named(_) => "named",
+                Limit::Unreadable => "unreadable",
+            },
+            leaving: if notice.leaving { "named" } else { "absent" },
+        };
+        self.notices.get_or_create(&labels).inc();
+    }
+
     /// Counts a message that was rejected because a queue was full.
     pub fn ring_full(&self, ring: &'static str) {
         count(&self.rings_full, ring);
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -19,6 +19,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use mintridge_core::load::Upstream as Load;
+use mintridge_core::notice::{Limit, Notice};
 use mintridge_http::{Body, reply};
 use parking_lot::Mutex;
 use tokio::net::TcpStream;
@@ -82,9 +83,18 @@
         misdirected: bool,
         /// Load of the upstream, if the response contains it.
         load: Option<Load>,
+        /// Further statements of the upstream.
+        notice: Notice,
+        /// When the head of the response was received.
+        received_at: ReceivedAt,
     },
 }
 
+/// When the head of a response was received; an extension of [`Parts`]. The whole response may be
+/// complete much later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ReceivedAt(pub Instant);
+
 /// Client of the upstream, with a pool of connections.
 pub struct Upstream {
     settings: configs::upstream::Settings,
@@ -185,13 +195,14 @@
     ) -> Result<Received, Error> {
         let expected = Expectation::of(self.request_header.as_deref(), request.headers());
         let sent = connection.sender.try_send_request(request).await;
-        let response = sent.map_err(|mut error| {
+        let mut response = sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 Error::NeverSent
             } else {
                 Error::Broken(error.into_error())
             }
         })?;
+        response.extensions_mut().insert(ReceivedAt(Instant::now()));
         let checkout = self.checkout(connection, response.headers());
         self.classify(&expected, response, checkout).await
     }
@@ -263,6 +274,27 @@
         (self.adapter.cold)(value)
     }
 
+    /// Returns what the upstream states about itself in the headers of a response.
+    #[must_use]
+    pub fn notice(&self, headers: &HeaderMap) -> Notice {
+        let limit_header = self.settings.request_limit_header.as_deref();
+        let values = limit_header.map(|name| headers.get_all(name));
+        let mut values = values.iter().flatten();
+        let limit = match (values.next(), values.next()) {
+            (None, _) => Limit::Absent,
+            (Some(value), None) => {
+                let limit = value.to_str().ok().and_then(self.adapter.request_limit);
+                limit.map_or(Limit::Unreadable, Limit::Named)
+            }
+            (Some(_), Some(_)) => Limit::Unreadable,
+        };
+        let leaving = header_text(headers, self.settings.leaving_header.as_deref());
+        Notice {
+            leaving: leaving.is_some_and(self.adapter.leaving),
+            limit,
+        }
+    }
+
     /// Returns the id of the instance from the headers of a response.
     #[must_use]
     pub fn instance(&self, headers: &HeaderMap) -> Option<Arc<str>> {
@@ -365,6 +397,8 @@
                 instance: self.instance(&parts.headers),
                 misdirected,
                 load: self.load(&parts.headers),
+                notice: self.notice(&parts.headers),
+                received_at: received_at(&parts),
             };
             if body.collect().await.is_ok() {
                 checkout.check_in();
@@ -490,6 +524,13 @@
     }
 }
 
+/// Returns when the head of a response from [`Upstream::send`] was received.
+#[must_use]
+pub fn received_at(parts: &Parts) -> ReceivedAt {
+    let received_at = parts.extensions.get().copied();
+    received_at.unwrap_or_else(|| ReceivedAt(Instant::now()))
+}
+
 fn header_text<'a>(headers: &'a HeaderMap, name: Option<&str>) -> Option<&'a str> {
     headers.get(name?)?.to_str().ok()
 }
--- a/crates/node/tests/upstream.rs
+++ b/crates/node/tests/upstream.rs
@@ -11,8 +11,10 @@
 
 use common::full_listener;
 use http_body_util::BodyExt;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
 use mintridge_core::load::Upstream as Load;
+use mintridge_core::notice::{Limit, Notice};
 use mintridge_http::reply;
 use mintridge_node::adapter::Adapter;
 use mintridge_node::settings::Settings;
@@ -85,6 +87,8 @@
     settings.upstream.not_run_header = Some("x-not-run".to_owned());
     settings.upstream.signature_header = Some("x-sign".to_owned());
     settings.upstream.load_header = Some("x-load".to_owned());
+    settings.upstream.request_limit_header = Some("x-limit".to_owned());
+    settings.upstream.leaving_header = Some("x-leaving".to_owned());
     settings.upstream.answer_held_most = 64;
     let adapter = Adapter {
         load: |value| {
@@ -252,3 +256,25 @@
     };
     assert_eq!(parts.status, StatusCode::INTERNAL_SERVER_ERROR);
 }
+
+#[rstest]
+#[case::nothing(&[], false, Limit::Absent)]
+#[case::limit(&[("x-limit", "5.8")], false, Limit::Named(5.8))]
+#[case::leaving(&[("x-leaving", "1")], true, Limit::Absent)]
+#[case::both(&[("x-leaving", "1"), ("x-limit", "0")], true, Limit::Named(0.0))]
+#[case::malformed(&[("x-limit", "-1")], false, Limit::Unreadable)]
+#[case::two_limits(&[("x-limit", "5"), ("x-limit", "6")], false, Limit::Unreadable)]
+fn notice_reads_what_the_upstream_states(
+    #[case] headers: &[(&'static str, &'static str)],
+    #[case] leaving: bool,
+    #[case] limit: Limit,
+) {
+    let mut map = HeaderMap::new();
+    for (name, value) in headers {
+        map.append(
+            HeaderName::from_static(name),
+            HeaderValue::from_static(value),
+        );
+    }
+    assert_eq!(upstream().notice(&map), Notice { leaving, limit });
+}
