test(limits): an upstream that names a limit must not get more than it allows

Three upstreams under load, two of which name a limit in their answers. Counted at the upstreams as the users' rule says: from three seconds after the first answer with the limit, in any four seconds, one and a half times what it allows and five more.

--- /dev/null
+++ b/crates/node/tests/limits.rs
@@ -0,0 +1,102 @@
+//! Upstreams that name a request limit or leaving in their answers, and the nodes that pass those
+//! answers on.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use common::{Plan, Scene, start_threads};
+use mintridge_bench::caller::{Call, Caller};
+use mintridge_node::settings::Settings;
+use mintridge_standin::upstream::{Behaviour, LEAVING_HEADER, LIMIT_HEADER, LOAD_HEADER, SERVER};
+
+const CALLERS_PER_NODE: usize = 8;
+
+fn read_notices(settings: &mut Settings) {
+    settings.upstream.instance_header = Some(SERVER.to_owned());
+    settings.upstream.load_header = Some(LOAD_HEADER.to_owned());
+    settings.upstream.request_limit_header = Some(LIMIT_HEADER.to_owned());
+    settings.upstream.leaving_header = Some(LEAVING_HEADER.to_owned());
+}
+
+fn plan(hosts: usize) -> Plan {
+    Plan {
+        services: vec![("service", hosts)],
+        behaviour: Behaviour {
+            service_micros: 20_000,
+            ..Behaviour::default()
+        },
+        adjust: read_notices,
+        ..Plan::default()
+    }
+}
+
+/// Callers that send one request after the other to each node of a scene.
+struct Load {
+    stopped: Arc<AtomicBool>,
+    served: Arc<AtomicU64>,
+    callers: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(scene: &Scene) -> Self {
+        let stopped = Arc::new(AtomicBool::new(false));
+        let served = Arc::new(AtomicU64::new(0));
+        let addresses = (0..scene.hosts.len()).flat_map(|index| {
+            let address = scene.addresses(index).callers;
+            std::iter::repeat_n(address, CALLERS_PER_NODE)
+        });
+        let start = |address: SocketAddr| {
+            let (stopped, served) = (Arc::clone(&stopped), Arc::clone(&served));
+            tokio::spawn(async move {
+                let caller = Caller::default();
+                while !stopped.load(Ordering::Relaxed) {
+                    let call = Call {
+                        timeout: Duration::from_millis(500),
+                        ..Call::default()
+                    };
+                    if caller.call(address, &call).await.reply.is_success() {
+                        served.fetch_add(1, Ordering::Relaxed);
+                    } else {
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                }
+            })
+        };
+        let callers = addresses.map(start).collect();
+        Self {
+            stopped,
+            served,
+            callers,
+        }
+    }
+
+    /// Ends the load and returns the number of requests served.
+    async fn stop(self) -> u64 {
+        self.stopped.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.await.expect("the caller lives");
+        }
+        self.served.load(Ordering::Relaxed)
+    }
+}
+
+/// Upstreams name a limit under load and get requests at the rate of before.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_stay_within_the_limits_that_upstreams_name() {
+    let scene = start_threads(plan(3)).await;
+    let load = Load::start(&scene);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    scene.hosts[0].upstream.set_limit(Some("5.8"));
+    scene.hosts[1].upstream.set_limit(Some("12"));
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let served = load.stop().await;
+    for host in &scene.hosts {
+        let excess = host.upstream.counts().limit_excess;
+        assert_eq!(excess, 0, "{} got more than its limit", host.name);
+    }
+    assert!(served > 1_000, "{served} served, two of three limited");
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -10,6 +10,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode};
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_http::handler::{Function, ResponseFuture};
@@ -36,6 +37,10 @@
 /// Header of a probe response with the remaining time for which the upstream is cold, in
 /// milliseconds.
 pub const COLD_HEADER: &str = "x-cold";
+/// Header of a response with the requests per second that the upstream takes from all nodes.
+pub const LIMIT_HEADER: &str = "x-limit";
+/// Header of a response that states that the upstream is leaving.
+pub const LEAVING_HEADER: &str = "x-leaving";
 /// Path at which a request replaces the behaviour.
 pub const BEHAVIOUR: &str = "/standin/behaviour";
 /// Path that returns the [`Counts`].
@@ -53,6 +58,20 @@
 /// Length of the sliding window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+/// Length of the sliding window in which requests to an upstream that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time after the first response with a limit from which requests count: until then nodes learn of
+/// it.
+const LIMIT_LEARNED: Duration = Duration::from_millis(500);
+/// Time after the first response with a limit from which the limit must hold.
+const LIMIT_SETTLE: Duration = Duration::from_secs(3);
+/// Factor on the requests that the limit allows in a window.
+const LIMIT_FACTOR: f64 = 1.5;
+/// Requests in a window that are allowed beyond that.
+const LIMIT_SLACK: f64 = 5.0;
+/// Time after the first response that states leaving from which no request may arrive.
+const LEAVE_SETTLE: Duration = Duration::from_secs(2);
+
 /// How an upstream handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -124,6 +143,11 @@
     pub crashes: u64,
     /// Maximum number of requests within one second while the upstream was cold.
     pub cold_most: usize,
+    /// Maximum number of requests beyond what the named limit allows in its window.
+    pub limit_excess: usize,
+    /// Number of requests that arrived although every node had time to learn that the upstream is
+    /// leaving.
+    pub after_leaving: u64,
 }
 
 /// State of an upstream, shared by its connections.
@@ -140,6 +164,65 @@
     slots: Arc<Semaphore>,
     counts: Counts,
     cold_period: ColdPeriod,
+    notice: Notice,
+}
+
+/// What the upstream states in its responses, with the requests that arrive meanwhile.
+#[derive(Debug, Default)]
+struct Notice {
+    /// Value of [`LIMIT_HEADER`], which may be malformed.
+    limit: Option<String>,
+    leaving: bool,
+    /// Whether responses to health probes state nothing.
+    silent_probes: bool,
+    /// When a response first named a limit.
+    limit_named_at: Option<Instant>,
+    /// When a response first stated leaving.
+    leaving_named_at: Option<Instant>,
+    /// Arrival times of the requests within the last [`LIMIT_WINDOW`].
+    arrivals: VecDeque<Instant>,
+}
+
+impl Notice {
+    /// Records the arrival of a request and returns how many requests the limit is exceeded by.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn record_arrival(&mut self, now: Instant) -> usize {
+        let named_for = self
+            .limit_named_at
+            .map(|named_at| now.saturating_duration_since(named_at));
+        if named_for.is_none_or(|named_for| named_for < LIMIT_LEARNED) {
+            self.arrivals.clear();
+            return 0;
+        }
+        self.arrivals.retain(|at| now < *at + LIMIT_WINDOW);
+        self.arrivals.push_back(now);
+        let is_settled = named_for.is_some_and(|named_for| named_for >= LIMIT_SETTLE);
+        let limit = self.limit.as_ref().and_then(|limit| limit.parse().ok());
+        let Some(limit) = limit.filter(|limit: &f64| is_settled && *limit >= 0.0) else {
+            return 0;
+        };
+        let allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+        self.arrivals.len().saturating_sub(allowed as usize)
+    }
+
+    /// Returns whether every node has had time to learn that the upstream is leaving.
+    fn is_leaving_settled(&self, now: Instant) -> bool {
+        self.leaving_named_at
+            .is_some_and(|named_at| now >= named_at + LEAVE_SETTLE)
+    }
+
+    /// Adds the headers to a response.
+    fn write(&mut self, now: Instant, response: &mut Response<Body>) {
+        if let Some(value) = self.limit.as_ref().and_then(|limit| limit.parse().ok()) {
+            response.headers_mut().insert(LIMIT_HEADER, value);
+            self.limit_named_at.get_or_insert(now);
+        }
+        if self.leaving {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert(LEAVING_HEADER, value);
+            self.leaving_named_at.get_or_insert(now);
+        }
+    }
 }
 
 /// Period in which the upstream is cold, with its recent requests.
@@ -206,6 +289,7 @@
                 behaviour,
                 counts: Counts::default(),
                 cold_period: ColdPeriod::default(),
+                notice: Notice::default(),
             }),
             crash: Notify::new(),
         }
@@ -232,6 +316,25 @@
         self.state.lock().cold_period.until = Some(Instant::now() + duration);
     }
 
+    /// Names a limit in all responses from now on; `None` ends it.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        let notice = &mut self.state.lock().notice;
+        notice.limit = limit.map(ToOwned::to_owned);
+        notice.limit_named_at = None;
+    }
+
+    /// Sets whether all responses from now on state that the upstream is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        let notice = &mut self.state.lock().notice;
+        notice.leaving = leaving;
+        notice.leaving_named_at = None;
+    }
+
+    /// Sets whether responses to health probes state neither limit nor leaving.
+    pub fn set_silent_probes(&self, silent: bool) {
+        self.state.lock().notice.silent_probes = silent;
+    }
+
     /// Returns the current behaviour.
     #[must_use]
     pub fn behaviour(&self) -> Behaviour {
@@ -263,6 +366,17 @@
 }
 
 async fn handle(upstream: Arc<Upstream>, request: Request<Body>) -> Response<Body> {
+    let is_probe = request.uri().path() == HEALTH;
+    let mut response = respond(Arc::clone(&upstream), request).await;
+    let mut state = upstream.state.lock();
+    if !(is_probe && state.notice.silent_probes) {
+        state.notice.write(Instant::now(), &mut response);
+    }
+    drop(state);
+    response
+}
+
+async fn respond(upstream: Arc<Upstream>, request: Request<Body>) -> Response<Body> {
     let behaviour = upstream.behaviour();
     match request.uri().path() {
         BEHAVIOUR => return set_behaviour(&upstream, request).await,
@@ -465,9 +579,14 @@
 impl OpenRequest {
     fn new(upstream: Arc<Upstream>) -> Self {
         let mut state = upstream.state.lock();
-        let cold_requests = state.cold_period.record_arrival(Instant::now());
+        let now = Instant::now();
+        let cold_requests = state.cold_period.record_arrival(now);
+        let limit_excess = state.notice.record_arrival(now);
+        let is_leaving_settled = state.notice.is_leaving_settled(now);
         let counts = &mut state.counts;
         counts.cold_most = counts.cold_most.max(cold_requests);
+        counts.limit_excess = counts.limit_excess.max(limit_excess);
+        counts.after_leaving += u64::from(is_leaving_settled);
         counts.requests += 1;
         counts.open += 1;
         counts.open_most = counts.open_most.max(counts.open);
