test(limits): an upstream whose answers state leaving must get no new requests

The statement stands in answers alone, not in announcements and not in answers to checks; in one case the node beside the upstream is restarted meanwhile.

--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -12,6 +12,7 @@
 use mintridge_bench::caller::{Call, Caller};
 use mintridge_node::settings::Settings;
 use mintridge_standin::upstream::{Behaviour, LEAVING_HEADER, LIMIT_HEADER, LOAD_HEADER, SERVER};
+use rstest::rstest;
 
 const CALLERS_PER_NODE: usize = 8;
 
@@ -100,3 +101,44 @@
     }
     assert!(served > 1_000, "{served} served, two of three limited");
 }
+
+/// An upstream states leaving only in its answers, and its node is restarted meanwhile: nodes that
+/// passed the answers on send it requests after its time to drain.
+#[rstest]
+#[case::running(false)]
+#[case::restarted(true)]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_end_when_answers_state_leaving(#[case] restarted: bool) {
+    let mut scene = start_threads(plan(3)).await;
+    for host in &scene.hosts {
+        host.upstream.set_silent_probes(true);
+    }
+    let load = Load::start(&scene);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    scene.hosts[0].upstream.set_leaving(true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    if restarted {
+        scene.stop(0).await;
+        scene.start_node(0).expect("it starts");
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    load.stop().await;
+    assert_eq!(scene.hosts[0].upstream.counts().after_leaving, 0);
+}
+
+/// An upstream restarts after its answers stated leaving, and its successor gets no requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_ends_with_the_incarnation() {
+    let scene = start_threads(plan(2)).await;
+    let load = Load::start(&scene);
+    let upstream = &scene.hosts[0].upstream;
+    upstream.set_leaving(true);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    upstream.set_leaving(false);
+    let before = upstream.counts().requests;
+    scene.announce_restart(0);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    load.stop().await;
+    let requests = upstream.counts().requests - before;
+    assert!(requests > 100, "{requests} requests after the restart");
+}
