fix(guard): hold the request limit that an upstream names

What callers and upstreams saw: an upstream that named 5.8 requests a second in its answers got 68 in four seconds, where 40 are the most that is allowed.

Cause: nothing read the header. Admission bounded concurrency and the rate of cold upstreams, but no statement of the upstream in its answers had a way into a decision besides its load.

Mend: core::request_limit, a token bucket beside the upstream, through which all its requests pass, so the sum of all nodes holds without a message. A lower limit counts at once; a higher one, or none, only by the answer to a request sent after the limit was last named, as answers overtake each other. The limit goes with the incarnation. Entries see the capacity that the limit leaves and the time until the next start in the load report (a sixth number, which older nodes ignore).

--- a/crates/bench/src/policy/fake.rs
+++ b/crates/bench/src/policy/fake.rs
@@ -387,6 +387,7 @@
             limit,
             service_micros,
             slowness_percent: 0,
+            start_delay_micros: 0,
         };
         let failing = self.condition == Condition::FailFast && host == 0;
         let entry = &mut self.entries[request_entry(&self.requests, id)];
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -29,6 +29,7 @@
 use crate::pace::Pace;
 use crate::queue::Queue;
 use crate::request::{Arrival, Id};
+use crate::request_limit::RequestLimit;
 use crate::shares::Shares;
 use crate::warm_up::WarmUp;
 use crate::work::{Class, Demand, Times};
@@ -40,6 +41,11 @@
 /// ones. At 0.2 the estimated wait is five times the usual, which is longer than any target allows.
 const MIN_REMAINING_SHARE: f64 = 0.2;
 
+/// Longest retry delay that a refusal gives while the upstream takes no request.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// Lower bound of the capacity in requests, for an upstream that names a limit of zero.
+const MIN_CAPACITY: f64 = 0.01;
+
 /// Decision on a newly arrived request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -83,6 +89,7 @@
     shares: Shares,
     pace: Pace,
     warm_up: WarmUp,
+    request_limit: RequestLimit,
     actions: VecDeque<Action>,
 }
 
@@ -109,6 +116,7 @@
             expected_late: HashSet::new(),
             pace: Pace::default(),
             warm_up: WarmUp::default(),
+            request_limit: RequestLimit::default(),
             actions: VecDeque::new(),
         }
     }
@@ -130,6 +138,26 @@
         &mut self.warm_up
     }
 
+    /// Limits starts by the limit that the upstream names in its responses.
+    #[must_use]
+    pub fn with_request_limit(self, request_limit: RequestLimit) -> Self {
+        Self {
+            request_limit,
+            ..self
+        }
+    }
+
+    /// Returns the limit that the upstream names.
+    #[must_use]
+    pub const fn request_limit(&self) -> &RequestLimit {
+        &self.request_limit
+    }
+
+    /// Returns the named limit for updates; call [`Self::poll`] after changing it.
+    pub const fn request_limit_mut(&mut self) -> &mut RequestLimit {
+        &mut self.request_limit
+    }
+
     /// Replaces the settings and resets the limit.
     pub fn set_settings(&mut self, settings: Settings) {
         self.settings = settings;
@@ -154,11 +182,12 @@
     /// Resets what was learned about the upstream after it restarted. A new instance is cold, so
     /// the pace, service times and limit of the previous one no longer apply. Requests that hold a
     /// slot release it once they are found to be lost.
-    pub fn reset_after_restart(&mut self) {
+    pub fn reset_after_restart(&mut self, now: Instant) {
         self.times = Times::new(&self.settings);
         self.limit = Limit::new(&self.settings, self.limit.slots());
         self.pace = Pace::default();
         self.warm_up.reset_after_restart();
+        self.request_limit.reset_after_restart(now);
     }
 
     /// Returns whether the upstream recently reported the pace of its host.
@@ -283,7 +312,7 @@
 
     /// Returns when [`Self::poll`] must be called next if no other event happens before. At that
     /// time a queued request becomes late or has to be refused, the last report of a slow phase
-    /// expires, or a cold upstream can take another request.
+    /// expires, or an upstream that is cold or names a limit can take another request.
     #[must_use]
     pub fn wake_at(&self, now: Instant) -> Option<Instant> {
         let latest_starts = self.queue.iter().map(|arrival| {
@@ -297,7 +326,7 @@
         });
         let earliest = latest_starts.min()?;
         let slow_report_expires_at = self.pace.slow_report_expires_at(&self.settings);
-        let starts_at = self.warm_up.next_start(now);
+        let starts_at = self.next_start(now);
         [Some(earliest), slow_report_expires_at, starts_at]
             .into_iter()
             .flatten()
@@ -313,6 +342,7 @@
             limit: limit::whole_requests(self.capacity(now)),
             service_micros: saturating_u32(self.times.mean().as_micros()),
             slowness_percent: self.pace.reported_percent(&self.settings, now),
+            start_delay_micros: self.start_delay_micros(now),
         }
     }
 
@@ -328,22 +358,39 @@
         let drain_seconds =
             self.times.mean().as_secs_f64() * to_f64(self.queue.len() + 1) / self.capacity(now);
         let wait = Duration::from_secs_f64(drain_seconds).max(self.settings.retry_after_least);
-        Refusal::not_run(reason, now + wait)
+        let starts_at = self.next_start(now).unwrap_or(now);
+        Refusal::not_run(
+            reason,
+            (now + wait).max(starts_at.min(now + MAX_RETRY_DELAY)),
+        )
+    }
+
+    /// Returns when the upstream can take another request; `None` if it can at once.
+    fn next_start(&self, now: Instant) -> Option<Instant> {
+        let cold = self.warm_up.next_start(now);
+        cold.max(self.request_limit.next_start(now))
+    }
+
+    /// Returns how long the limit that the upstream names delays the start of another request.
+    fn start_delay_micros(&self, now: Instant) -> u32 {
+        let starts_at = self.request_limit.next_start(now).unwrap_or(now);
+        saturating_u32(starts_at.saturating_duration_since(now).as_micros())
     }
 
     fn can_run(&self, now: Instant) -> bool {
         saturating_u32(self.running.len()) < self.limit.whole_requests()
-            && self.warm_up.next_start(now).is_none()
+            && self.next_start(now).is_none()
     }
 
     /// Mean number of requests that the upstream processes concurrently. While the upstream is
-    /// cold, its request rate may be the tighter limit.
+    /// cold or names a limit, its request rate may be the tighter limit.
     fn capacity(&self, now: Instant) -> f64 {
-        let slots = self.limit.requests();
-        let rate = self.warm_up.rate(now);
-        rate.map_or(slots, |rate| {
-            slots.min(rate * self.times.mean().as_secs_f64())
-        })
+        let rates = [self.warm_up.rate(now), self.request_limit.start_rate()];
+        let by_rate = rates
+            .into_iter()
+            .flatten()
+            .map(|rate| (rate * self.times.mean().as_secs_f64()).max(MIN_CAPACITY));
+        by_rate.fold(self.limit.requests(), f64::min)
     }
 
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -396,7 +443,7 @@
         let remaining_share = 1.0 - self.demand.share_before(now, class, capacity);
         let wait = self.times.mean().as_secs_f64() * turns_ahead
             / (capacity * remaining_share.max(MIN_REMAINING_SHARE));
-        let starts_at = self.warm_up.next_start(now).unwrap_or(now);
+        let starts_at = self.next_start(now).unwrap_or(now);
         starts_at.max(now + Duration::from_secs_f64(wait))
             + expected_time
             + self.pace.penalty(&self.settings, now, expected_time)
@@ -441,6 +488,7 @@
         };
         self.running.insert(arrival.id, running);
         self.warm_up.record_start(now);
+        self.request_limit.record_start(now);
     }
 
     /// Refuses queued requests that can no longer finish by their deadline, at a time when the
--- a/crates/core/src/load.rs
+++ b/crates/core/src/load.rs
@@ -19,6 +19,10 @@
     pub service_micros: u32,
     /// Current service time on the upstream's host, in percent of the usual one; 0 if unknown.
     pub slowness_percent: u32,
+    /// Time until another request may start, in microseconds, because of the limit that the
+    /// upstream names; 0 if it may start at once.
+    #[serde(default)]
+    pub start_delay_micros: u32,
 }
 
 /// Extra time that one request takes on a host that is currently slow, either because it starts
@@ -48,8 +52,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{},{},{},{},{}",
-            self.in_flight, self.queued, self.limit, self.service_micros, self.slowness_percent
+            "{},{},{},{},{},{}",
+            self.in_flight,
+            self.queued,
+            self.limit,
+            self.service_micros,
+            self.slowness_percent,
+            self.start_delay_micros
         )
     }
 }
@@ -66,6 +75,8 @@
             limit: next()?,
             service_micros: next()?,
             slowness_percent: next()?,
+            // Absent from reports of nodes of the previous version.
+            start_delay_micros: next().unwrap_or_default(),
         })
     }
 }
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -343,7 +343,8 @@
         + wait
         + fill_cost
         + zone_cost
-        + expected_slowness(settings, candidate, service_time, age);
+        + expected_slowness(settings, candidate, service_time, age)
+        + expected_start_delay(candidate, age);
     if candidate.avoid_until.is_some_and(|until| now < until) {
         return cost + AVOIDANCE_PENALTY_SECONDS;
     }
@@ -399,6 +400,13 @@
     reported * freshness + expected * (1.0 - freshness)
 }
 
+/// Returns how long the limit that the upstream names still delays the start of a request, in
+/// seconds.
+fn expected_start_delay(candidate: &Candidate, age: Duration) -> f64 {
+    let reported = Duration::from_micros(candidate.report.start_delay_micros.into());
+    reported.saturating_sub(age).as_secs_f64()
+}
+
 /// Returns the number of requests expected at the upstream now.
 ///
 /// Failure: several nodes see the same report of a low load and all choose that host. Symptom: one
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -378,7 +378,7 @@
 fn arrive_on_a_cold_host(#[case] percent: u32, #[case] expected: Decision) {
     let now = Instant::now();
     let mut admission = on_slow_host(now);
-    admission.reset_after_restart();
+    admission.reset_after_restart(now);
     admission.observe_load(now, &slowness(200));
     admission.observe_load(now, &slowness(percent));
     let deadline = now + Duration::from_secs(10);
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -13,10 +13,25 @@
         limit: 9,
         service_micros: 120_000,
         slowness_percent: 400,
+        start_delay_micros: 170_000,
     };
     assert_eq!(report.to_string().parse(), Ok(report));
 }
 
+/// Nodes of the previous version send five numbers.
+#[test]
+fn report_of_the_previous_version_has_no_start_delay() {
+    let report = Report {
+        in_flight: 1,
+        queued: 2,
+        limit: 3,
+        service_micros: 4,
+        slowness_percent: 5,
+        start_delay_micros: 0,
+    };
+    assert_eq!("1,2,3,4,5".parse(), Ok(report));
+}
+
 #[rstest]
 #[case::empty("")]
 #[case::short("1,2,3,4")]
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -47,6 +47,7 @@
         limit: 12,
         service_micros: 20_000,
         slowness_percent: 0,
+        start_delay_micros: 0,
     }
 }
 
--- a/crates/core/tests/warm_up.rs
+++ b/crates/core/tests/warm_up.rs
@@ -231,7 +231,7 @@
     fn start(&mut self, now: Instant) {
         self.cold_until = now + COLD_DURATION;
         self.starts.clear();
-        self.admission.reset_after_restart();
+        self.admission.reset_after_restart(now);
         if self.bounded {
             self.admission
                 .warm_up_mut()
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -34,10 +34,10 @@
 use mintridge_core::instance;
 use mintridge_core::load::{Report, Upstream as UpstreamLoad};
 use mintridge_core::membership;
-use mintridge_core::notice::Notice;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::probe;
 use mintridge_core::request::Id;
+use mintridge_core::request_limit::RequestLimit;
 use mintridge_core::warm_up::WarmUp;
 use mintridge_http::handler::{Function, ResponseFuture};
 use mintridge_http::problem::{self, Precision};
@@ -97,8 +97,6 @@
     pace_budget: probe::Budget,
     announcement: Option<Announcement>,
     instance: instance::Register,
-    /// Statements of the last response.
-    notice: Notice,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
     next_id: u64,
     runs: Runs,
@@ -122,6 +120,7 @@
     tokio::spawn(pace::poll_in_slow_phase(Arc::clone(&guard)));
     tokio::spawn(warm_up::run(Arc::clone(&guard)));
     tokio::spawn(warm_up::follow_rate(Arc::clone(&guard)));
+    tokio::spawn(notices::check_limit(Arc::clone(&guard)));
     let handler = Function::new(guard, |guard, request| -> ResponseFuture {
         Box::pin(handle(guard, request))
     });
@@ -190,6 +189,11 @@
         let settings = &context.settings;
         let now = Instant::now();
         let share = context.in_force().preset.probe_share;
+        let mut admission = Admission::new(settings.admission.clone(), 1)
+            .with_warm_up(WarmUp::new(settings.warm_up.clone(), now));
+        if settings.upstream.request_limit_header.is_some() {
+            admission = admission.with_request_limit(RequestLimit::new());
+        }
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(settings.guard.connect_within));
@@ -198,15 +202,13 @@
             .build(connector);
         Self {
             state: Mutex::new(State {
-                admission: Admission::new(settings.admission.clone(), 1)
-                    .with_warm_up(WarmUp::new(settings.warm_up.clone(), now)),
+                admission,
                 gate: Gate::new(settings.gate.clone(), now),
                 health: Health::new(settings.health.clone()),
                 probe_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 pace_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 announcement: None,
                 instance: instance::Register::new(settings.gate.announcement_lapses),
-                notice: Notice::default(),
                 waiters: HashMap::new(),
                 next_id: 0,
                 runs: Runs::default(),
@@ -311,6 +313,7 @@
         if !self.log.try_acquire(1) {
             return;
         }
+        let named_limit = self.state.lock().admission.request_limit().rate();
         log::info!(
             request = request_id,
             outcome = refusal.outcome.as_str(),
@@ -319,7 +322,9 @@
             queued = report.queued,
             limit = report.limit,
             service_ms = report.service_micros / 1000,
-            slowness_percent = report.slowness_percent;
+            slowness_percent = report.slowness_percent,
+            named_limit:? = named_limit,
+            start_delay_ms = report.start_delay_micros / 1000;
             "refused beside the upstream"
         );
     }
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -99,7 +99,7 @@
     /// no longer apply, and the requests in progress are lost.
     pub(super) fn reset_after_restart(&self, state: &mut State) {
         self.record_crash_before_restart(state);
-        state.admission.reset_after_restart();
+        state.admission.reset_after_restart(Instant::now());
         state.health.reset_after_restart();
         self.upstream.reset_after_restart();
     }
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -14,9 +14,10 @@
 use mintridge_core::load::Upstream as UpstreamLoad;
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::request::Id;
+use mintridge_core::request_limit::Origin;
 use mintridge_http::Body;
 
-use super::notices::Origin;
+use super::notices::Received;
 use super::runs::Digest;
 use super::slot::Slot;
 use super::{Guard, screening};
@@ -24,7 +25,7 @@
 use crate::body::Guarded;
 use crate::headers::{self, Head};
 use crate::traces;
-use crate::upstream::{self, Received};
+use crate::upstream;
 
 /// Hands the request over to the upstream. Returns its response, or the refusal to send instead.
 pub async fn hand_over(
@@ -47,20 +48,25 @@
     .await;
     let now = Instant::now();
     let (mut parts, body) = match result {
-        Ok(Received::Answer(parts, body)) => (parts, body),
-        Ok(Received::NotRun {
+        Ok(upstream::Received::Answer(parts, body)) => (parts, body),
+        Ok(upstream::Received::NotRun {
             instance,
             misdirected,
             load,
             notice,
-            ..
+            received_at,
         }) => {
             drop(run);
             guard.observe_load(now, load.as_ref());
             if misdirected {
                 return Err(guard.record_misdirection(now, instance.as_ref()));
             }
-            guard.record_notice(Origin::Request, notice);
+            guard.record_notice(&Received {
+                origin: Origin::Request,
+                sent_at: handed_over_at,
+                received_at: received_at.0,
+                notice,
+            });
             return Err(guard.record_shed(now, slot.id, load.as_ref()));
         }
         Err(error) => {
@@ -71,7 +77,12 @@
         }
     };
     guard.observe_load(now, guard.upstream.load(&parts.headers).as_ref());
-    guard.record_notice(Origin::Request, guard.upstream.notice(&parts.headers));
+    guard.record_notice(&Received {
+        origin: Origin::Request,
+        sent_at: handed_over_at,
+        received_at: upstream::received_at(&parts).0,
+        notice: guard.upstream.notice(&parts.headers),
+    });
     guard.record_response(now, slot.id, parts.status, now - handed_over_at);
     if !parts.status.is_server_error() && parts.status != StatusCode::TOO_MANY_REQUESTS {
         guard.report_answer(head, &digest);
--- a/crates/node/src/guard/pace.rs
+++ b/crates/node/src/guard/pace.rs
@@ -29,7 +29,7 @@
 
 /// Polls the upstream unless there is a recent report.
 pub async fn refresh(guard: &Guard) {
-    if !guard.upstream.reports_load() || has_recent_pace(guard) {
+    if !guard.upstream.reports_load() || has_recent_pace(guard) || names_limit(guard) {
         return;
     }
     let _poll = guard.pace.poll.lock().await;
@@ -90,6 +90,18 @@
     }
 }
 
+/// Whether the upstream names a request limit. Its responses report the pace, and polls would add to
+/// what it takes.
+fn names_limit(guard: &Guard) -> bool {
+    guard
+        .state
+        .lock()
+        .admission
+        .request_limit()
+        .rate()
+        .is_some()
+}
+
 fn has_recent_pace(guard: &Guard) -> bool {
     guard.state.lock().admission.has_recent_pace(Instant::now())
 }
--- a/crates/node/src/guard/warm_up.rs
+++ b/crates/node/src/guard/warm_up.rs
@@ -5,7 +5,9 @@
 
 use hyper::http::response::Parts;
 
-use super::notices::Origin;
+use mintridge_core::request_limit::Origin;
+
+use super::notices::Received;
 use super::{Guard, State, pace};
 
 /// Timeout of a poll. Until the response arrives, the limit on unconfirmed starts applies.
@@ -75,7 +77,12 @@
         warm_up.record_check(sent_at, now, cold_for);
         let is_cold = warm_up.is_cold(now);
         drop(state);
-        self.record_notice(Origin::Check, notice);
+        self.record_notice(&Received {
+            origin: Origin::Check,
+            sent_at,
+            received_at: now,
+            notice,
+        });
         if is_cold && !was_cold {
             log::info!(cold_ms:% = cold_for.as_millis(); "upstream is cold");
         }
