--- a/crates/node/src/guard/discovery.rs
+++ b/crates/node/src/guard/discovery.rs
@@ -15,7 +15,7 @@
 use mintridge_core::request_limit::Origin;
 
 use super::Guard;
-use super::notices::Received;
+use super::notices::Statement;
 use crate::announcement::Announcement;
 
 /// Timeout of a health check, and delay before the next one. Several health checks fit into the
@@ -78,7 +78,7 @@
             return;
         }
         let now = Instant::now();
-        self.record_notice(&Received {
+        self.record_notice(&Statement {
             origin: Origin::Check,
             sent_at: now,
             received_at: now,
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -17,7 +17,7 @@
 use mintridge_core::request_limit::Origin;
 use mintridge_http::Body;
 
-use super::notices::Received;
+use super::notices::Statement;
 use super::runs::Digest;
 use super::slot::Slot;
 use super::{Guard, screening};
@@ -61,7 +61,7 @@
             if misdirected {
                 return Err(guard.record_misdirection(now, instance.as_ref()));
             }
-            guard.record_notice(&Received {
+            guard.record_notice(&Statement {
                 origin: Origin::Request,
                 sent_at: handed_over_at,
                 received_at: received_at.0,
@@ -77,7 +77,7 @@
         }
     };
     guard.observe_load(now, guard.upstream.load(&parts.headers).as_ref());
-    guard.record_notice(&Received {
+    guard.record_notice(&Statement {
         origin: Origin::Request,
         sent_at: handed_over_at,
         received_at: upstream::received_at(&parts).0,
--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -14,7 +14,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// A response of the current instance.
-pub struct Received {
+pub struct Statement {
     /// Kind of request that it answers.
     pub origin: Origin,
     /// When the request was sent.
@@ -48,8 +48,8 @@
 
 impl Guard {
     /// Records the statements of one response of the current instance.
-    pub(super) fn record_notice(&self, received: &Received) {
-        let Received { origin, notice, .. } = *received;
+    pub(super) fn record_notice(&self, statement: &Statement) {
+        let Statement { origin, notice, .. } = *statement;
         self.context.metrics.notice(origin.as_str(), notice);
         if notice.limit == Limit::Unreadable {
             self.context.metrics.bad_input("request-limit");
@@ -61,8 +61,8 @@
         let limit = state.admission.request_limit_mut();
         let has_changed = limit.record(&Observation {
             origin,
-            sent_at: received.sent_at,
-            received_at: received.received_at,
+            sent_at: statement.sent_at,
+            received_at: statement.received_at,
             limit: notice.limit,
         });
         let rate = limit.rate();
--- a/crates/node/src/guard/warm_up.rs
+++ b/crates/node/src/guard/warm_up.rs
@@ -7,7 +7,7 @@
 
 use mintridge_core::request_limit::Origin;
 
-use super::notices::Received;
+use super::notices::Statement;
 use super::{Guard, State, pace};
 
 /// Timeout of a poll. Until the response arrives, the limit on unconfirmed starts applies.
@@ -77,7 +77,7 @@
         warm_up.record_check(sent_at, now, cold_for);
         let is_cold = warm_up.is_cold(now);
         drop(state);
-        self.record_notice(&Received {
+        self.record_notice(&Statement {
             origin: Origin::Check,
             sent_at,
             received_at: now,
