feat(ctl): explain names the limit and the leaving that upstreams stated

Lines of attempts and of refusals beside the upstream give both, explain ends with one line for each upstream asked that stated something, and a gauge holds the limit. Before, a refusal for either looked like one for want of room.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -1,5 +1,6 @@
 //! `mintridge explain`: the history of one request, from the logs of several nodes.
 
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{BufRead, BufReader};
@@ -45,6 +46,8 @@
     pub events: Vec<Event>,
     /// Explanation of the outcome that the entry node logged.
     pub cause: String,
+    /// What the upstreams that were asked had stated in their responses.
+    pub statements: BTreeSet<String>,
     /// Number of lines that could not be parsed as log lines of a node.
     pub unread_lines: u64,
 }
@@ -92,9 +95,36 @@
     if line.message == "request" {
         history.cause = cause(&line);
     }
+    history.statements.extend(statements(&line));
     history.events.push(event(&line));
 }
 
+/// Returns what the upstream had stated, from a line of the node beside it or of the entry node.
+fn statements(line: &Line) -> Vec<String> {
+    let text = |key: &str| line.kvs.get(key).map_or_else(String::new, format_value);
+    let (host, limit, leaving) = match line.message.as_str() {
+        "refused beside the upstream" => {
+            let host = line
+                .diags
+                .get("host")
+                .map_or_else(String::new, format_value);
+            (host, text("named_limit"), text("states_leaving"))
+        }
+        "attempt" => (text("to"), text("known_named_limit"), text("known_leaving")),
+        _ => return Vec::new(),
+    };
+    let mut statements = Vec::new();
+    if !limit.is_empty() {
+        statements.push(format!(
+            "the upstream of {host} named a limit of {limit} requests per second"
+        ));
+    }
+    if leaving == "true" {
+        statements.push(format!("the upstream of {host} stated that it is leaving"));
+    }
+    statements
+}
+
 fn event(line: &Line) -> Event {
     let details: Vec<String> = line
         .kvs
@@ -199,6 +229,9 @@
     if !history.cause.is_empty() {
         let _ = writeln!(text, "\ncause: {}", history.cause);
     }
+    for statement in &history.statements {
+        let _ = writeln!(text, "stated: {statement}");
+    }
     if history.unread_lines > 0 {
         let _ = writeln!(text, "{} lines could not be read", history.unread_lines);
     }
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -26,12 +26,12 @@
 }
 
 const ENTRY: [&str; 3] = [
-    r#"{"timestamp":"2026-01-12T08:00:02.000+00:00","level":"INFO","target":"n","message":"attempt","kvs":{"request":"r-1","attempt":1,"to":"host-2","known_age_ms":40,"outcome":"late"},"diags":{"host":"host-1"}}"#,
+    r#"{"timestamp":"2026-01-12T08:00:02.000+00:00","level":"INFO","target":"n","message":"attempt","kvs":{"request":"r-1","attempt":1,"to":"host-2","known_age_ms":40,"known_named_limit":"","known_leaving":true,"outcome":"late"},"diags":{"host":"host-1"}}"#,
     r#"collector: {"timestamp":"2026-01-12T08:00:04.000+00:00","level":"INFO","target":"n","message":"request","kvs":{"request":"r-1","status":502,"outcome":"link-lost"},"diags":{"host":"host-1"}}"#,
     "not a line of a node",
 ];
 const GUARD: [&str; 2] = [
-    r#"{"timestamp":"2026-01-12T08:00:01.000+00:00","level":"INFO","target":"n","message":"refused beside the upstream","kvs":{"request":"r-1","reason":"late","queued":9},"diags":{"host":"host-2"}}"#,
+    r#"{"timestamp":"2026-01-12T08:00:01.000+00:00","level":"INFO","target":"n","message":"refused beside the upstream","kvs":{"request":"r-1","reason":"late","queued":9,"named_limit":"5.8","states_leaving":false},"diags":{"host":"host-2"}}"#,
     r#"{"timestamp":"2026-01-12T08:00:01.500+00:00","level":"INFO","target":"n","message":"refused beside the upstream","kvs":{"request":"r-2","reason":"busy"},"diags":{"host":"host-2"}}"#,
 ];
 
@@ -49,6 +49,13 @@
     assert!(!text.contains("busy"), "{text}");
     assert!(text.contains("cause: link-lost (502)"), "{text}");
     assert!(text.contains("it may have run"), "{text}");
+    for statement in [
+        "named a limit of 5.8 requests per second",
+        "stated that it is leaving",
+    ] {
+        let line = format!("stated: the upstream of host-2 {statement}");
+        assert!(text.contains(&line), "{text}");
+    }
     assert!(text.contains("1 lines could not be read"), "{text}");
     for file in files {
         let _ = fs::remove_file(file);
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -72,7 +72,7 @@
         let head = headers::Head {
             only_in_time: placed.only_in_time,
             report_to: Some(entry.context.addresses.peers),
-            known: entry.notices.lock().get(&placed.host).cloned(),
+            known: placed.known.clone(),
             ..head.clone()
         };
         build(&entry.context, now, &head, &outgoing.parts, body)
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -151,9 +151,11 @@
         drop(placement);
         let retry = &self.context.live().retry;
         let only_in_time = forwarding.attempts.record_placement(retry, &host);
+        let known = self.notices.lock().get(&host).cloned();
         Some(Placed {
             entry: Arc::clone(self),
             service: Arc::clone(service),
+            known,
             host,
             ending: Ending::Abandoned,
             only_in_time,
--- a/crates/node/src/entry/placed.rs
+++ b/crates/node/src/entry/placed.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use mintridge_core::load::Report;
+use mintridge_core::notice::Known;
 use mintridge_core::placement::Ending;
 
 use super::Entry;
@@ -23,6 +24,8 @@
     pub only_in_time: bool,
     /// Load report by which the host was chosen, and when the report was received.
     pub last_report: (Report, Instant),
+    /// Last known statements of the upstream.
+    pub known: Option<Known>,
     /// Start of the attempt.
     pub started_at: Instant,
 }
@@ -34,6 +37,7 @@
         request_log::Attempt {
             host: Arc::clone(&self.host),
             report,
+            known: self.known.clone(),
             report_age: self.started_at.duration_since(reported_at),
             only_in_time: self.only_in_time,
             outcome,
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -57,7 +57,7 @@
 use crate::context::{Context, GuardState, View};
 use crate::headers::{self, Head};
 use crate::link::{CHECK_PATH, SLOT_PATH};
-use crate::request_log::RequestLog;
+use crate::request_log::{RequestLog, limit_text};
 use crate::traces;
 use crate::upstream::Upstream;
 
@@ -331,7 +331,7 @@
             limit = report.limit,
             service_ms = report.service_micros / 1000,
             slowness_percent = report.slowness_percent,
-            named_limit:? = named_limit,
+            named_limit = limit_text(named_limit),
             states_leaving = states_leaving,
             start_delay_ms = report.start_delay_micros / 1000;
             "refused beside the upstream"
@@ -378,8 +378,10 @@
             doubtful: !state.health.is_ready(),
             probe_micros: u64::try_from(spent.as_micros()).unwrap_or(u64::MAX),
         };
+        let named_limit = state.admission.request_limit().rate();
         drop(state);
         self.context.metrics.guarded(&guarded);
+        self.context.metrics.named_limit(named_limit);
         send_if_changed(&self.context.latest.upstream, upstream);
         send_if_changed(&self.context.latest.guarded, guarded);
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a node in the Prometheus text format. Label sets are bounded: label values are
 //! constants of this program and never come from callers.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use hyper::Response;
@@ -80,6 +81,7 @@
     in_flight: Gauge,
     queued: Gauge,
     limit: Gauge,
+    named_limit: Gauge<f64, AtomicU64>,
     probe_micros: Gauge,
     members: Gauge,
     links: Gauge,
@@ -116,6 +118,7 @@
             in_flight: Gauge::default(),
             queued: Gauge::default(),
             limit: Gauge::default(),
+            named_limit: Gauge::default(),
             probe_micros: Gauge::default(),
             members: Gauge::default(),
             links: Gauge::default(),
@@ -188,6 +191,8 @@
         registry.register("upstream_queued", help, self.queued.clone());
         let help = "Requests the upstream may have at once";
         registry.register("upstream_limit", help, self.limit.clone());
+        let help = "Requests per second that the upstream takes, by its own statement; -1 if none";
+        registry.register("upstream_named_limit", help, self.named_limit.clone());
         let help = "Upstream time spent on probes, in microseconds";
         registry.register("probe_microseconds", help, self.probe_micros.clone());
         let help = "Hosts that are there, this one included";
@@ -331,6 +336,11 @@
             .set(i64::try_from(guarded.probe_micros).unwrap_or(i64::MAX));
     }
 
+    /// Sets the limit that the upstream names, in requests per second.
+    pub fn named_limit(&self, limit: Option<f64>) {
+        self.named_limit.set(limit.unwrap_or(-1.0));
+    }
+
     /// Sets the number of members and the revision of the preset in force on this node.
     pub fn view(&self, members: usize, revision: u64) {
         self.members.set(i64::try_from(members).unwrap_or(i64::MAX));
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -7,6 +7,7 @@
 
 use hyper::StatusCode;
 use mintridge_core::load::Report;
+use mintridge_core::notice::Known;
 use mintridge_core::quota::Quota;
 use parking_lot::Mutex;
 
@@ -71,6 +72,8 @@
     pub report: Report,
     /// Age of that load report.
     pub report_age: Duration,
+    /// Last known statements of the host's upstream.
+    pub known: Option<Known>,
     /// Whether the host had to refuse the request if it would miss its target.
     pub only_in_time: bool,
     /// Outcome of the attempt.
@@ -173,6 +176,7 @@
 
     fn write_attempt(&self, number: usize, attempt: &Attempt) {
         let offset = attempt.started_at.duration_since(self.arrived_at);
+        let known = attempt.known.as_ref();
         log::info!(
             request = &*self.request_id,
             attempt = number,
@@ -184,6 +188,8 @@
             known_limit = attempt.report.limit,
             known_slowness_percent = attempt.report.slowness_percent,
             known_age_ms = millis(attempt.report_age),
+            known_named_limit = limit_text(known.and_then(|known| known.requests_per_second)),
+            known_leaving = known.is_some_and(|known| known.leaving),
             only_in_time = attempt.only_in_time,
             outcome = attempt.outcome;
             "attempt"
@@ -206,3 +212,9 @@
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns a request limit for a log line; empty if there is none.
+#[must_use]
+pub fn limit_text(limit: Option<f64>) -> String {
+    limit.map_or_else(String::new, |limit| limit.to_string())
+}
