fix(guard): count starts when requests are sent, not when they get a slot

Mend: a start that was counted over 100 ms before is counted again just before the request is sent; if the upstream takes none at that moment, the request waits, first in line, or is refused at once if its deadline comes before.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -41,6 +41,8 @@
 /// ones. At 0.2 the estimated wait is five times the usual, which is longer than any target allows.
 const MIN_REMAINING_SHARE: f64 = 0.2;
 
+/// A start that was counted longer ago than this is counted again when the request is sent.
+const START_VALIDITY: Duration = Duration::from_millis(100);
 /// Longest retry delay that a refusal gives while the upstream takes no request.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// Lower bound of the capacity in requests, for an upstream that names a limit of zero.
@@ -90,12 +92,16 @@
     pace: Pace,
     warm_up: WarmUp,
     request_limit: RequestLimit,
+    /// Requests that hold a slot and wait to be sent; no other starts before them.
+    delayed: HashSet<Id>,
     actions: VecDeque<Action>,
 }
 
 #[derive(Clone, Debug)]
 struct Running {
     started_at: Instant,
+    /// When the start was last counted in the rate of starts.
+    counted_at: Instant,
     route: Arc<str>,
     /// Service time on the host when the request started, in percent of its usual one.
     slowness_percent: u32,
@@ -117,6 +123,7 @@
             pace: Pace::default(),
             warm_up: WarmUp::default(),
             request_limit: RequestLimit::default(),
+            delayed: HashSet::new(),
             actions: VecDeque::new(),
         }
     }
@@ -267,9 +274,36 @@
         }
     }
 
+    /// Returns whether a request that holds a slot may be sent to the upstream now; if not, when to
+    /// ask again.
+    ///
+    /// Failure: requests hold slots while they wait for their claims or bodies, and all of them
+    /// are sent at once. Symptom: an upstream that is cold or names a limit gets a burst of them.
+    ///
+    /// # Errors
+    /// The time of the next start, if the request held its slot for a while and the upstream takes
+    /// none now.
+    pub fn confirm_start(&mut self, now: Instant, id: Id) -> Result<(), Instant> {
+        let counted_at = self.running.get(&id).map(|running| running.counted_at);
+        if counted_at.is_none_or(|counted_at| now < counted_at + START_VALIDITY) {
+            return Ok(());
+        }
+        if let Some(starts_at) = self.next_start(now) {
+            self.delayed.insert(id);
+            return Err(starts_at);
+        }
+        self.delayed.remove(&id);
+        self.record_start(now);
+        if let Some(running) = self.running.get_mut(&id) {
+            running.counted_at = now;
+        }
+        Ok(())
+    }
+
     /// Releases the slot of a finished request, whatever its outcome.
     pub fn finish(&mut self, id: Id) {
         self.running.remove(&id);
+        self.delayed.remove(&id);
     }
 
     /// Removes a queued request whose caller has gone away.
@@ -379,6 +413,7 @@
 
     fn can_run(&self, now: Instant) -> bool {
         saturating_u32(self.running.len()) < self.limit.whole_requests()
+            && self.delayed.is_empty()
             && self.next_start(now).is_none()
     }
 
@@ -483,10 +518,16 @@
         self.shares.record(now, arrival.priority, !class.late);
         let running = Running {
             started_at: now,
+            counted_at: now,
             route: Arc::clone(&arrival.route),
             slowness_percent: self.pace.relative_percent(&self.settings, now),
         };
         self.running.insert(arrival.id, running);
+        self.record_start(now);
+    }
+
+    /// Counts a start in the rate that an upstream takes that is cold or names a limit.
+    fn record_start(&mut self, now: Instant) {
         self.warm_up.record_start(now);
         self.request_limit.record_start(now);
     }
--- a/crates/core/tests/request_limit.rs
+++ b/crates/core/tests/request_limit.rs
@@ -364,3 +364,48 @@
         "{back} in 2 s after the limit"
     );
 }
+
+/// Requests hold their slots while they wait for their bodies, and all of them are sent at once: an
+/// upstream with a limit gets a burst of them.
+#[test]
+fn confirm_start_counts_requests_when_they_are_sent() {
+    const LIMIT: f64 = 2.0;
+    let mut rng = ChaCha8Rng::seed_from_u64(47);
+    let mut host = Host::new();
+    name(
+        host.admission.request_limit_mut(),
+        host.now,
+        Limit::Named(LIMIT),
+    );
+    host.named = Limit::Named(LIMIT);
+    // Requests that are granted a slot are only sent after ten seconds, in the order of their ids.
+    let (granted_at, send_at) = (host.now, host.now + 10 * SECOND);
+    while host.now < send_at {
+        if rng.random::<f64>() < 0.01 {
+            host.arrive(0);
+        }
+        host.running.iter_mut().for_each(|(at, _)| *at = send_at);
+        host.advance();
+    }
+    let mut held: Vec<Id> = host.running.drain(..).map(|(_, id)| id).collect();
+    assert!(held.len() >= 8, "{} held", held.len());
+    let mut sent = Vec::new();
+    while host.now < granted_at + 30 * SECOND {
+        let now = host.now;
+        held.retain(|id| {
+            let waits = host.admission.confirm_start(now, *id).is_err();
+            if !waits {
+                sent.push(now);
+                host.running.push((now, *id));
+            }
+            waits
+        });
+        let before = host.starts.len();
+        host.arrive(0);
+        host.advance();
+        sent.extend(host.starts[before..].iter());
+    }
+    assert!(held.is_empty(), "{} are still held", held.len());
+    let busiest = to_f64(busiest_window(&sent));
+    assert!(busiest <= LIMIT * 4.0 + 2.0, "{busiest} in a window");
+}
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -36,8 +36,7 @@
 ) -> Result<Response<Body>, Refusal> {
     let (digest, request) = Digest::begin(&guard.context.settings, head, request);
     let (mut request, trial) = screening::check(guard, head, &digest, request).await?;
-    let handed_over_at = Instant::now();
-    let address = guard.check_hand_over(handed_over_at, head)?;
+    let (handed_over_at, address) = guard.wait_for_start(slot.id, head).await?;
     let time_left = head.deadline.saturating_duration_since(handed_over_at);
     guard.prepare(&mut request, head, time_left);
     let run = guard.begin_run(slot.id, digest.clone());
@@ -97,6 +96,22 @@
 }
 
 impl Guard {
+    /// Waits until the upstream takes the request, and checks once more that it may run. Returns
+    /// when it may be sent, and where.
+    async fn wait_for_start(&self, id: Id, head: &Head) -> Result<(Instant, SocketAddr), Refusal> {
+        loop {
+            let now = Instant::now();
+            let address = self.check_hand_over(now, head)?;
+            let Err(starts_at) = self.state.lock().admission.confirm_start(now, id) else {
+                return Ok((now, address));
+            };
+            if starts_at >= head.deadline {
+                return Err(self.not_run(Reason::Deadline));
+            }
+            tokio::time::sleep_until(starts_at.into()).await;
+        }
+    }
+
     /// Checks once more that the request may run, immediately before it is sent.
     ///
     /// Failure: the process is paused between admission and here, or the claim took long. Symptom:
