test(soak): upstreams name limits and state leaving in their responses

In the mixed seeds that end in 5. Checked from what upstreams saw: requests beyond one and a half times a limit and five, in any four seconds from three seconds after the first response with it, from all nodes together; and requests by way of nodes that passed on two seconds before that the upstream is leaving, unless the node was stopped, killed or paused since. A leaving upstream is replaced under its id.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -21,6 +21,8 @@
 #[case::crashing(2, true)]
 // Upstreams become cold without announcing it, during kills, pauses and cuts.
 #[case::cold(8, true)]
+// Upstreams name limits and state leaving in their responses, during kills, pauses and cuts.
+#[case::notices(5, true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn run_keeps_every_promise(#[case] seed: u64, #[case] bodies: bool) {
     let settings = Settings {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -78,12 +78,7 @@
 /// If a socket cannot be opened or a node cannot be started.
 pub async fn run(settings: &Settings) -> Result<Outcome, Error> {
     let plan = plan::draw(settings.seed, settings.hosts, settings.load);
-    let mut fleet = Fleet::start(
-        settings.binary.clone(),
-        settings.hosts,
-        plan.has_cold_upstreams,
-    )
-    .await?;
+    let mut fleet = Fleet::start(settings.binary.clone(), settings.hosts, &plan).await?;
     let mut violations = Vec::new();
     let started_at = Instant::now();
     let load_task = tokio::spawn(callers::run(
@@ -119,6 +114,9 @@
     if plan.has_cold_upstreams {
         violations.extend(promises::check_cold_upstreams(&fleet.max_cold_requests()));
     }
+    if plan.has_notices {
+        violations.extend(promises::check_notices(&fleet.notice_violations()));
+    }
     if plan.mode == Mode::Planned {
         violations.extend(promises::check_planned_work(&records, &runs));
     }
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use super::callers::Targets;
-use super::plan::{Entry, Event};
+use super::plan::{self, Entry, Event};
 use super::promises::{COLD_RATE, Leaving, Revisions, Violation};
 use crate::relay::{Condition, Relay};
 use crate::scene::{Error, Plan, RunningNode, Scene, loopback};
@@ -54,15 +54,13 @@
     ///
     /// # Errors
     /// If a socket cannot be opened or a node cannot be started.
-    pub async fn start(
-        binary: PathBuf,
-        hosts: usize,
-        has_cold_upstreams: bool,
-    ) -> Result<Self, Error> {
+    pub async fn start(binary: PathBuf, hosts: usize, plan: &plan::Plan) -> Result<Self, Error> {
         let scene = Scene::start(Plan {
             services: Vec::new(),
-            adjust: if has_cold_upstreams {
+            adjust: if plan.has_cold_upstreams {
                 set_cold_headers
+            } else if plan.has_notices {
+                set_notice_headers
             } else {
                 set_linger
             },
@@ -85,6 +83,10 @@
             fleet.add(index).await?;
         }
         fleet.scene.wait_until_joined().await;
+        if plan.has_notices {
+            // Without a start time a restart under the same id looks like a late message.
+            (0..hosts).for_each(|index| fleet.scene.announce_restart(index));
+        }
         Ok(fleet)
     }
 
@@ -157,6 +159,7 @@
             Event::Stop if self.is_up(host) && self.stopping.is_empty() => {
                 self.signal(host, Signal::TERM);
                 self.stopping.push(host);
+                self.excuse(host);
             }
             Event::Reload if self.is_up(host) => self.signal(host, Signal::HUP),
             Event::Drain if self.leaving.is_empty() => {
@@ -166,12 +169,16 @@
                     .push((host, Leaving::new(name, Instant::now())));
             }
             Event::ChangePreset => self.change_preset().await,
-            Event::Restart => self.scene.announce_restart(host),
+            Event::Restart => self.replace_upstream(host),
             Event::Kill if self.is_up(host) => {
                 self.targets.lock()[host] = None;
                 self.scene.kill(host).await;
+                self.excuse(host);
+            }
+            Event::Pause if self.is_up(host) => {
+                self.signal(host, Signal::STOP);
+                self.excuse(host);
             }
-            Event::Pause if self.is_up(host) => self.signal(host, Signal::STOP),
             Event::PeerLink(condition) => self.networks[host].peers.set(condition),
             Event::StallPeerLinks => self.networks[host].peers.stall_open_connections(),
             Event::StoreLink(condition) => self.networks[host].store.set(condition),
@@ -180,6 +187,13 @@
                 let duration = entry.until.saturating_sub(entry.at);
                 self.scene.hosts[host].upstream.start_cold_period(duration);
             }
+            Event::NameLimit(limit) => {
+                let limit = limit.to_string();
+                self.scene.hosts[host].upstream.set_limit(Some(&limit));
+            }
+            Event::StateLeaving if self.has_no_leaving_upstream() => {
+                self.scene.hosts[host].upstream.set_leaving(true);
+            }
             event => self.set_store_fault(event, true),
         }
     }
@@ -198,7 +212,10 @@
             Event::Kill if self.scene.hosts[host].node.is_none() => self.start_node(host).await?,
             Event::Pause if self.scene.hosts[host].node.is_some() => {
                 self.signal(host, Signal::CONT);
+                self.excuse(host);
             }
+            Event::NameLimit(_) => self.scene.hosts[host].upstream.set_limit(None),
+            Event::StateLeaving => self.replace_upstream(host),
             Event::PeerLink(_) => self.networks[host].peers.set(Condition::Normal),
             Event::StoreLink(_) => self.networks[host].store.set(Condition::Normal),
             Event::StoreRestore => self.scene.store.drill(Drill::default()).await,
@@ -207,6 +224,27 @@
         Ok(())
     }
 
+    /// Replaces an upstream by another incarnation, which names no limit and is not leaving.
+    fn replace_upstream(&self, host: usize) {
+        let upstream = &self.scene.hosts[host].upstream;
+        upstream.set_limit(None);
+        upstream.set_leaving(false);
+        self.scene.announce_restart(host);
+    }
+
+    /// Records that a node is not bound by what it passed on before.
+    fn excuse(&self, host: usize) {
+        let origin = &self.scene.hosts[host].name;
+        for host in &self.scene.hosts {
+            host.upstream.excuse(origin);
+        }
+    }
+
+    fn has_no_leaving_upstream(&self) -> bool {
+        let mut hosts = self.scene.hosts.iter();
+        hosts.all(|host| !host.upstream.is_leaving())
+    }
+
     fn set_store_fault(&mut self, event: Event, active: bool) {
         let faults = &mut self.faults;
         match event {
@@ -292,6 +330,21 @@
         requests.collect()
     }
 
+    /// Requests beyond named limits, and after statements of leaving, of each host.
+    #[must_use]
+    pub fn notice_violations(&self) -> Vec<(String, usize, u64)> {
+        let hosts = self.scene.hosts.iter();
+        let counts = hosts.map(|host| {
+            let counts = host.upstream.counts();
+            (
+                host.name.to_string(),
+                counts.limit_excess,
+                counts.after_leaving,
+            )
+        });
+        counts.collect()
+    }
+
     /// Whether a planned stop is in progress.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
@@ -312,6 +365,17 @@
     settings.warm_up.requests_per_second = Some(COLD_RATE.into());
 }
 
+/// Configures nodes to read limits and leaving from responses, and to name themselves in requests.
+fn set_notice_headers(settings: &mut Settings) {
+    set_linger(settings);
+    settings.upstream.instance_header = Some(String::from(upstream::SERVER));
+    settings.upstream.load_header = Some(String::from(upstream::LOAD_HEADER));
+    settings.upstream.request_limit_header = Some(String::from(upstream::LIMIT_HEADER));
+    settings.upstream.leaving_header = Some(String::from(upstream::LEAVING_HEADER));
+    settings.callers.origin_header = Some(String::from(upstream::ORIGIN));
+    settings.callers.origin = settings.host.to_string();
+}
+
 /// Points a node's settings at its relays.
 fn set_relay_addresses(peers: SocketAddr, store: SocketAddr) -> impl FnOnce(&mut Settings) {
     move |settings| {
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -15,6 +15,10 @@
 /// Maximum duration of an event.
 const MAX_EVENT_DURATION: Duration = Duration::from_secs(3);
 
+/// Minimum duration of a limit or a statement of leaving. Limits are checked after three seconds,
+/// leaving after two.
+const MIN_NOTICE_DURATION: Duration = Duration::from_secs(4);
+
 /// Kinds of events that a run injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -64,6 +68,12 @@
     StoreRestore,
     /// The upstream of a host turns cold until the end without announcing it.
     TurnCold,
+    /// The upstream of a host names this limit in its responses until the end, in requests per
+    /// second.
+    NameLimit(u32),
+    /// The upstream of a host states in its responses that it is leaving, and is replaced at the
+    /// end.
+    StateLeaving,
 }
 
 /// A scheduled event.
@@ -88,13 +98,15 @@
     pub repeats_crash_request: bool,
     /// Whether upstreams turn cold, which lowers the rate that they sustain.
     pub has_cold_upstreams: bool,
+    /// Whether upstreams name limits and state that they are leaving in their responses.
+    pub has_notices: bool,
     /// Events in order of their beginning.
     pub entries: Vec<Entry>,
 }
 
 /// Draws the plan of a seed for a number of hosts and a duration of load. Every third seed has
 /// planned operations only; in some of the others a request crashes upstreams, the store is
-/// restored from older backups, or upstreams turn cold.
+/// restored from older backups, upstreams turn cold, or they name limits and state leaving.
 #[must_use]
 pub fn draw(seed: u64, hosts: usize, load: Duration) -> Plan {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -127,8 +139,14 @@
         entries.extend(cold_periods(&mut rng, hosts, load));
         entries.sort_by_key(|entry| entry.at);
     }
+    let has_notices = mode == Mode::Mixed && seed % 10 == 5;
+    if has_notices {
+        entries.extend(notices(&mut rng, hosts, load));
+        entries.sort_by_key(|entry| entry.at);
+    }
     Plan {
         mode,
+        has_notices,
         repeats_crash_request: mode == Mode::Mixed && seed % 5 == 2,
         has_cold_upstreams,
         entries,
@@ -169,6 +187,27 @@
     periods
 }
 
+/// A series of limits and statements of leaving, which last long enough to be checked.
+fn notices(rng: &mut impl Rng, hosts: usize, load: Duration) -> Vec<Entry> {
+    let mut notices = Vec::new();
+    let mut at = FIRST_EVENT_AT;
+    while at < load {
+        let event = if rng.random::<bool>() {
+            Event::NameLimit(rng.random_range(4..20))
+        } else {
+            Event::StateLeaving
+        };
+        notices.push(Entry {
+            at,
+            until: at + MIN_NOTICE_DURATION + MAX_EVENT_DURATION.mul_f64(rng.random::<f64>()),
+            host: rng.random_range(0..hosts),
+            event,
+        });
+        at += MAX_GAP;
+    }
+    notices
+}
+
 fn draw_planned(rng: &mut impl Rng) -> Event {
     match rng.random_range(0..4) {
         0 => Event::Stop,
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -86,6 +86,22 @@
         /// Number of requests.
         requests: usize,
     },
+    /// An upstream that named a limit got more requests than it allows.
+    #[error("{host} got {requests} requests in a window beyond the limit that it named")]
+    LimitExceeded {
+        /// The host.
+        host: String,
+        /// Number of requests beyond those that the limit allows.
+        requests: usize,
+    },
+    /// An upstream that stated that it is leaving got requests from nodes that had passed it on.
+    #[error("{host} got {requests} requests from nodes that had passed on that it is leaving")]
+    ServedAfterStatement {
+        /// The host.
+        host: String,
+        /// Number of requests.
+        requests: u64,
+    },
     /// The fleet did not serve all requests again after the last fault.
     #[error("{failed} of {sent} requests failed after the last fault")]
     NotRecovered {
@@ -115,6 +131,28 @@
     violations.collect()
 }
 
+/// Checks for each host the number of requests beyond the limit that its upstream named, and after
+/// the upstream stated that it is leaving.
+#[must_use]
+pub fn check_notices(counts: &[(String, usize, u64)]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (host, limit_excess, after_leaving) in counts {
+        if *limit_excess > 0 {
+            violations.push(Violation::LimitExceeded {
+                host: host.clone(),
+                requests: *limit_excess,
+            });
+        }
+        if *after_leaving > 0 {
+            violations.push(Violation::ServedAfterStatement {
+                host: host.clone(),
+                requests: *after_leaving,
+            });
+        }
+    }
+    violations
+}
+
 /// Checks the results that callers got against the requests that ran.
 #[must_use]
 pub fn check_answers(records: &[Record], runs: &BTreeMap<String, u32>) -> Vec<Violation> {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -37,6 +37,8 @@
 /// Header of a probe response with the remaining time for which the upstream is cold, in
 /// milliseconds.
 pub const COLD_HEADER: &str = "x-cold";
+/// Header of a request with the host whose node received it from the caller.
+pub const ORIGIN: &str = "x-origin";
 /// Header of a response with the requests per second that the upstream takes from all nodes.
 pub const LIMIT_HEADER: &str = "x-limit";
 /// Header of a response that states that the upstream is leaving.
@@ -69,7 +71,8 @@
 const LIMIT_FACTOR: f64 = 1.5;
 /// Requests in a window that are allowed beyond that.
 const LIMIT_SLACK: f64 = 5.0;
-/// Time after the first response that states leaving from which no request may arrive.
+/// Time after the first response that states leaving from which no request may arrive by way of
+/// the node that passed the response on.
 const LEAVE_SETTLE: Duration = Duration::from_secs(2);
 
 /// How an upstream handles requests.
@@ -145,8 +148,8 @@
     pub cold_most: usize,
     /// Maximum number of requests beyond what the named limit allows in its window.
     pub limit_excess: usize,
-    /// Number of requests that arrived although every node had time to learn that the upstream is
-    /// leaving.
+    /// Number of requests that arrived by way of nodes that had passed on long before that the
+    /// upstream is leaving.
     pub after_leaving: u64,
 }
 
@@ -177,8 +180,8 @@
     silent_probes: bool,
     /// When a response first named a limit.
     limit_named_at: Option<Instant>,
-    /// When a response first stated leaving.
-    leaving_named_at: Option<Instant>,
+    /// When a response first stated leaving, by the host whose node passed it on.
+    leaving_named_at: HashMap<String, Instant>,
     /// Arrival times of the requests within the last [`LIMIT_WINDOW`].
     arrivals: VecDeque<Instant>,
 }
@@ -205,14 +208,14 @@
         self.arrivals.len().saturating_sub(allowed as usize)
     }
 
-    /// Returns whether every node has had time to learn that the upstream is leaving.
-    fn is_leaving_settled(&self, now: Instant) -> bool {
-        self.leaving_named_at
-            .is_some_and(|named_at| now >= named_at + LEAVE_SETTLE)
+    /// Returns whether the node of a host passed on long before that the upstream is leaving.
+    fn is_leaving_settled(&self, now: Instant, origin: &str) -> bool {
+        let named_at = self.leaving_named_at.get(origin);
+        named_at.is_some_and(|named_at| now >= *named_at + LEAVE_SETTLE)
     }
 
-    /// Adds the headers to a response.
-    fn write(&mut self, now: Instant, response: &mut Response<Body>) {
+    /// Adds the headers to the response to a request that came by way of the node of `origin`.
+    fn write(&mut self, now: Instant, origin: Option<String>, response: &mut Response<Body>) {
         if let Some(value) = self.limit.as_ref().and_then(|limit| limit.parse().ok()) {
             response.headers_mut().insert(LIMIT_HEADER, value);
             self.limit_named_at.get_or_insert(now);
@@ -220,7 +223,9 @@
         if self.leaving {
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert(LEAVING_HEADER, value);
-            self.leaving_named_at.get_or_insert(now);
+            if let Some(origin) = origin {
+                self.leaving_named_at.entry(origin).or_insert(now);
+            }
         }
     }
 }
@@ -327,7 +332,20 @@
     pub fn set_leaving(&self, leaving: bool) {
         let notice = &mut self.state.lock().notice;
         notice.leaving = leaving;
-        notice.leaving_named_at = None;
+        notice.leaving_named_at.clear();
+    }
+
+    /// Whether the upstream states that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.state.lock().notice.leaving
+    }
+
+    /// Forgets that the node of a host passed on that the upstream is leaving, because that node was
+    /// restarted or paused.
+    pub fn excuse(&self, origin: &str) {
+        let notice = &mut self.state.lock().notice;
+        notice.leaving_named_at.remove(origin);
     }
 
     /// Sets whether responses to health probes state neither limit nor leaving.
@@ -367,10 +385,11 @@
 
 async fn handle(upstream: Arc<Upstream>, request: Request<Body>) -> Response<Body> {
     let is_probe = request.uri().path() == HEALTH;
+    let origin = (!is_probe).then(|| header(&request, ORIGIN));
     let mut response = respond(Arc::clone(&upstream), request).await;
     let mut state = upstream.state.lock();
     if !(is_probe && state.notice.silent_probes) {
-        state.notice.write(Instant::now(), &mut response);
+        state.notice.write(Instant::now(), origin, &mut response);
     }
     drop(state);
     response
@@ -385,7 +404,8 @@
         _ => {}
     }
     let id = header(&request, REQUEST_ID);
-    let _open_request = OpenRequest::new(Arc::clone(&upstream));
+    let origin = header(&request, ORIGIN);
+    let _open_request = OpenRequest::new(Arc::clone(&upstream), &origin);
     if behaviour.manner == Mode::FailFast {
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "failing fast\n");
     }
@@ -577,12 +597,12 @@
 struct OpenRequest(Arc<Upstream>);
 
 impl OpenRequest {
-    fn new(upstream: Arc<Upstream>) -> Self {
+    fn new(upstream: Arc<Upstream>, origin: &str) -> Self {
         let mut state = upstream.state.lock();
         let now = Instant::now();
         let cold_requests = state.cold_period.record_arrival(now);
         let limit_excess = state.notice.record_arrival(now);
-        let is_leaving_settled = state.notice.is_leaving_settled(now);
+        let is_leaving_settled = state.notice.is_leaving_settled(now, origin);
         let counts = &mut state.counts;
         counts.cold_most = counts.cold_most.max(cold_requests);
         counts.limit_excess = counts.limit_excess.max(limit_excess);
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -11,7 +11,7 @@
 use mintridge_standin::soak::plan::{Event, Mode, draw};
 use mintridge_standin::soak::promises::{
     LEAVE_TIMEOUT, Leaving, Revisions, Violation, check_answers, check_cold_upstreams,
-    check_planned_work, check_repeats,
+    check_notices, check_planned_work, check_repeats,
 };
 use rstest::rstest;
 
@@ -161,6 +161,37 @@
     assert_eq!(check_cold_upstreams(&max_requests), [overrun]);
 }
 
+#[test]
+fn check_notices_reports_requests_despite_a_limit_or_leaving() {
+    let counts = [
+        (String::from("a"), 0, 0),
+        (String::from("b"), 3, 0),
+        (String::from("c"), 0, 1),
+    ];
+    let expected = [
+        Violation::LimitExceeded {
+            host: String::from("b"),
+            requests: 3,
+        },
+        Violation::ServedAfterStatement {
+            host: String::from("c"),
+            requests: 1,
+        },
+    ];
+    assert_eq!(check_notices(&counts), expected);
+}
+
+#[test]
+fn draw_contains_limits_and_leaving_in_some_seeds() {
+    let plan = draw(5, 5, LOAD);
+    let has =
+        |predicate: fn(&Event) -> bool| plan.entries.iter().any(|entry| predicate(&entry.event));
+    assert!(plan.has_notices);
+    assert!(has(|event| matches!(event, Event::NameLimit(_))));
+    assert!(has(|event| *event == Event::StateLeaving));
+    assert!(!draw(6, 5, LOAD).has_notices);
+}
+
 #[test]
 fn draw_is_deterministic_per_seed() {
     for seed in 0..6 {
