--- a/crates/core/tests/request_limit.rs
+++ b/crates/core/tests/request_limit.rs
@@ -5,10 +5,12 @@
 
 use mintridge_core::admission::{Action, Admission, Answer, Decision};
 use mintridge_core::configs::admission::Settings;
+use mintridge_core::configs::warm_up;
 use mintridge_core::notice::Limit;
 use mintridge_core::outcome::{Outcome, Refusal};
 use mintridge_core::request::{Arrival, Id};
 use mintridge_core::request_limit::{Observation, Origin, RequestLimit};
+use mintridge_core::warm_up::WarmUp;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -365,6 +367,26 @@
     );
 }
 
+/// An upstream that names a limit is cold as well: the lower bound holds, whichever it is.
+#[rstest]
+#[case::limit_is_lower(2.0, 8.0)]
+#[case::cold_rate_is_lower(20.0, 3.0)]
+fn admission_of_a_cold_upstream_with_a_limit(#[case] limit: f64, #[case] cold_rate: f64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(47);
+    let mut host = Host::new();
+    let mut warm_up = WarmUp::new(warm_up::Settings::default(), host.now);
+    warm_up.set_rate(Some(cold_rate));
+    warm_up.record_announcement(host.now, 20 * SECOND);
+    host.admission = host.admission.with_warm_up(warm_up);
+    host.named = Limit::Named(limit);
+    name(host.admission.request_limit_mut(), host.now, host.named);
+    host.load(&mut rng, 30.0, 10 * SECOND);
+    let busiest = to_f64(busiest_window(&host.starts));
+    let bound = limit.min(cold_rate) * 4.0 + 2.0;
+    assert!(busiest <= bound, "{busiest} in a window");
+    assert!(to_f64(host.starts.len()) >= bound, "{}", host.starts.len());
+}
+
 /// Requests hold their slots while they wait for their bodies, and all of them are sent at once: an
 /// upstream with a limit gets a burst of them.
 #[test]
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -78,6 +78,8 @@
     /// Wakes the task that polls the upstream for its remaining cold time.
     warm_up_due: Notify,
     unplaced: Unplaced,
+    /// Wakes the task that checks an upstream that names a request limit.
+    limit_named: Notify,
     /// Wakes the task that discovers the upstream's instance.
     discovery_due: Notify,
     upstream: Upstream,
@@ -225,6 +227,7 @@
             slow_phase_wait: Notify::new(),
             warm_up_due: Notify::new(),
             unplaced: Unplaced::default(),
+            limit_named: Notify::new(),
             discovery_due: Notify::new(),
             upstream: Upstream::new(settings, context.adapter),
             log: RequestLog::new(&settings.logs),
--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -33,21 +33,33 @@
 /// the limit ends.
 pub async fn check_limit(guard: Arc<Guard>) {
     loop {
-        tokio::time::sleep(CHECK_TICK).await;
-        let now = Instant::now();
-        let is_due = {
-            let mut state = guard.state.lock();
-            let limit = state.admission.request_limit_mut();
-            let is_due = limit.is_check_due(now);
-            if is_due {
-                limit.record_check(now);
-            }
-            is_due
-        };
-        if is_due && pace::poll(&guard, CHECK_TIMEOUT).await {
+        let has_limit = guard
+            .state
+            .lock()
+            .admission
+            .request_limit()
+            .rate()
+            .is_some();
+        if !has_limit {
+            guard.limit_named.notified().await;
+        }
+        if begin_check(&guard) && pace::poll(&guard, CHECK_TIMEOUT).await {
             guard.pump();
         }
+        tokio::time::sleep(CHECK_TICK).await;
+    }
+}
+
+/// Returns whether a check is due, and records it if so.
+fn begin_check(guard: &Guard) -> bool {
+    let now = Instant::now();
+    let mut state = guard.state.lock();
+    let limit = state.admission.request_limit_mut();
+    let is_due = limit.is_check_due(now);
+    if is_due {
+        limit.record_check(now);
     }
+    is_due
 }
 
 impl Guard {
@@ -149,6 +161,7 @@
         self.publish();
         self.reporting.notify_change();
         self.queued.notify_one();
+        self.limit_named.notify_one();
         if self.log.try_acquire(1) {
             log::info!(
                 from = from,
