--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -6,7 +6,6 @@
 use hyper::header::HeaderMap;
 use mintridge_core::notice::{Known, Limit, Notice};
 use mintridge_core::request_limit::{Observation, Origin};
-
 use parking_lot::MutexGuard;
 
 use super::{Guard, State, pace};
