test(answers): take the digest before the stand-ins start

Entry of KNOWN-RED.txt, request_arrives_whole::case_3_large: no answer beside load. Trace: the digest of 20 MB blocks the one thread that also announces the test's stand-ins; in a run with a pause of 4 s in its place all three cases are refused with no-upstream, not run, as announcements lapse. So the test, not the product, kept its upstreams from running. The check stays as it is. The entry stays until the test has passed many times beside such a load.

--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -51,9 +51,10 @@
 #[case::large(20_000_000)]
 #[tokio::test]
 async fn request_arrives_whole(#[case] length: usize) {
-    let scene = start_processes(hosts(2)).await;
     let content: Vec<u8> = (0..=u8::MAX).cycle().take(length).collect();
     let digest = blake3::hash(&content).to_hex().to_string();
+    // The digest blocks this thread, which also announces the stand-ins, for up to seconds.
+    let scene = start_processes(hosts(2)).await;
     let call = Call {
         body: Bytes::from(content),
         timeout: Duration::from_secs(30),
