fix(store): keep-alive probes of store connections repeat each second

What operators would see: a watch on a connection that something between the two ends has forgotten stays deaf for minutes, so a change of configuration waits for the end of the watch, 12 s, instead of two seconds.

The pause between two probes was 500 ms; the socket option takes whole seconds, so it was set to zero, which the system rejects (EINVAL, shown with a plain socket), and the options after it were not set either. The system's defaults stayed in force, 75 s and nine probes.

Probes are sent after one and two seconds and the connection is closed after two, as the constants were meant to have it.

--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -141,32 +141,69 @@
 /// Kernel ticks until a silent watch must get its first keep-alive probe: one second.
 const MAX_PROBE_DELAY_TICKS: u64 = 100;
 
-/// Guards against a watch whose connection goes silent while checks on another connection succeed,
-/// so that only keep-alive probes can detect it.
-#[tokio::test]
-async fn store_watches_send_keep_alive_probes() {
-    let (scene, _relays) = start_with_relays().await;
-    let (readers, _) = readers(&scene).await;
-    for reader in readers {
-        let process = scene.process(reader);
-        let settings = process.settings().expect("its settings");
-        let settings: Settings = json5::from_str(&settings).expect("settings");
-        let peer = format!("0100007F:{:04X}", settings.store.address.port());
-        let table = fs::read_to_string(format!("/proc/{}/net/tcp", process.id()));
+/// Returns the timers of a process's idle connections to a peer. A connection that awaits an
+/// acknowledgement, which may be delayed by 40 ms, has a retransmission timer instead.
+async fn idle_timers(process: u32, peer: &str) -> Vec<String> {
+    let give_up_at = Instant::now() + IN_FORCE_TIMEOUT;
+    loop {
+        let table = fs::read_to_string(format!("/proc/{process}/net/tcp"));
         let table = table.expect("connections");
-        let timers: Vec<&str> = table
+        let timers: Vec<String> = table
             .lines()
             .map(|line| line.split_whitespace().collect::<Vec<_>>())
             .filter(|columns| columns[REMOTE] == peer && columns[STATE] == ESTABLISHED)
-            .map(|columns| columns[TIMER])
+            .map(|columns| columns[TIMER].to_owned())
             .filter(|timer| !timer.starts_with(RETRANSMIT_TIMER))
             .collect();
-        assert!(!timers.is_empty(), "no connection to the store");
-        for timer in timers {
-            let (kind, due) = timer.split_once(':').expect("a timer");
-            let due = u64::from_str_radix(due, 16).expect("ticks");
-            assert_eq!(kind, KEEP_ALIVE_TIMER, "{timer}");
-            assert!(due <= MAX_PROBE_DELAY_TICKS, "{timer}");
+        if !timers.is_empty() {
+            return timers;
         }
+        let is_over = Instant::now() >= give_up_at;
+        assert!(!is_over, "no idle connection to the store");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Returns the address of the store as the table of connections has it, from a node's settings.
+fn store_column(scene: &Scene, index: usize) -> String {
+    let settings = scene.process(index).settings().expect("its settings");
+    let settings: Settings = json5::from_str(&settings).expect("settings");
+    format!("0100007F:{:04X}", settings.store.address.port())
+}
+
+fn check_probes_are_due_soon(timers: &[String]) {
+    for timer in timers {
+        let (kind, due) = timer.split_once(':').expect("a timer");
+        let due = u64::from_str_radix(due, 16).expect("ticks");
+        assert_eq!(kind, KEEP_ALIVE_TIMER, "{timer}");
+        assert!(due <= MAX_PROBE_DELAY_TICKS, "{timer}");
+    }
+}
+
+/// Guards against a watch on which the second keep-alive probe follows the first only after minutes,
+/// so that a connection that has gone silent stays open.
+#[tokio::test]
+async fn store_watches_repeat_keep_alive_probes() {
+    let (scene, _relays) = start_with_relays().await;
+    let (readers, _) = readers(&scene).await;
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        for reader in &readers {
+            let process = scene.process(*reader).id();
+            check_probes_are_due_soon(&idle_timers(process, &store_column(&scene, *reader)).await);
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a watch whose connection goes silent while checks on another connection succeed,
+/// so that only keep-alive probes can detect it.
+#[tokio::test]
+async fn store_watches_send_keep_alive_probes() {
+    let (scene, _relays) = start_with_relays().await;
+    let (readers, _) = readers(&scene).await;
+    for reader in readers {
+        let process = scene.process(reader).id();
+        check_probes_are_due_soon(&idle_timers(process, &store_column(&scene, reader)).await);
     }
 }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -29,10 +29,16 @@
 /// leaves a watch on it waiting without an error. Keepalive detects this within two seconds, so
 /// that watches can be long and a change still arrives within seconds of such a loss.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Pause between two keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause between two keepalive probes. The socket option takes whole seconds; a shorter pause becomes
+/// zero, which the system rejects, and its default of over a minute stays in force.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which the connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
+const KEEPALIVE_RETRIES: u32 = 1;
+
+const _: () = assert!(
+    KEEPALIVE_IDLE.subsec_nanos() == 0 && KEEPALIVE_INTERVAL.subsec_nanos() == 0,
+    "socket options for keepalive take whole seconds"
+);
 
 /// Reason why a call failed. The variants differ in whether a write may have taken effect.
 #[derive(Debug, thiserror::Error)]
