--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -115,7 +115,7 @@
         violations.extend(promises::check_cold_upstreams(&fleet.max_cold_requests()));
     }
     if plan.has_notices {
-        violations.extend(promises::check_notices(&fleet.notice_violations()));
+        violations.extend(promises::check_notices(&fleet.notice_counts()));
     }
     if plan.mode == Mode::Planned {
         violations.extend(promises::check_planned_work(&records, &runs));
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -332,7 +332,7 @@
 
     /// Requests beyond named limits, and after statements of leaving, of each host.
     #[must_use]
-    pub fn notice_violations(&self) -> Vec<(String, usize, u64)> {
+    pub fn notice_counts(&self) -> Vec<(String, usize, u64)> {
         let hosts = self.scene.hosts.iter();
         let counts = hosts.map(|host| {
             let counts = host.upstream.counts();
