--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -69,7 +69,7 @@
 
     /// Records that a response to a request sent at `sent_at` states that the upstream is leaving.
     /// This holds until the end of the incarnation, whatever it announces: announcements are late,
-    /// and nodes that passed the response on may send it nothing new. Returns whether it is news.
+    /// and nodes that passed the response on may send it nothing new. Returns whether the state changed.
     pub fn record_leaving_response(&mut self, sent_at: Instant, now: Instant) -> bool {
         let is_outdated = self.reset_at.is_some_and(|reset_at| sent_at < reset_at);
         if is_outdated || self.states_leaving() {
--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -104,11 +104,11 @@
 /// The last known statements of the upstreams that a node sent requests to.
 #[derive(Debug, Default)]
 pub struct Register {
-    hosts: HashMap<Arc<str>, Heard>,
+    hosts: HashMap<Arc<str>, Entry>,
 }
 
 #[derive(Debug)]
-struct Heard {
+struct Entry {
     known: Known,
     received_at: Instant,
 }
@@ -139,19 +139,19 @@
             known.leaving |= previous.known.leaving;
         }
         self.hosts
-            .insert(Arc::clone(host), Heard { known, received_at });
+            .insert(Arc::clone(host), Entry { known, received_at });
     }
 
     /// Returns the last known statements of the upstream of a host.
     #[must_use]
     pub fn get(&self, host: &str) -> Option<&Known> {
-        self.hosts.get(host).map(|heard| &heard.known)
+        self.hosts.get(host).map(|entry| &entry.known)
     }
 
-    /// Removes the hosts that are no members and were last heard of long ago. A host that returns
-    /// earlier may run the same incarnation.
+    /// Removes the hosts that are no longer members and whose last statements are older than the
+    /// retention time. A host that returns earlier may run the same incarnation.
     pub fn prune(&mut self, now: Instant, is_member: impl Fn(&Arc<str>) -> bool) {
         self.hosts
-            .retain(|host, heard| is_member(host) || now < heard.received_at + RETENTION);
+            .retain(|host, entry| is_member(host) || now < entry.received_at + RETENTION);
     }
 }
--- a/crates/core/src/request_limit.rs
+++ b/crates/core/src/request_limit.rs
@@ -148,8 +148,8 @@
         has_ended.is_some()
     }
 
-    /// Adopts a limit that another node heard from the current incarnation, unless this process has
-    /// heard from it itself; returns whether the limit changed.
+    /// Adopts a limit of the current incarnation that another node received, unless this process has
+    /// received a response of its own; returns whether the limit changed.
     ///
     /// Failure: the node restarts, and its upstream names the limit only in responses to requests.
     /// Symptom: requests at the rate of before, from nodes that know the limit.
--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -101,7 +101,8 @@
         });
     }
 
-    /// Adopts what another node heard of the current incarnation, if this process has not heard it.
+    /// Adopts the statements of the current incarnation that another node received and this process
+    /// did not.
     ///
     /// After a restart of this process the start time of the incarnation is not known until its
     /// first announcement; what is adopted meanwhile is checked against that.
