perf(guard): count only responses that state something; one parser of rates

Cause: reading the change again: each response, nearly all of which state nothing, raised a labelled counter on the path of a request, and the check that a rate is finite and not negative stood in three places. Change: responses without a statement are not counted; core::notice::parse_rate serves the own interface, the messages between nodes and the platform's adapter. Measured: core notice and request_limit, the adapter, node limits and upstream pass; the cost on the path was not measured before or after.

--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -36,6 +36,13 @@
     Unreadable,
 }
 
+/// Parses a rate in requests per second; `None` unless it is finite and not negative.
+#[must_use]
+pub fn parse_rate(text: &str) -> Option<f64> {
+    let rate = text.parse().ok();
+    rate.filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
+}
+
 /// Statements of one incarnation of an upstream, as nodes pass them on to each other.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Known {
@@ -82,11 +89,7 @@
         };
         let requests_per_second = match next()? {
             "" => None,
-            limit => {
-                let limit = limit.parse().ok();
-                let limit = limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
-                Some(limit.ok_or(Malformed)?)
-            }
+            limit => Some(parse_rate(limit).ok_or(Malformed)?),
         };
         let born = match next()? {
             "" => None,
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -7,6 +7,7 @@
 
 use hyper::Response;
 use mintridge_core::load::Upstream as UpstreamLoad;
+use mintridge_core::notice;
 use mintridge_core::route::Table;
 use mintridge_http::Body;
 use mintridge_store::dialect::Dialect;
@@ -57,10 +58,7 @@
             routes: |document| Ok(serde_json::from_slice(document)?),
             load: |value| serde_json::from_str(value).ok(),
             cold: |value| value.parse().ok().map(Duration::from_millis),
-            request_limit: |value| {
-                let limit = value.parse().ok();
-                limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
-            },
+            request_limit: notice::parse_rate,
             leaving: |value| value == "1",
         }
     }
--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -65,7 +65,10 @@
     /// Records the statements of one response of the current instance.
     pub(super) fn record_notice(&self, statement: &Statement) {
         let Statement { origin, notice, .. } = *statement;
-        self.context.metrics.notice(origin.as_str(), notice);
+        // The usual response states nothing, and is not counted.
+        if notice != Notice::default() {
+            self.context.metrics.notice(origin.as_str(), notice);
+        }
         if notice.limit == Limit::Unreadable {
             self.context.metrics.bad_input("request-limit");
             if self.log.try_acquire(1) {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -171,7 +171,7 @@
             self.store_calls.clone(),
         );
         registry.register("probes", "Probes of the upstream", self.probes.clone());
-        let help = "Responses of the upstream by whether they name a request limit or leaving";
+        let help = "Responses of the upstream that name a request limit or leaving";
         registry.register("notices", help, self.notices.clone());
         let help = "Messages refused because a ring was full";
         registry.register("rings_full", help, self.rings_full.clone());
@@ -289,8 +289,8 @@
         count(&self.probes, kind);
     }
 
-    /// Counts a response of the upstream by what it states, and by whether it answers a request or
-    /// a check.
+    /// Counts a response of the upstream that states something, by what it states and by whether it
+    /// answers a request or a check.
     pub fn notice(&self, from: &'static str, notice: Notice) {
         let labels = NoticeLabels {
             from,
