feat(node): log how a routing table arrived, count exchanges that bring no newer one

Logs did not tell whether a watch or a read delivered a routing table, so a watch that delivers nothing while the store answers checks looked like a change that came late from the operators. A node that knows of a newer version and cannot fetch it left no line above debug. Now the line 'routing table in force' has by=read, watch or exchange, and catch_ups_total counts what became of exchanges with peers that reported a newer document. No decision changes.

--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -37,6 +37,36 @@
 /// them does not fill the log.
 const MAX_LOGGED_FAULTS: usize = 8;
 
+/// How a routing table reached this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    /// A read of the store.
+    Read,
+    /// A watch of the store.
+    Watch,
+    /// An exchange with a peer.
+    Exchange,
+}
+
+impl Delivery {
+    /// Returns the name of the sender used in logs.
+    const fn sender(self) -> &'static str {
+        match self {
+            Self::Read | Self::Watch => "store",
+            Self::Exchange => "peer",
+        }
+    }
+
+    /// Returns the name used in logs.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::Watch => "watch",
+            Self::Exchange => "exchange",
+        }
+    }
+}
+
 /// State shared by all tasks of the control thread.
 struct Control {
     context: Arc<Context>,
@@ -239,7 +269,8 @@
 
     /// Puts a routing table from a peer or the store in force if it is newer than the current one.
     /// A document that does not parse leaves the current one in force.
-    fn offer_routes(&self, from: &'static str, source: &[u8], packed: Option<Arc<[u8]>>) {
+    fn offer_routes(&self, delivery: Delivery, source: &[u8], packed: Option<Arc<[u8]>>) {
+        let from = delivery.sender();
         let table = match (self.context.adapter.routes)(source) {
             Ok(table) => table,
             Err(error) => {
@@ -264,7 +295,12 @@
         state.routes.offer(document);
         let current = state.routes.current().cloned();
         drop(state);
-        log::info!(from = from, version = version.0; "routing table in force");
+        log::info!(
+            from = from,
+            by = delivery.as_str(),
+            version = version.0;
+            "routing table in force"
+        );
         self.context.metrics.routes_version(version.0);
         self.log_faults(current.as_deref());
         log::debug!(document:? = current; "contents of the routing table");
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 
 use super::codec::PeerState;
-use super::{Control, codec, evacuations, peer, suspects};
+use super::{Control, Delivery, codec, evacuations, peer, suspects};
 use crate::packed;
 use crate::peer_capnp::peer as peer_rpc;
 use crate::settings::Settings;
@@ -386,7 +386,7 @@
 /// does not unpack is ignored.
 fn apply_routes(control: &Control, packed: Arc<[u8]>) {
     match packed::unpack(&packed) {
-        Ok(source) => control.offer_routes("peer", &source, Some(packed)),
+        Ok(source) => control.offer_routes(Delivery::Exchange, &source, Some(packed)),
         Err(error) => {
             control.context.metrics.bad_input("routes");
             log::warn!(error:% = error; "failed to unpack a routing table received from a peer");
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -151,9 +151,23 @@
     }
     let control = Rc::clone(control);
     tokio::task::spawn_local(async move {
-        if let Err(error) = exchange::perform(&control, address).await {
-            log::debug!(peer:% = address, error:% = error; "failed to fetch newer documents");
-        }
+        let before = control.state.borrow().versions();
+        let result = exchange::perform(&control, address).await;
+        let now = control.state.borrow().versions();
+        let outcome = match &result {
+            Ok(()) if before.is_behind(&now) => "fetched",
+            Ok(()) => "unchanged",
+            Err(error) => {
+                log::info!(
+                    peer:% = address,
+                    routes_version = now.routes.0,
+                    error:% = error;
+                    "failed to fetch newer documents"
+                );
+                "failed"
+            }
+        };
+        control.context.metrics.catch_up(outcome);
         control.store_health.catching_up.set(false);
     });
 }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -14,7 +14,7 @@
 use mintridge_store::operation::{Change, Freshness, Item};
 use mintridge_store::{keys, presets};
 
-use super::{Control, evacuations, persistence};
+use super::{Control, Delivery, evacuations, persistence};
 
 /// Interval at which a node checks whether it has to follow the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -122,7 +122,7 @@
     }
     let key = source.key.as_str();
     match read(control, source).await {
-        Ok((Some(item), _)) => control.offer_routes("store", &item.value, None),
+        Ok((Some(item), _)) => control.offer_routes(Delivery::Read, &item.value, None),
         Ok((None, _)) => log::info!(key = key; "store does not contain a routing table yet"),
         Err(error) => log::info!(key = key, error:% = error; "failed to read the routing table"),
     }
@@ -204,7 +204,7 @@
             if let Change::Written(item) = change
                 && item.key == key
             {
-                apply(control, kind, &item.value);
+                apply(control, kind, Delivery::Watch, &item.value);
             }
         }
     }
@@ -213,18 +213,18 @@
 
 async fn apply_read(control: &Rc<Control>, kind: Kind, item: Option<Item>) {
     let revision = item.as_ref().map_or(0, |item| item.revision);
-    let stored = item.and_then(|item| apply(control, kind, &item.value));
+    let stored = item.and_then(|item| apply(control, kind, Delivery::Read, &item.value));
     if kind == Kind::Preset {
         restore_preset(control, stored, revision).await;
     }
 }
 
 /// Applies a document; returns its revision if it is a valid preset.
-fn apply(control: &Control, kind: Kind, value: &[u8]) -> Option<Revision> {
+fn apply(control: &Control, kind: Kind, delivery: Delivery, value: &[u8]) -> Option<Revision> {
     match kind {
         Kind::Preset => apply_preset(control, value),
         Kind::Routes => {
-            control.offer_routes("store", value, None);
+            control.offer_routes(delivery, value, None);
             None
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -77,6 +77,7 @@
     bad_input: Family<KindLabels, Counter>,
     exchanges: Family<KindLabels, Counter>,
     exchange_bytes: Counter,
+    catch_ups: Family<KindLabels, Counter>,
     control_bytes: Family<KindLabels, Counter>,
     in_flight: Gauge,
     queued: Gauge,
@@ -114,6 +115,7 @@
             bad_input: Family::default(),
             exchanges: Family::default(),
             exchange_bytes: Counter::default(),
+            catch_ups: Family::default(),
             control_bytes: Family::default(),
             in_flight: Gauge::default(),
             queued: Gauge::default(),
@@ -183,6 +185,8 @@
         registry.register("exchanges", "Exchanges with peers", self.exchanges.clone());
         let help = "Bytes of exchange messages, both ways";
         registry.register("exchange_bytes", help, self.exchange_bytes.clone());
+        let help = "Exchanges with peers that reported a newer document";
+        registry.register("catch_ups", help, self.catch_ups.clone());
         let help = "Bytes of messages between nodes beside requests, sent";
         registry.register("control_bytes", help, self.control_bytes.clone());
         let help = "Requests in the upstream";
@@ -320,6 +324,11 @@
         self.exchange_bytes.inc_by(bytes);
     }
 
+    /// Counts an exchange with a peer that reported a newer document, by whether it brought one.
+    pub fn catch_up(&self, kind: &'static str) {
+        count(&self.catch_ups, kind);
+    }
+
     /// Counts the bytes of a control message sent to a peer, that is of any message other than a
     /// request.
     pub fn control_sent(&self, kind: &'static str, bytes: u64) {
