--- a/crates/node/tests/configuration.rs
+++ b/crates/node/tests/configuration.rs
@@ -4,18 +4,26 @@
 mod common;
 
 use std::fs;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::{Plan, ROUTES, Scene, route, start_processes, table, write_table};
+use mintridge_http::server::Phase;
 use mintridge_node::settings::Settings;
 use mintridge_standin::relay::{Condition, Relay};
-use mintridge_standin::scene::loopback;
+use mintridge_standin::scene::{loopback, wait_for};
+use mintridge_standin::store;
+use mintridge_standin::store::member::Member;
 use rstest::rstest;
 use rustix::process::Signal;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
 
 /// Indices of all hosts; they share one availability zone.
 const ALL_HOSTS: [usize; 5] = [0, 1, 2, 3, 4];
+/// Watches of the two designated readers, for the preset and for the routing table.
+const READER_WATCHES: u64 = 4;
 /// Time within which a change must take effect on every node.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longer than any test, so that a node that has contacted a peer never counts as isolated and
@@ -24,6 +32,13 @@
 
 /// Starts the hosts of one zone; each node reaches the store through its own relay.
 async fn start_with_relays() -> (Scene, Vec<Arc<Relay>>) {
+    let (scene, relays, _members) = start_with_members().await;
+    (scene, relays)
+}
+
+/// Starts the hosts of one zone; each node reaches the store through its own relay and, behind it,
+/// its own member of the store.
+async fn start_with_members() -> (Scene, Vec<Arc<Relay>>, Vec<Arc<Member>>) {
     let plan = Plan {
         services: vec![],
         adjust: |settings| {
@@ -35,11 +50,14 @@
         ..Plan::default()
     };
     let mut scene = start_processes(plan).await;
-    let mut relays = Vec::new();
+    let (mut relays, mut members) = (Vec::new(), Vec::new());
     for index in ALL_HOSTS {
+        let member = Arc::new(Member::default());
+        let member_address = start_member(&scene, &member).await;
+        members.push(member);
         let relay = Arc::new(Relay::default());
         let (listener, address) = loopback().await.expect("a free port");
-        tokio::spawn(Arc::clone(&relay).run(listener, scene.store_address));
+        tokio::spawn(Arc::clone(&relay).run(listener, member_address));
         relays.push(relay);
         let name = format!("service-{index}");
         let added = scene.add_with(&name, "service", "zone-a", <_>::default(), |settings| {
@@ -50,7 +68,22 @@
     scene.wait_until_joined().await;
     write_version(&scene, 1);
     wait_for_version(&scene, &ALL_HOSTS, 1).await;
-    (scene, relays)
+    wait_for("the readers watch both documents", || {
+        scene.store.calls().watches >= READER_WATCHES
+    })
+    .await;
+    (scene, relays, members)
+}
+
+/// Serves the store through a member until the test ends; returns the member's address.
+async fn start_member(scene: &Scene, member: &Arc<Member>) -> SocketAddr {
+    let (listener, address) = loopback().await.expect("a free port");
+    let (store, member) = (Arc::clone(&scene.store), Arc::clone(member));
+    tokio::spawn(async move {
+        let phase = watch::Sender::new(Phase::Open);
+        store::run_member(listener, store, member, phase.subscribe()).await;
+    });
+    address
 }
 
 fn write_version(scene: &Scene, version: u64) {
@@ -129,6 +162,57 @@
     check_change_is_in_force_in_time(&scene, &ALL_HOSTS).await;
 }
 
+/// Guards against a change that is delayed by watches whose open connections no longer deliver any
+/// data, while all other connections to the store work.
+#[tokio::test]
+async fn change_is_in_force_when_only_watches_go_silent() {
+    let (scene, relays) = start_with_relays().await;
+    for relay in relays {
+        relay.stall_open_watches();
+    }
+    check_change_is_in_force_in_time(&scene, &ALL_HOSTS).await;
+}
+
+/// Guards against readers that keep their duty while the store answers them stale reads and nothing
+/// else.
+#[tokio::test]
+async fn change_is_in_force_when_readers_get_only_stale_reads() {
+    let (scene, _relays, members) = start_with_members().await;
+    let (readers, _) = readers(&scene).await;
+    for reader in readers {
+        members[reader].partition(&scene.store);
+    }
+    check_change_is_in_force_in_time(&scene, &ALL_HOSTS).await;
+}
+
+/// Guards against a node that is told of a newer version and cannot fetch it from the reader that
+/// reports it.
+#[tokio::test]
+async fn change_is_in_force_when_a_reader_reports_it_and_passes_nothing_on() {
+    let (scene, relays) = start_with_relays().await;
+    let (readers, others) = readers(&scene).await;
+    for reader in &readers {
+        relays[*reader].set(Condition::Silent);
+    }
+    let report = format!(
+        r#"{{"host":"service-{}","age_millis":0,"preset":0,"routes":2}}"#,
+        readers[0]
+    );
+    let nodes: Vec<SocketAddr> = others.iter().map(|n| scene.addresses(*n).control).collect();
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let reporting = tokio::spawn(async move {
+        loop {
+            for node in &nodes {
+                let sent = socket.send_to(report.as_bytes(), node).await;
+                sent.expect("the report is sent");
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    });
+    check_change_is_in_force_in_time(&scene, &ALL_HOSTS).await;
+    reporting.abort();
+}
+
 /// Columns of `/proc/<pid>/net/tcp`: remote address, connection state and active timer.
 const REMOTE: usize = 2;
 const STATE: usize = 3;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
@@ -33,12 +33,25 @@
     Slow(u64),
 }
 
+/// Which of the connections that are open at some moment are stalled from then on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Stall {
+    #[default]
+    None,
+    All,
+    /// Those whose latest request opened a watch of the store.
+    Watches,
+}
+
+/// Beginning of a request that opens a watch of the store.
+const WATCH_REQUEST: &[u8] = b"POST /v3/watch ";
+
 /// A TCP relay from one address to another.
 #[derive(Debug)]
 pub struct Relay {
     condition: watch::Sender<Condition>,
-    /// Set to true to stall the open connections, then replaced for new ones.
-    stalled: Mutex<watch::Sender<bool>>,
+    /// Set to stall open connections, then replaced for new ones.
+    stall: Mutex<watch::Sender<Stall>>,
     forwarded_bytes: AtomicUsize,
 }
 
@@ -46,7 +59,7 @@
     fn default() -> Self {
         Self {
             condition: watch::Sender::new(Condition::Normal),
-            stalled: Mutex::new(watch::Sender::new(false)),
+            stall: Mutex::new(watch::Sender::default()),
             forwarded_bytes: AtomicUsize::new(0),
         }
     }
@@ -61,9 +74,19 @@
     /// Stalls the open connections: they stay open and no data passes on them again, while new
     /// connections work.
     pub fn stall_open_connections(&self) {
-        let mut stalled = self.stalled.lock();
-        stalled.send_replace(true);
-        *stalled = watch::Sender::new(false);
+        self.stall_open(Stall::All);
+    }
+
+    /// Stalls the open watches of the store as [`Self::stall_open_connections`] does; all other
+    /// connections work.
+    pub fn stall_open_watches(&self) {
+        self.stall_open(Stall::Watches);
+    }
+
+    fn stall_open(&self, stalled: Stall) {
+        let mut stall = self.stall.lock();
+        stall.send_replace(stalled);
+        *stall = watch::Sender::default();
     }
 
     /// Number of bytes forwarded to the target.
@@ -96,18 +119,21 @@
             return;
         };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
-        let stalled = self.stalled.lock().subscribe();
+        let stall = self.stall.lock().subscribe();
+        let is_watch = AtomicBool::new(false);
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = server.into_split();
         let outbound = Direction {
             condition: condition.clone(),
-            stalled: stalled.clone(),
+            stall: stall.clone(),
+            is_watch: &is_watch,
             passes: passes_outbound,
             forwarded_bytes: Some(&self.forwarded_bytes),
         };
         let inbound = Direction {
             condition: condition.clone(),
-            stalled,
+            stall,
+            is_watch: &is_watch,
             passes: passes_inbound,
             forwarded_bytes: None,
         };
@@ -141,7 +167,9 @@
 /// One direction of a connection.
 struct Direction<'a> {
     condition: watch::Receiver<Condition>,
-    stalled: watch::Receiver<bool>,
+    stall: watch::Receiver<Stall>,
+    /// Whether the latest request on the connection opened a watch.
+    is_watch: &'a AtomicBool,
     passes: fn(Condition) -> bool,
     forwarded_bytes: Option<&'a AtomicUsize>,
 }
@@ -162,7 +190,11 @@
     async fn read_chunks(mut self, mut from: OwnedReadHalf, sender: mpsc::Sender<Chunk>) {
         let mut buffer = vec![0; CHUNK_BYTES];
         while let Ok(read @ 1..) = from.read(&mut buffer).await {
-            if *self.stalled.borrow() {
+            if self.forwarded_bytes.is_some() && buffer[..read].starts_with(b"POST ") {
+                let is_watch = buffer[..read].starts_with(WATCH_REQUEST);
+                self.is_watch.store(is_watch, Ordering::Relaxed);
+            }
+            if self.is_stalled() {
                 std::future::pending::<()>().await;
             }
             if self
@@ -184,10 +216,18 @@
                 return;
             }
         }
-        if *self.stalled.borrow() {
+        if self.is_stalled() {
             std::future::pending::<()>().await;
         }
     }
+
+    fn is_stalled(&self) -> bool {
+        match *self.stall.borrow() {
+            Stall::None => false,
+            Stall::All => true,
+            Stall::Watches => self.is_watch.load(Ordering::Relaxed),
+        }
+    }
 }
 
 async fn write_chunks(mut chunks: mpsc::Receiver<Chunk>, mut to: OwnedWriteHalf) {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,7 +1,9 @@
 //! The platform's store: compare-and-swap, leases, watches, and faults that tests inject.
-//! [`serving`] exposes it over HTTP, [`drill`] restores it from an older backup.
+//! [`serving`] exposes it over HTTP, [`drill`] restores it from an older backup, and [`member`]
+//! partitions the members through which clients reach it.
 
 pub mod drill;
+pub mod member;
 mod serving;
 
 use std::collections::BTreeMap;
@@ -12,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{broadcast, watch};
 
-pub use self::serving::run;
+pub use self::serving::{run, run_member};
 
 /// Path at which a request replaces the injected faults.
 pub const FAULTS: &str = "/standin/faults";
--- a/crates/standin/src/store/serving.rs
+++ b/crates/standin/src/store/serving.rs
@@ -17,28 +17,47 @@
 use tokio::sync::{broadcast, watch};
 
 use super::drill::EPOCH;
+use super::member::Member;
 use super::{CALLS, FAULTS, Faults, MAX_BODY_BYTES, Store, is_watched, select};
 
 /// Serves the store on `listener` until `phase` closes.
 pub async fn run(listener: TcpListener, store: Arc<Store>, phase: watch::Receiver<Phase>) {
+    run_member(listener, store, Arc::default(), phase).await;
+}
+
+/// Serves the store through one of its members on `listener` until `phase` closes.
+pub async fn run_member(
+    listener: TcpListener,
+    store: Arc<Store>,
+    member: Arc<Member>,
+    phase: watch::Receiver<Phase>,
+) {
     let limits = Limits {
         connections: 65_536,
         ..Limits::default()
     };
-    let handler = Function::new(store, |store, request| -> ResponseFuture {
-        Box::pin(respond(store, request))
+    let front = Arc::new(Front { store, member });
+    let handler = Function::new(front, |front, request| -> ResponseFuture {
+        Box::pin(respond(front, request))
     });
     serve(listener, handler, Protocol::Http1, limits, phase).await;
 }
 
-async fn respond(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
-    let mut response = handle(Arc::clone(&store), request).await;
-    let epoch = store.inner.lock().epoch;
+/// The store and the member through which a client reaches it.
+struct Front {
+    store: Arc<Store>,
+    member: Arc<Member>,
+}
+
+async fn respond(front: Arc<Front>, request: Request<Body>) -> Response<Body> {
+    let mut response = handle(&front, request).await;
+    let epoch = front.store.inner.lock().epoch;
     response.headers_mut().insert(EPOCH, epoch.into());
     response
 }
 
-async fn handle(store: Arc<Store>, request: Request<Body>) -> Response<Body> {
+async fn handle(front: &Front, request: Request<Body>) -> Response<Body> {
+    let store = Arc::clone(&front.store);
     let path = request.uri().path().to_owned();
     match path.as_str() {
         FAULTS => return set_faults(&store, request).await,
@@ -53,11 +72,16 @@
     if store.inner.lock().faults.down {
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "down\n");
     }
+    if path == wire::RANGE {
+        return range(front, request).await;
+    }
+    if path == wire::WATCH {
+        return watch(front, request).await;
+    }
+    front.member.connected().await;
     match path.as_str() {
-        wire::RANGE => range(&store, request).await,
         wire::TXN => txn(store, request).await,
         wire::GRANT | wire::KEEP_ALIVE | wire::REVOKE => lease(&store, &path, request).await,
-        wire::WATCH => watch(&store, request).await,
         _ => reply::text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -82,14 +106,19 @@
     }
 }
 
-async fn range(store: &Store, request: Request<Body>) -> Response<Body> {
+async fn range(front: &Front, request: Request<Body>) -> Response<Body> {
     let range: wire::Range = match reply::read_json(request.into_body(), MAX_BODY_BYTES).await {
         Ok(range) => range,
         Err(error) => return bad_request(&error),
     };
-    let mut inner = store.inner.lock();
+    if !range.serializable {
+        front.member.connected().await;
+    }
+    let stale_data = front.member.stale_data();
+    let mut inner = front.store.inner.lock();
     inner.data.expire_leases(Instant::now());
-    let keys = inner.snapshot.as_ref().unwrap_or(&inner.data.keys);
+    let stale_keys = stale_data.as_deref().or(inner.snapshot.as_ref());
+    let keys = stale_keys.unwrap_or(&inner.data.keys);
     let found = wire::RangeReply {
         header: inner.data.header(),
         kvs: select(keys, &range),
@@ -158,7 +187,8 @@
     }
 }
 
-async fn watch(store: &Store, request: Request<Body>) -> Response<Body> {
+async fn watch(front: &Front, request: Request<Body>) -> Response<Body> {
+    let store = &front.store;
     let body: wire::Watch = match reply::read_json(request.into_body(), MAX_BODY_BYTES).await {
         Ok(body) => body,
         Err(error) => return bad_request(&error),
@@ -171,6 +201,7 @@
         events: store.events.subscribe(),
         watch_cuts: store.watch_cuts.subscribe(),
         missed_changes: store.missed_changes(&request),
+        member: Arc::clone(&front.member),
         request,
         created: false,
     };
@@ -190,6 +221,7 @@
     missed_changes: Vec<wire::KeyValue>,
     events: broadcast::Receiver<wire::KeyValue>,
     watch_cuts: watch::Receiver<u64>,
+    member: Arc<Member>,
     created: bool,
 }
 
@@ -203,6 +235,7 @@
             });
         }
         if !self.missed_changes.is_empty() {
+            self.member.connected().await;
             let missed_changes = std::mem::take(&mut self.missed_changes);
             return Some(wire::WatchReply {
                 created: false,
@@ -215,6 +248,7 @@
                 _ = self.watch_cuts.changed() => return None,
             };
             if is_watched(&self.request, &kv.key) {
+                self.member.connected().await;
                 return Some(wire::WatchReply {
                     created: false,
                     events: vec![put_event(kv)],
