test(core): simulate how a change reaches the nodes of a zone

What callers saw: 404 on a route that had been added, at nodes that no fault had touched. The simulation plays readers, successors, reports, exchanges and rounds with today's failover, and strikes nodes with faults that the seed draws: stopped, refused or not answered by the store, answered stale reads alone, a watch that delivers nothing, no exchanges. A node that nothing touched must have the change within two seconds.

--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,477 @@
+//! Simulates how a change of a document in the store reaches the nodes of one availability zone,
+//! with the duties of readers and successors, reports and exchanges, while faults that the seed
+//! draws strike other nodes.
+//!
+//! A node that no fault has touched and that the store serves must have each change in time,
+//! whatever happens to the others, since it could have read the change itself.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use mintridge_core::configs::failover::Settings;
+use mintridge_core::failover::Failover;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+/// Time within which a change must be in force.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+const STEP: Duration = Duration::from_millis(5);
+/// Number of designated readers.
+const READERS: usize = 2;
+/// Duration of a call that the store answers.
+const CALL_DURATION: Duration = Duration::from_millis(10);
+/// Timeout of a call to the store.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause after a failed read or watch.
+const RETRY_DELAY: Duration = Duration::from_millis(600);
+/// Maximum duration of a watch.
+const WATCH_DURATION: Duration = Duration::from_secs(12);
+/// Duration of an exchange with a peer that answers, and its timeout.
+const EXCHANGE_DURATION: Duration = Duration::from_millis(5);
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Pause between two gossip rounds.
+const ROUND_PERIOD: Duration = Duration::from_millis(500);
+/// Number of peers to which a change is pushed.
+const PUSH_PEERS: usize = 3;
+/// Time after which others consider a stopped node dead.
+const DEATH_DETECTION: Duration = Duration::from_millis(3_500);
+/// Percentage of datagrams that are lost.
+const LOSS_PERCENT: u32 = 2;
+
+/// How the store treats one node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    Served,
+    /// Calls fail at once, and watches are cut.
+    Refused,
+    /// Nothing is answered.
+    Silent,
+    /// The member of the store that serves the node answers stale reads alone.
+    Stale,
+}
+
+/// What strikes a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// The process ends.
+    Stop,
+    /// The store serves it otherwise from now on.
+    Store(Service),
+    /// Its watch delivers nothing, and all its other calls work.
+    DeafWatch,
+    /// It gets none of the exchanges that it or its peers begin, and sends datagrams.
+    NoExchanges,
+}
+
+const FAULTS: [Fault; 6] = [
+    Fault::Stop,
+    Fault::Store(Service::Refused),
+    Fault::Store(Service::Silent),
+    Fault::Store(Service::Stale),
+    Fault::DeafWatch,
+    Fault::NoExchanges,
+];
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Follow {
+    /// The node does not follow the store.
+    Off,
+    Reading {
+        done_at: Instant,
+    },
+    Watching {
+        is_deaf: bool,
+        ends_at: Instant,
+    },
+    Waiting {
+        until: Instant,
+    },
+}
+
+/// A check that the store answers.
+#[derive(Clone, Copy, Debug)]
+struct Check {
+    requested_at: Instant,
+    done_at: Instant,
+}
+
+/// An exchange that this node has begun.
+#[derive(Clone, Copy, Debug)]
+struct Exchange {
+    peer: usize,
+    done_at: Instant,
+}
+
+struct Node {
+    failover: Failover,
+    version: u64,
+    service: Service,
+    has_exchanges: bool,
+    stopped_at: Option<Instant>,
+    /// Whether any fault has touched the node.
+    is_calm: bool,
+    follow: Follow,
+    check: Option<Check>,
+    next_check_at: Instant,
+    answered_at: Option<Instant>,
+    check_failed: bool,
+    is_acting: bool,
+    exchanges: Vec<Exchange>,
+    is_catching_up: bool,
+    next_round_at: Instant,
+}
+
+struct Report {
+    from: usize,
+    answered_at: Instant,
+    version: u64,
+}
+
+/// A simulated zone; its nodes are ordered by index.
+struct Zone {
+    nodes: Vec<Node>,
+    now: Instant,
+    rng: ChaCha8Rng,
+    /// Newest version in the store.
+    version: u64,
+}
+
+impl Zone {
+    fn new(size: usize, seed: u64) -> Self {
+        let now = Instant::now();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let nodes = (0..size).map(|_| Node {
+            failover: Failover::new(Settings::default(), now),
+            version: 1,
+            service: Service::Served,
+            has_exchanges: true,
+            stopped_at: None,
+            is_calm: true,
+            follow: Follow::Off,
+            check: None,
+            next_check_at: now + Settings::default().check_every.mul_f64(rng.random()),
+            answered_at: None,
+            check_failed: false,
+            is_acting: false,
+            exchanges: Vec::new(),
+            is_catching_up: false,
+            next_round_at: now + ROUND_PERIOD.mul_f64(rng.random()),
+        });
+        Self {
+            nodes: nodes.collect(),
+            now,
+            rng,
+            version: 1,
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for index in 0..self.nodes.len() {
+                if self.nodes[index].stopped_at.is_none() {
+                    self.step(index);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        self.finish_exchanges(index);
+        self.update_role(index);
+        self.step_follow(index);
+        self.step_check(index);
+        self.step_round(index);
+    }
+
+    /// Returns the number of nodes before this one that it considers alive.
+    fn rank(&self, index: usize) -> usize {
+        let is_alive = |node: &&Node| {
+            let stopped_at = node.stopped_at;
+            stopped_at.is_none_or(|at| self.now < at + DEATH_DETECTION)
+        };
+        self.nodes[..index].iter().filter(is_alive).count()
+    }
+
+    fn is_reader(&self, index: usize) -> bool {
+        self.rank(index) < READERS
+    }
+
+    fn update_role(&mut self, index: usize) {
+        let position = (self.rank(index) + 1).saturating_sub(READERS);
+        let is_reader = self.is_reader(index);
+        let node = &mut self.nodes[index];
+        let is_acting = !is_reader && node.failover.acts_as_reader(self.now, position);
+        if is_acting && !node.is_acting {
+            node.check_failed = true;
+        }
+        node.is_acting = is_acting;
+    }
+
+    fn follows(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        self.is_reader(index) || (node.is_acting && !node.check_failed)
+    }
+
+    fn step_follow(&mut self, index: usize) {
+        let follows = self.follows(index);
+        let (now, newest) = (self.now, self.version);
+        let node = &mut self.nodes[index];
+        match node.follow {
+            Follow::Off if follows => node.start_read(now),
+            Follow::Off => {}
+            _ if !follows => node.follow = Follow::Off,
+            Follow::Reading { done_at } if now >= done_at => {
+                if node.service == Service::Served {
+                    node.record_answer(done_at);
+                    node.follow = Follow::Watching {
+                        is_deaf: false,
+                        ends_at: now + WATCH_DURATION.mul_f64(self.rng.random_range(0.5..1.0)),
+                    };
+                    self.learn(index, newest);
+                } else {
+                    node.fail_follow(now);
+                }
+            }
+            Follow::Reading { .. } => {}
+            Follow::Watching { is_deaf, ends_at } => {
+                if node.service == Service::Refused {
+                    node.fail_follow(now);
+                } else if now >= ends_at {
+                    node.start_read(now);
+                } else if !is_deaf && node.service == Service::Served {
+                    self.learn(index, newest);
+                }
+            }
+            Follow::Waiting { until } => {
+                if now >= until {
+                    node.start_read(now);
+                }
+            }
+        }
+    }
+
+    fn step_check(&mut self, index: usize) {
+        let now = self.now;
+        let reads = self.is_reader(index) || self.nodes[index].is_acting;
+        let node = &mut self.nodes[index];
+        if let Some(check) = node.check {
+            if now < check.done_at {
+                return;
+            }
+            node.check = None;
+            if matches!(node.service, Service::Served | Service::Stale) {
+                node.record_answer(check.requested_at);
+            } else {
+                node.check_failed = true;
+            }
+            node.next_check_at = now;
+        }
+        if !reads || now < node.next_check_at {
+            return;
+        }
+        let interval = Settings::default().check_every;
+        node.next_check_at = now + interval;
+        let is_recent = node.answered_at.is_some_and(|at| now < at + interval);
+        if is_recent {
+            self.send_report(index);
+        } else {
+            node.check = Some(Check {
+                requested_at: now,
+                done_at: now + node.call_duration(),
+            });
+        }
+    }
+
+    /// Sends a report to all other nodes if the store answers this one.
+    fn send_report(&mut self, from: usize) {
+        let node = &self.nodes[from];
+        let Some(answered_at) = node.answered_at.filter(|_| !node.check_failed) else {
+            return;
+        };
+        let report = Report {
+            from,
+            answered_at,
+            version: node.version,
+        };
+        for to in 0..self.nodes.len() {
+            let is_lost = self.rng.random_ratio(LOSS_PERCENT, 100);
+            if to != from && self.nodes[to].stopped_at.is_none() && !is_lost {
+                self.receive_report(to, &report);
+            }
+        }
+    }
+
+    fn receive_report(&mut self, to: usize, report: &Report) {
+        let now = self.now;
+        let done_at = now + self.exchange_duration(to, report.from);
+        let node = &mut self.nodes[to];
+        node.failover
+            .record_report(report.answered_at, report.from < to);
+        if node.version < report.version && !node.is_catching_up {
+            node.is_catching_up = true;
+            node.exchanges.push(Exchange {
+                peer: report.from,
+                done_at,
+            });
+        }
+    }
+
+    fn can_exchange(&self, a: usize, b: usize) -> bool {
+        let ends = [&self.nodes[a], &self.nodes[b]];
+        ends.iter()
+            .all(|node| node.stopped_at.is_none() && node.has_exchanges)
+    }
+
+    fn exchange_duration(&self, a: usize, b: usize) -> Duration {
+        if self.can_exchange(a, b) {
+            EXCHANGE_DURATION
+        } else {
+            EXCHANGE_TIMEOUT
+        }
+    }
+
+    fn begin_exchange(&mut self, index: usize, peer: usize) {
+        let done_at = self.now + self.exchange_duration(index, peer);
+        self.nodes[index].exchanges.push(Exchange { peer, done_at });
+    }
+
+    fn finish_exchanges(&mut self, index: usize) {
+        let now = self.now;
+        let exchanges = std::mem::take(&mut self.nodes[index].exchanges);
+        let (done, pending): (Vec<_>, Vec<_>) =
+            exchanges.into_iter().partition(|e| now >= e.done_at);
+        self.nodes[index].exchanges = pending;
+        for exchange in done {
+            self.nodes[index].is_catching_up = false;
+            if self.can_exchange(index, exchange.peer) {
+                let newest = self.nodes[index]
+                    .version
+                    .max(self.nodes[exchange.peer].version);
+                self.learn(index, newest);
+                self.learn(exchange.peer, newest);
+            }
+        }
+    }
+
+    fn step_round(&mut self, index: usize) {
+        if self.now < self.nodes[index].next_round_at {
+            return;
+        }
+        self.nodes[index].next_round_at = self.now + ROUND_PERIOD;
+        for peer in self.sample_peers(index, 1) {
+            self.begin_exchange(index, peer);
+        }
+    }
+
+    /// Puts a version in force on a node, which pushes it to a few peers.
+    fn learn(&mut self, index: usize, version: u64) {
+        if self.nodes[index].version >= version {
+            return;
+        }
+        self.nodes[index].version = version;
+        for peer in self.sample_peers(index, PUSH_PEERS) {
+            self.begin_exchange(index, peer);
+        }
+    }
+
+    fn sample_peers(&mut self, index: usize, count: usize) -> Vec<usize> {
+        let peers = (0..self.nodes.len()).filter(|peer| *peer != index);
+        peers.sample(&mut self.rng, count)
+    }
+
+    fn strike(&mut self, index: usize, fault: Fault) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.is_calm = false;
+        match fault {
+            Fault::Stop => node.stopped_at = Some(now),
+            Fault::Store(service) => node.service = service,
+            Fault::NoExchanges => node.has_exchanges = false,
+            Fault::DeafWatch => {
+                if let Follow::Watching { is_deaf, .. } = &mut node.follow {
+                    *is_deaf = true;
+                }
+            }
+        }
+    }
+
+    fn is_behind(&self, node: &Node) -> bool {
+        node.is_calm && node.version < self.version
+    }
+}
+
+impl Node {
+    fn start_read(&mut self, now: Instant) {
+        self.follow = Follow::Reading {
+            done_at: now + self.call_duration(),
+        };
+    }
+
+    fn fail_follow(&mut self, now: Instant) {
+        self.follow = Follow::Waiting {
+            until: now + RETRY_DELAY,
+        };
+    }
+
+    /// Returns the duration of a call, given how the store treats the node.
+    fn call_duration(&self) -> Duration {
+        match self.service {
+            Service::Served | Service::Refused | Service::Stale => CALL_DURATION,
+            Service::Silent => CALL_TIMEOUT,
+        }
+    }
+
+    fn record_answer(&mut self, requested_at: Instant) {
+        self.answered_at = self.answered_at.max(Some(requested_at));
+        if std::mem::take(&mut self.check_failed)
+            && let Follow::Watching { .. } = self.follow
+        {
+            self.start_read(requested_at);
+        }
+    }
+}
+
+/// Guards against calm nodes that wait for a change from others which do not have it, or cannot
+/// pass it on.
+#[rstest]
+#[case::pair(2, 1, 0..400)]
+#[case::small(4, 3, 0..800)]
+#[case::readers_alone(12, 2, 0..400)]
+#[case::many(12, 9, 0..400)]
+#[case::large(73, 9, 0..30)]
+fn change_reaches_calm_nodes_in_time(
+    #[case] size: usize,
+    #[case] max_struck: usize,
+    #[case] seeds: std::ops::Range<u64>,
+) {
+    let mut failed = Vec::new();
+    for seed in seeds.clone() {
+        let mut zone = Zone::new(size, seed);
+        zone.run(Duration::from_millis(4_000));
+        let struck = zone.rng.random_range(1..=max_struck);
+        let mut faults = BTreeSet::new();
+        for index in 0..struck {
+            let fault = FAULTS.iter().choose(&mut zone.rng).expect("a fault");
+            zone.strike(index, *fault);
+            faults.insert(format!("{index}: {fault:?}"));
+            let pause = zone.rng.random_range(0..400);
+            zone.run(Duration::from_millis(pause));
+        }
+        zone.version += 1;
+        zone.run(IN_FORCE_TIMEOUT);
+        if zone.nodes.iter().any(|node| zone.is_behind(node)) {
+            failed.push((seed, faults));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {} seeds, the first: {:?}",
+        failed.len(),
+        seeds.count(),
+        failed.first()
+    );
+}
