fix(control): readers report only what a poll of the store proves

What callers saw: 404 on a route that had been added, as an older version says, at nodes that no fault had touched and that the store served. Cause: a reader kept its duty while the store answered its checks, small reads that may be stale. That says nothing of its watch: watches that fall silent behind a relay, or alone because the checks opened a new connection, and a member of the store that is partitioned, left every node of a zone on the old version until the watch ended. Class: a sign of life of a weaker kind than what it stands for. Change: the check is a read of all changes since the revision that the reader knows, which needs the store's latest state; what it returns is applied, and the watch is opened again. A report rests on such a proof and carries its age. Proofs last 1.25 s before successors take turns, 1 s before. With it: a document that is read in another epoch than it began in is read again; its revision was used in the newer epoch (by reading, not seen). A watch that the store ended is followed by the next read at once, not after 0.6 s. A node that starts takes over 0.5 s after it knows the others, 1 s before, as it is held to the bound 3 s after its start. Evidence: node/configuration only_watches_go_silent 6.4 s, store_connections_go_silent 6.4 s and readers_get_only_stale_reads 31.2 s before, where 5 s are allowed; all pass.

--- a/crates/core/src/configs/failover.rs
+++ b/crates/core/src/configs/failover.rs
@@ -8,14 +8,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
-    /// Interval at which a reader checks that the store answers it and reports so to its zone.
+    /// Interval at which a reader verifies that the store holds nothing newer than its documents,
+    /// and reports so to its zone.
     #[serde(with = "humantime_serde")]
     pub check_every: Duration,
-    /// Readers are presumed to have failed when no report has arrived for this long. It covers
-    /// two checks, and together with the successors' turns it stays below the time within which
-    /// a change must be in force.
+    /// Delay after a failed check.
+    #[serde(with = "humantime_serde")]
+    pub check_retried_after: Duration,
+    /// Readers are presumed to have failed when the latest proof that counts for a node is this
+    /// old. It leaves the second reader time for a check in place of the first, and together with
+    /// the successors' turns it stays below the time within which a change must be in force.
     #[serde(with = "humantime_serde")]
     pub doubted_after: Duration,
+    /// Time for the first report once a node knows most others. Nodes that start together differ
+    /// by some hundred milliseconds.
+    #[serde(with = "humantime_serde")]
+    pub first_report_within: Duration,
     /// Time that each successor leaves the one before it to take over first.
     #[serde(with = "humantime_serde")]
     pub turn: Duration,
@@ -26,8 +34,10 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            check_every: Duration::from_millis(400),
-            doubted_after: Duration::from_secs(1),
+            check_every: Duration::from_millis(750),
+            check_retried_after: Duration::from_millis(400),
+            doubted_after: Duration::from_millis(1_250),
+            first_report_within: Duration::from_millis(500),
             turn: Duration::from_millis(50),
             successors: 8,
         }
--- a/crates/core/src/failover.rs
+++ b/crates/core/src/failover.rs
@@ -1,50 +1,110 @@
-//! Selects the nodes of an availability zone that read the store while its designated readers
-//! cannot.
+//! Decides which nodes of an availability zone read the store.
 //!
-//! Load pattern: the store does not answer most nodes, or most nodes lose power, while operators
-//! change the configuration. Membership designates the readers, but it only knows that
-//! a node is alive and not whether the store answers that node, and it takes seconds to detect a
-//! crash. Each reader therefore reports to its zone whenever the store has answered it. Without
-//! such a report the other nodes try in turn, a limited number of them, until the store answers
-//! one, which then reports like a reader.
+//! Load pattern: the store does not answer most nodes, answers some of them from stale data, or most
+//! nodes lose power, while operators change the configuration. Membership designates the readers,
+//! but it only knows that a node is alive, and it takes seconds to detect a crash. Each reader
+//! therefore verifies at intervals that the store holds nothing newer than its documents, and
+//! reports this to its zone. Without such a report the other nodes take over in turn, a limited
+//! number of them.
 
 use std::time::Instant;
 
 use crate::configs::failover::Settings;
+use crate::preset::Revision;
+use crate::route;
 
-/// Decides for one node whether it acts in place of its zone's readers.
+/// Versions of the documents in force on a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Versions {
+    /// Revision of the preset.
+    pub preset: Revision,
+    /// Version of the routing table.
+    pub routes: route::Version,
+}
+
+impl Versions {
+    /// Returns whether any document is older than the other's.
+    #[must_use]
+    pub fn is_behind(&self, other: &Self) -> bool {
+        self.preset < other.preset || self.routes < other.routes
+    }
+}
+
+/// Decides for one node whether it acts in place of its zone's readers, and when a reader verifies
+/// its documents.
 #[derive(Debug)]
 pub struct Failover {
     settings: Settings,
     /// The readers are presumed to have failed unless a report extends this deadline.
     report_deadline: Instant,
+    /// When this node last verified its documents itself.
+    own_proof_at: Option<Instant>,
+    /// Latest proof of this node or of one ahead of it; the next check is due some time later.
+    check_base: Option<Instant>,
+    /// When the latest check failed.
+    check_failed_at: Option<Instant>,
     acts_as_reader: bool,
 }
 
 impl Failover {
-    /// Creates the state of a node that starts and expects reports from `settled_at` on.
+    /// Creates the state of a node that starts and knows most other nodes from `settled_at` on.
     #[must_use]
     pub fn new(settings: Settings, settled_at: Instant) -> Self {
-        let report_deadline = settled_at + settings.doubted_after;
+        let report_deadline = settled_at + settings.first_report_within;
         Self {
             settings,
             report_deadline,
+            own_proof_at: None,
+            check_base: None,
+            check_failed_at: None,
             acts_as_reader: false,
         }
     }
 
-    /// Records the report of another node of the zone that the store answered it at
-    /// `answered_at`. `ahead` is true if that node comes before this one in the order of the zone.
+    /// Records that this node verified its documents by a call that it sent to the store at `at`.
+    pub fn record_check(&mut self, at: Instant) {
+        self.own_proof_at = self.own_proof_at.max(Some(at));
+        self.check_base = self.check_base.max(Some(at));
+    }
+
+    /// Records that a check failed.
+    pub fn record_failed_check(&mut self, now: Instant) {
+        self.check_failed_at = Some(now);
+    }
+
+    /// Records the report of another node of the zone that it had all changes in the store at
+    /// `proved_at`. `ahead` is true if that node comes before this one in the order of the zone.
     ///
     /// Failure: two nodes act as readers and each yields to the other. Symptom: no node reads the
     /// store until the readers' reports are overdue again. This cannot happen because an acting
     /// reader yields only to nodes ahead of it.
-    pub fn record_report(&mut self, answered_at: Instant, ahead: bool) {
-        if self.acts_as_reader && !ahead {
-            return;
+    pub fn record_report(&mut self, proved_at: Instant, ahead: bool) {
+        if ahead {
+            self.check_base = self.check_base.max(Some(proved_at));
+        }
+        if ahead || !self.acts_as_reader {
+            let report_deadline = proved_at + self.settings.doubted_after;
+            self.report_deadline = self.report_deadline.max(report_deadline);
         }
-        let report_deadline = answered_at + self.settings.doubted_after;
-        self.report_deadline = self.report_deadline.max(report_deadline);
+    }
+
+    /// Returns when this node last verified its documents itself.
+    #[must_use]
+    pub const fn own_proof_at(&self) -> Option<Instant> {
+        self.own_proof_at
+    }
+
+    /// Returns when a node that reads the store has to verify its documents next; `rank` is the
+    /// number of readers ahead of it, whose proofs spare it the check.
+    #[must_use]
+    pub fn check_at(&self, now: Instant, rank: usize) -> Instant {
+        let turns = u32::try_from(rank).unwrap_or(u32::MAX);
+        let interval = self.settings.check_every + self.settings.turn * turns;
+        let due_at = self.check_base.map_or(now, |base| base + interval);
+        let retry_at = self.check_failed_at.map_or(now, |failed_at| {
+            failed_at + self.settings.check_retried_after
+        });
+        due_at.max(retry_at)
     }
 
     /// Updates and returns whether the node acts as a reader now; `position` is its position
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -383,13 +383,16 @@
     /// readers of its zone fail; 0 if it is a designated reader.
     #[must_use]
     pub fn successor_position(&self) -> usize {
-        let own = hash_rank(&self.own.host);
-        let ahead = self
-            .zone_peers()
+        (self.zone_rank() + 1).saturating_sub(self.settings.holders_per_zone)
+    }
+
+    /// Returns the number of living nodes that come before this one in the order of the zone.
+    #[must_use]
+    pub fn zone_rank(&self) -> usize {
+        self.zone_peers()
             .filter(|record| record.state == State::Alive)
-            .filter(|record| hash_rank(&record.host) < own)
-            .count();
-        (ahead + 1).saturating_sub(self.settings.holders_per_zone)
+            .filter(|record| self.precedes_own(&record.host))
+            .count()
     }
 
     /// Whether `host` comes before this node in the order of the zone.
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -79,6 +79,7 @@
     /// The node does not follow the store.
     Off,
     Reading {
+        requested_at: Instant,
         done_at: Instant,
     },
     Watching {
@@ -90,11 +91,13 @@
     },
 }
 
-/// A check that the store answers.
+/// A call by which a node checks the store.
 #[derive(Clone, Copy, Debug)]
 struct Check {
     requested_at: Instant,
     done_at: Instant,
+    /// Whether it asks for changes; otherwise the answer may be stale.
+    verifies: bool,
 }
 
 /// An exchange that this node has begun.
@@ -108,24 +111,21 @@
     failover: Failover,
     version: u64,
     service: Service,
-    has_exchanges: bool,
     stopped_at: Option<Instant>,
-    /// Whether any fault has touched the node.
-    is_calm: bool,
+    /// The faults that have struck the node.
+    faults: Vec<Fault>,
     follow: Follow,
     check: Option<Check>,
-    next_check_at: Instant,
-    answered_at: Option<Instant>,
+    /// Whether the store has not answered since this node began to act as a reader.
     check_failed: bool,
     is_acting: bool,
     exchanges: Vec<Exchange>,
-    is_catching_up: bool,
     next_round_at: Instant,
 }
 
 struct Report {
     from: usize,
-    answered_at: Instant,
+    proved_at: Instant,
     version: u64,
 }
 
@@ -146,17 +146,13 @@
             failover: Failover::new(Settings::default(), now),
             version: 1,
             service: Service::Served,
-            has_exchanges: true,
             stopped_at: None,
-            is_calm: true,
+            faults: Vec::new(),
             follow: Follow::Off,
             check: None,
-            next_check_at: now + Settings::default().check_every.mul_f64(rng.random()),
-            answered_at: None,
             check_failed: false,
             is_acting: false,
             exchanges: Vec::new(),
-            is_catching_up: false,
             next_round_at: now + ROUND_PERIOD.mul_f64(rng.random()),
         });
         Self {
@@ -224,23 +220,26 @@
             Follow::Off if follows => node.start_read(now),
             Follow::Off => {}
             _ if !follows => node.follow = Follow::Off,
-            Follow::Reading { done_at } if now >= done_at => {
+            Follow::Reading {
+                requested_at,
+                done_at,
+            } if now >= done_at => {
                 if node.service == Service::Served {
-                    node.record_answer(done_at);
+                    node.failover.record_check(requested_at);
+                    node.check_failed = false;
                     node.follow = Follow::Watching {
                         is_deaf: false,
                         ends_at: now + WATCH_DURATION.mul_f64(self.rng.random_range(0.5..1.0)),
                     };
                     self.learn(index, newest);
+                    self.send_report(index);
                 } else {
                     node.fail_follow(now);
                 }
             }
             Follow::Reading { .. } => {}
             Follow::Watching { is_deaf, ends_at } => {
-                if node.service == Service::Refused {
-                    node.fail_follow(now);
-                } else if now >= ends_at {
+                if node.service == Service::Refused || now >= ends_at {
                     node.start_read(now);
                 } else if !is_deaf && node.service == Service::Served {
                     self.learn(index, newest);
@@ -257,44 +256,60 @@
     fn step_check(&mut self, index: usize) {
         let now = self.now;
         let reads = self.is_reader(index) || self.nodes[index].is_acting;
-        let node = &mut self.nodes[index];
-        if let Some(check) = node.check {
+        if let Some(check) = self.nodes[index].check {
             if now < check.done_at {
                 return;
             }
-            node.check = None;
-            if matches!(node.service, Service::Served | Service::Stale) {
-                node.record_answer(check.requested_at);
-            } else {
-                node.check_failed = true;
-            }
-            node.next_check_at = now;
+            self.nodes[index].check = None;
+            self.finish_check(index, check);
         }
-        if !reads || now < node.next_check_at {
-            return;
-        }
-        let interval = Settings::default().check_every;
-        node.next_check_at = now + interval;
-        let is_recent = node.answered_at.is_some_and(|at| now < at + interval);
-        if is_recent {
-            self.send_report(index);
+        let rank = if self.nodes[index].is_acting {
+            0
         } else {
+            self.rank(index)
+        };
+        let node = &mut self.nodes[index];
+        let verifies = matches!(node.follow, Follow::Watching { .. });
+        let is_able = verifies || (node.is_acting && node.check_failed);
+        if reads && is_able && now >= node.failover.check_at(now, rank) {
             node.check = Some(Check {
                 requested_at: now,
-                done_at: now + node.call_duration(),
+                done_at: now + node.call_duration(verifies),
+                verifies,
             });
         }
     }
 
-    /// Sends a report to all other nodes if the store answers this one.
+    fn finish_check(&mut self, index: usize, check: Check) {
+        let (now, newest) = (self.now, self.version);
+        let node = &mut self.nodes[index];
+        let is_answered =
+            node.service == Service::Served || (node.service == Service::Stale && !check.verifies);
+        if !is_answered {
+            node.failover.record_failed_check(now);
+            return;
+        }
+        node.check_failed = false;
+        if !check.verifies {
+            return;
+        }
+        node.failover.record_check(check.requested_at);
+        if node.version < newest {
+            node.start_read(now);
+        }
+        self.learn(index, newest);
+        self.send_report(index);
+    }
+
+    /// Reports this node's proof to all other nodes.
     fn send_report(&mut self, from: usize) {
         let node = &self.nodes[from];
-        let Some(answered_at) = node.answered_at.filter(|_| !node.check_failed) else {
+        let Some(proved_at) = node.failover.own_proof_at() else {
             return;
         };
         let report = Report {
             from,
-            answered_at,
+            proved_at,
             version: node.version,
         };
         for to in 0..self.nodes.len() {
@@ -306,24 +321,19 @@
     }
 
     fn receive_report(&mut self, to: usize, report: &Report) {
-        let now = self.now;
-        let done_at = now + self.exchange_duration(to, report.from);
         let node = &mut self.nodes[to];
-        node.failover
-            .record_report(report.answered_at, report.from < to);
-        if node.version < report.version && !node.is_catching_up {
-            node.is_catching_up = true;
-            node.exchanges.push(Exchange {
-                peer: report.from,
-                done_at,
-            });
+        let ahead = report.from < to;
+        node.failover.record_report(report.proved_at, ahead);
+        let is_catching_up = node.exchanges.iter().any(|e| e.peer == report.from);
+        if node.version < report.version && !is_catching_up {
+            self.begin_exchange(to, report.from);
         }
     }
 
     fn can_exchange(&self, a: usize, b: usize) -> bool {
         let ends = [&self.nodes[a], &self.nodes[b]];
         ends.iter()
-            .all(|node| node.stopped_at.is_none() && node.has_exchanges)
+            .all(|node| node.stopped_at.is_none() && node.has_exchanges())
     }
 
     fn exchange_duration(&self, a: usize, b: usize) -> Duration {
@@ -346,7 +356,6 @@
             exchanges.into_iter().partition(|e| now >= e.done_at);
         self.nodes[index].exchanges = pending;
         for exchange in done {
-            self.nodes[index].is_catching_up = false;
             if self.can_exchange(index, exchange.peer) {
                 let newest = self.nodes[index]
                     .version
@@ -386,11 +395,11 @@
     fn strike(&mut self, index: usize, fault: Fault) {
         let now = self.now;
         let node = &mut self.nodes[index];
-        node.is_calm = false;
+        node.faults.push(fault);
         match fault {
             Fault::Stop => node.stopped_at = Some(now),
             Fault::Store(service) => node.service = service,
-            Fault::NoExchanges => node.has_exchanges = false,
+            Fault::NoExchanges => {}
             Fault::DeafWatch => {
                 if let Follow::Watching { is_deaf, .. } = &mut node.follow {
                     *is_deaf = true;
@@ -400,14 +409,19 @@
     }
 
     fn is_behind(&self, node: &Node) -> bool {
-        node.is_calm && node.version < self.version
+        node.faults.is_empty() && node.version < self.version
     }
 }
 
 impl Node {
+    fn has_exchanges(&self) -> bool {
+        !self.faults.contains(&Fault::NoExchanges)
+    }
+
     fn start_read(&mut self, now: Instant) {
         self.follow = Follow::Reading {
-            done_at: now + self.call_duration(),
+            requested_at: now,
+            done_at: now + self.call_duration(true),
         };
     }
 
@@ -418,19 +432,11 @@
     }
 
     /// Returns the duration of a call, given how the store treats the node.
-    fn call_duration(&self) -> Duration {
+    fn call_duration(&self, needs_latest: bool) -> Duration {
         match self.service {
-            Service::Served | Service::Refused | Service::Stale => CALL_DURATION,
-            Service::Silent => CALL_TIMEOUT,
-        }
-    }
-
-    fn record_answer(&mut self, requested_at: Instant) {
-        self.answered_at = self.answered_at.max(Some(requested_at));
-        if std::mem::take(&mut self.check_failed)
-            && let Follow::Watching { .. } = self.follow
-        {
-            self.start_read(requested_at);
+            Service::Served | Service::Refused => CALL_DURATION,
+            Service::Stale if !needs_latest => CALL_DURATION,
+            Service::Stale | Service::Silent => CALL_TIMEOUT,
         }
     }
 }
@@ -451,7 +457,7 @@
     let mut failed = Vec::new();
     for seed in seeds.clone() {
         let mut zone = Zone::new(size, seed);
-        zone.run(Duration::from_millis(4_000));
+        zone.run(Duration::from_secs(4));
         let struck = zone.rng.random_range(1..=max_struck);
         let mut faults = BTreeSet::new();
         for index in 0..struck {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -19,7 +19,7 @@
 
 use mintridge_core::bootstrap::{self, Bootstrap, Contacts, Role, Snapshot};
 use mintridge_core::evacuation;
-use mintridge_core::failover::Failover;
+use mintridge_core::failover::{Failover, Versions};
 use mintridge_core::membership::{self, Record, Table, Version};
 use mintridge_core::preset::{InForce, Offered, Register};
 use mintridge_core::quarantine::{Event, Quarantine};
@@ -44,6 +44,8 @@
     Read,
     /// A watch of the store.
     Watch,
+    /// A check of the store, because no watch had delivered it.
+    Poll,
     /// An exchange with a peer.
     Exchange,
 }
@@ -52,7 +54,7 @@
     /// Returns the name of the sender used in logs.
     const fn sender(self) -> &'static str {
         match self {
-            Self::Read | Self::Watch => "store",
+            Self::Read | Self::Watch | Self::Poll => "store",
             Self::Exchange => "peer",
         }
     }
@@ -62,6 +64,7 @@
         match self {
             Self::Read => "read",
             Self::Watch => "watch",
+            Self::Poll => "poll",
             Self::Exchange => "exchange",
         }
     }
@@ -83,6 +86,8 @@
     store_recovered: Cell<bool>,
     /// Whether the store answers this node.
     store_health: failover::StoreHealth,
+    /// The documents of operators in the store.
+    sources: Vec<Rc<watch::Source>>,
 }
 
 struct State {
@@ -118,8 +123,10 @@
             tokio::task::spawn_local(exchange::pushes(Rc::clone(&control)));
             tokio::task::spawn_local(holder::run(Rc::clone(&control)));
             tokio::task::spawn_local(failover::run(Rc::clone(&control)));
-            tokio::task::spawn_local(watch::preset(Rc::clone(&control)));
-            tokio::task::spawn_local(watch::routes(Rc::clone(&control)));
+            for source in &control.sources {
+                let source = Rc::clone(source);
+                tokio::task::spawn_local(watch::follow(Rc::clone(&control), source));
+            }
             tokio::task::spawn_local(follow_upstream(Rc::clone(&control)));
             tokio::task::spawn_local(suspects::receive(Rc::clone(&control), events));
             tokio::task::spawn_local(persistence::run(Rc::clone(&control)));
@@ -150,8 +157,8 @@
 
 impl State {
     /// Returns the versions of the documents in force on this node.
-    fn versions(&self) -> codec::Versions {
-        codec::Versions {
+    fn versions(&self) -> Versions {
+        Versions {
             preset: self.register.current().revision,
             routes: self.routes.version(),
         }
@@ -210,6 +217,7 @@
             quarantine_loaded: Cell::new(false),
             store_recovered: Cell::new(false),
             store_health: failover::StoreHealth::default(),
+            sources: watch::sources(&context.settings.routes),
             context,
         }
     }
--- a/crates/node/src/control/codec.rs
+++ b/crates/node/src/control/codec.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use mintridge_core::evacuation::{Stamp, Zone};
+use mintridge_core::failover::Versions;
 use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::membership::{self, Record, State, Summary, Upstream};
 use mintridge_core::preset::{InForce, Revision};
@@ -101,23 +102,6 @@
     pub quarantine: quarantine::Peer,
 }
 
-/// Versions of the documents in force on a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Versions {
-    /// Revision of the preset.
-    pub preset: Revision,
-    /// Version of the routing table.
-    pub routes: Version,
-}
-
-impl Versions {
-    /// Returns whether any document is older than the other's.
-    #[must_use]
-    pub fn is_behind(&self, other: &Self) -> bool {
-        self.preset < other.preset || self.routes < other.routes
-    }
-}
-
 /// Writes the message of one side of an exchange, with its records packed if `packs` is true and
 /// that makes them shorter; returns the size of the records in bytes.
 pub fn write_exchange(
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -1,7 +1,11 @@
 //! Reports of the store's readers to their zone, and takeover by other nodes when the reports stop.
 //!
-//! A reader sends reports as long as the store answers it. When no reader of a zone sends any,
-//! other nodes of the zone act as readers in their place.
+//! A reader polls the store for changes at intervals and reports that it has all of them. When no
+//! such report of a zone's readers counts for a node, it may act as a reader in their place.
+//!
+//! Failure: readers report that the store answers them. Symptom: a store that answers some of their
+//! calls, but neither their watches nor their reads, keeps them in office, and a change comes into
+//! force nowhere. A report therefore rests on a call that returns every acknowledged change.
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -9,6 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use mintridge_core::failover::Versions;
 use mintridge_core::preset::Revision;
 use mintridge_core::route::Version;
 use mintridge_store::client::Error;
@@ -18,21 +23,21 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use super::{Control, codec, exchange};
+use super::{Control, exchange, watch};
 use crate::datagram;
 use crate::request_log::millis;
 
 /// Kind of the report datagrams in the metrics.
 const KIND: &str = "reader-report";
 
+/// Interval at which a node checks whether its role has changed.
+const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Whether the store answers this node, and whether the node therefore acts as a reader.
 #[derive(Default)]
 pub struct StoreHealth {
     /// When the latest call that the store answered was sent.
     answered_at: Cell<Option<Instant>>,
-    /// Whether the last read or watch of a document failed. Such reads are retried anyway, so no
-    /// check is needed.
-    reads_fail: Cell<bool>,
     /// Whether a check has failed since the last answer.
     check_failed: Cell<bool>,
     /// Whether this node acts in place of its zone's readers.
@@ -41,6 +46,8 @@
     catching_up: Cell<bool>,
     /// Notified when the node may have started or stopped following the store.
     role_changed: Notify,
+    /// Notified when a document has been read, so that a check may be possible.
+    document_read: Notify,
     /// Notified when the store answers again after a failed check; a watch opened earlier may have
     /// missed changes.
     recovered: Notify,
@@ -51,16 +58,15 @@
     pub fn record_answer(&self, requested_at: Instant) {
         self.answered_at
             .set(self.answered_at.get().max(Some(requested_at)));
-        self.reads_fail.set(false);
         if self.check_failed.replace(false) {
             log::info!("store answers again");
             self.recovered.notify_waiters();
         }
     }
 
-    /// Records that a read or watch of a document failed.
-    pub fn record_read_failure(&self) {
-        self.reads_fail.set(true);
+    /// Records that a document has been read.
+    pub fn record_read(&self) {
+        self.document_read.notify_one();
     }
 
     /// Returns when the latest call that the store answered was sent.
@@ -73,6 +79,11 @@
         self.acts_as_reader.get() && !self.check_failed.get()
     }
 
+    /// Returns whether the node has begun to act as a reader and the store has not answered it yet.
+    fn is_untested(&self) -> bool {
+        self.acts_as_reader.get() && self.check_failed.get()
+    }
+
     /// Waits until the node may have started or stopped following the store.
     pub async fn role_changed(&self) {
         self.role_changed.notified().await;
@@ -84,11 +95,11 @@
     }
 }
 
-/// Datagram in which a reader reports that the store answers it.
+/// Datagram in which a reader reports that it has all changes that the store had acknowledged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Report {
     host: Arc<str>,
-    /// Time since the latest call that the store answered was sent, in milliseconds.
+    /// Time since the call to the store was sent that proved it, in milliseconds.
     age_millis: u64,
     preset: Revision,
     routes: Version,
@@ -130,13 +141,13 @@
     };
     let precedes_own = state.table.precedes_own(&report.host);
     let age = Duration::from_millis(report.age_millis);
-    if let Some(answered_at) = now.checked_sub(age) {
-        state.failover.record_report(answered_at, precedes_own);
-    }
-    let theirs = codec::Versions {
+    let theirs = Versions {
         preset: report.preset,
         routes: report.routes,
     };
+    if let Some(at) = now.checked_sub(age) {
+        state.failover.record_report(at, precedes_own);
+    }
     let is_behind = state.versions().is_behind(&theirs);
     drop(state);
     if is_behind {
@@ -172,23 +183,26 @@
     });
 }
 
-/// Checks regularly that the store answers this node while it reads documents there, and reports
-/// the result to the zone.
+/// Verifies at intervals, while this node reads the store, that it has all changes there, and reports
+/// so to the zone.
 async fn run_checks(control: &Rc<Control>, socket: &UdpSocket) {
-    let interval = control.context.settings.failover.check_every;
     loop {
         let now = Instant::now();
-        let takeover_at = if update_role(control, now) {
-            if is_check_due(control, now) {
-                check_store(control).await;
+        let mut next_at = now + ROLE_POLL_INTERVAL;
+        if !update_role(control, now) {
+            next_at = takeover_at(control).map_or(next_at, |at| at.min(next_at));
+        } else if control.store_health.is_untested() || watch::can_poll(control) {
+            let check_at = check_at(control, now);
+            if now >= check_at {
+                check(control, socket).await;
+                continue;
             }
-            send_report(control, socket).await;
-            None
-        } else {
-            takeover_at(control)
-        };
-        let next_at = takeover_at.map_or(now + interval, |at| at.min(now + interval));
-        tokio::time::sleep_until(next_at.into()).await;
+            next_at = next_at.min(check_at);
+        }
+        tokio::select! {
+            () = tokio::time::sleep_until(next_at.into()) => {}
+            () = control.store_health.document_read.notified() => {}
+        }
     }
 }
 
@@ -214,31 +228,57 @@
     state.failover.takeover_at(state.table.successor_position())
 }
 
-/// Returns whether to check the store: no other call has recently shown whether it answers.
-fn is_check_due(control: &Control, now: Instant) -> bool {
-    let health = &control.store_health;
-    let interval = control.context.settings.failover.check_every;
-    let answered_recently = health
-        .answered_at
-        .get()
-        .is_some_and(|at| now < at + interval);
-    let is_retrying = health.reads_fail.get() && !health.acts_as_reader.get();
-    !answered_recently && !is_retrying
+/// Returns when the next check is due.
+fn check_at(control: &Control, now: Instant) -> Instant {
+    let state = control.state.borrow();
+    let is_reader = state.table.is_designated_reader();
+    let rank = if is_reader {
+        state.table.zone_rank()
+    } else {
+        0
+    };
+    state.failover.check_at(now, rank)
 }
 
-/// Checks that the store answers, with a small and possibly stale read, which costs it little.
-async fn check_store(control: &Control) {
+/// Checks the store, and reports to the zone if this node has all changes there.
+async fn check(control: &Rc<Control>, socket: &UdpSocket) {
     let health = &control.store_health;
-    let key = keys::seed(control.context.host());
-    control.context.metrics.store_call("check-may-lag");
     let requested_at = Instant::now();
-    match control.store.list(&key, Freshness::MayLag).await {
-        Ok(_) => health.record_answer(requested_at),
-        Err(error) => record_failed_check(control, &error),
+    let result = if health.is_untested() {
+        read_stale(control).await.map(|()| false)
+    } else {
+        watch::poll(control).await
+    };
+    match result {
+        Ok(is_current) => {
+            health.record_answer(requested_at);
+            if is_current {
+                control.mark_refreshed(requested_at);
+                control
+                    .state
+                    .borrow_mut()
+                    .failover
+                    .record_check(requested_at);
+                send_report(control, socket).await;
+            }
+        }
+        Err(error) => {
+            let now = Instant::now();
+            control.state.borrow_mut().failover.record_failed_check(now);
+            record_failed_check(control, &error);
+        }
     }
     health.role_changed.notify_waiters();
 }
 
+/// Tests whether the store answers, with a small and possibly stale read, which costs it little.
+async fn read_stale(control: &Control) -> Result<(), Error> {
+    let key = keys::seed(control.context.host());
+    control.context.metrics.store_call("check-may-lag");
+    control.store.list(&key, Freshness::MayLag).await?;
+    Ok(())
+}
+
 fn record_failed_check(control: &Control, error: &Error) {
     if control.store_health.check_failed.replace(true) {
         return;
@@ -248,33 +288,23 @@
     log::warn!(store_answered_ms:? = age, error:% = error; "store does not answer a check");
 }
 
-/// Returns the time since the latest call that the store answered was sent, or `None` if the store
-/// no longer answers.
-fn answer_age(control: &Control) -> Option<Duration> {
-    let health = &control.store_health;
-    let doubted_after = control.context.settings.failover.doubted_after;
-    let age = health.answered_at()?.elapsed();
-    let answers = !health.check_failed.get() && !health.reads_fail.get();
-    (answers && age < doubted_after).then_some(age)
-}
-
-/// Reports to the zone that the store answers this node, if it does.
+/// Reports to the zone that this node has all changes in the store.
 async fn send_report(control: &Control, socket: &UdpSocket) {
-    let Some(age) = answer_age(control) else {
-        return;
-    };
-    let (versions, zone) = {
+    let (proof_at, versions, zone) = {
         let state = control.state.borrow();
+        let Some(proof_at) = state.failover.own_proof_at() else {
+            return;
+        };
         let present = state
             .table
             .zone_peers()
             .filter(|record| record.is_present());
         let zone: Vec<SocketAddr> = present.map(|record| record.control_address).collect();
-        (state.versions(), zone)
+        (proof_at, state.versions(), zone)
     };
     let report = Report {
         host: Arc::clone(control.context.host()),
-        age_millis: millis(age),
+        age_millis: millis(proof_at.elapsed()),
         preset: versions.preset,
         routes: versions.routes,
     };
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -4,6 +4,7 @@
 //! The few nodes that follow the store watch each document and also read it at intervals. All other
 //! nodes receive changes from them through exchanges.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,10 +12,13 @@
 use mintridge_core::preset::Revision;
 use mintridge_core::stagger::Stagger;
 use mintridge_store::client::Error;
+use mintridge_store::epoch::{Epoch, Epochs};
 use mintridge_store::operation::{Change, Freshness, Item};
 use mintridge_store::{keys, presets};
+use tokio::sync::Notify;
 
 use super::{Control, Delivery, evacuations, persistence};
+use crate::configs::routes::Settings;
 
 /// Interval at which a node checks whether it has to follow the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
@@ -31,38 +35,54 @@
     Routes,
 }
 
-/// Location of a document in the store.
-struct Source {
+/// Document of operators in the store, and how far this node knows its changes.
+#[derive(Debug)]
+pub struct Source {
     kind: Kind,
     key: String,
     /// Prefix of the watched keys. If it differs from the key, all items with this prefix are read.
     prefix: String,
+    /// Revision of the store up to which this node knows all changes, with the epoch to which it
+    /// belongs; `None` until the document has been read.
+    known: Cell<Option<(Option<Epoch>, i64)>>,
+    /// Notified when a poll returned a change that the open watch had not delivered.
+    watch_lags: Notify,
 }
 
-/// Follows the preset in force.
-pub async fn preset(control: Rc<Control>) {
-    let source = Source {
-        kind: Kind::Preset,
-        key: keys::IN_FORCE.to_owned(),
-        prefix: keys::IN_FORCE.to_owned(),
-    };
-    follow(control, source).await;
+impl Source {
+    fn new(kind: Kind, key: &str, prefix: &str) -> Rc<Self> {
+        Rc::new(Self {
+            kind,
+            key: key.to_owned(),
+            prefix: prefix.to_owned(),
+            known: Cell::new(None),
+            watch_lags: Notify::new(),
+        })
+    }
+
+    /// Returns the revision up to which this node knows all changes, in the current epoch.
+    fn known_revision(&self, epochs: &Epochs) -> Option<i64> {
+        let (epoch, revision) = self.known.get()?;
+        (!epochs.has_changed_since(epoch)).then_some(revision)
+    }
+
+    /// Records that this node knows all changes up to a revision of this epoch.
+    fn record_known(&self, epoch: Option<Epoch>, revision: i64) {
+        let known = self.known.get().filter(|(before, _)| *before == epoch);
+        let revision = known.map_or(revision, |(_, before)| before.max(revision));
+        self.known.set(Some((epoch, revision)));
+    }
 }
 
-/// Follows the routing table, together with the evacuations, if the settings name its key.
-pub async fn routes(control: Rc<Control>) {
-    let settings = &control.context.settings.routes;
-    let Some(key) = settings.key.clone() else {
-        return;
-    };
-    let evacuations = settings.evacuations.as_deref().unwrap_or(&key);
-    let prefix = common_prefix(&key, evacuations);
-    let source = Source {
-        kind: Kind::Routes,
-        key,
-        prefix,
-    };
-    follow(control, source).await;
+/// Returns the documents that a node follows: the routing table, together with the evacuations, if
+/// the settings name its key, and the preset in force.
+pub fn sources(settings: &Settings) -> Vec<Rc<Source>> {
+    let routes = settings.key.as_deref().map(|key| {
+        let evacuations = settings.evacuations.as_deref().unwrap_or(key);
+        Source::new(Kind::Routes, key, &common_prefix(key, evacuations))
+    });
+    let preset = Source::new(Kind::Preset, keys::IN_FORCE, keys::IN_FORCE);
+    routes.into_iter().chain([preset]).collect()
 }
 
 /// Returns the longest common prefix of both texts.
@@ -71,13 +91,12 @@
     pairs.take_while(|(a, b)| a == b).map(|(a, _)| a).collect()
 }
 
-async fn follow(control: Rc<Control>, source: Source) {
-    let kind = source.kind;
-    let key = source.key.as_str();
-    let mut is_failing = false;
+/// Follows a document while this node reads the store.
+pub async fn follow(control: Rc<Control>, source: Rc<Source>) {
     let mut stagger = Stagger::new(control.context.host());
+    let mut is_failing = false;
     loop {
-        if kind == Kind::Routes {
+        if source.kind == Kind::Routes {
             read_routes_if_due(&control, &source).await;
         }
         if !control.follows_store(Instant::now()) {
@@ -92,19 +111,33 @@
             }
             continue;
         }
-        let result = read_and_watch(&control, &source, &mut stagger, &mut is_failing).await;
-        let Err(error) = result else { continue };
-        control.store_health.record_read_failure();
+        let read_at = Instant::now();
+        let read = read_document(&control, &source).await;
+        let failure = match read {
+            Ok(()) => {
+                if std::mem::take(&mut is_failing) {
+                    log::info!(key = &*source.key; "document in the store can be read again");
+                    control.store_recovered.set(true);
+                }
+                let watched = watch_document(&control, &source, read_at, &mut stagger).await;
+                watched.err().map(|error| (error, read_at))
+            }
+            Err(error) => Some((error, Instant::now())),
+        };
+        let Some((error, failed_at)) = failure else {
+            continue;
+        };
         if !matches!(error, Error::Compacted | Error::WatchEnded) {
             if !is_failing {
                 log::warn!(
-                    key = key, error:% = error;
+                    key = &*source.key, error:% = error;
                     "failed to follow a document in the store, retrying"
                 );
             }
             is_failing = true;
         }
-        tokio::time::sleep(RETRY_DELAY).await;
+        // A watch that ends long after the read is followed by the next read without a delay.
+        tokio::time::sleep_until((failed_at + RETRY_DELAY).into()).await;
     }
 }
 
@@ -150,67 +183,117 @@
     Ok((document, revision))
 }
 
-/// Reads the document, then watches it until the next read is due.
+/// Reads the document and puts it in force.
+///
+/// Failure: the store is restored from an older copy and assigns revisions again. Symptom: a watch
+/// that continues from an earlier revision never delivers changes with a lower one. A revision is
+/// only used within the epoch in which it was read; in a later epoch everything is read again.
+async fn read_document(control: &Rc<Control>, source: &Source) -> Result<(), Error> {
+    let epochs = control.store.epochs();
+    let epoch = epochs.newest();
+    let requested_at = Instant::now();
+    let (item, revision) = read(control, source).await?;
+    if epochs.has_changed_since(epoch) {
+        return Err(Error::Outdated);
+    }
+    control.mark_refreshed(requested_at);
+    control.store_health.record_answer(requested_at);
+    apply_read(control, source.kind, item).await;
+    source.record_known(epochs.newest(), revision);
+    control.store_health.record_read();
+    Ok(())
+}
+
+/// Watches the document until the next read is due.
 ///
 /// Failure: a watch stops delivering changes without failing, or its answer is lost. Symptom: a
-/// change comes into force on no node. Keep-alive probes detect dead connections, and the watches
-/// of the few nodes that follow the store end at different times, so the next one delivers what the
-/// others lost. The key is also read at intervals, at a rate that does not grow with the size of
-/// the fleet.
+/// change comes into force on no node. Keep-alive probes detect dead connections, checks of the
+/// store poll for changes that the watch did not deliver, and the key is also read at intervals, at
+/// rates that do not grow with the size of the fleet.
 ///
 /// Failure: the store does not answer this node's calls for a while. Symptom: a watch that stayed
 /// open may have missed a change. Once the store answers again, everything is read again.
-///
-/// Failure: the store is restored from an older copy and assigns revisions again. Symptom: a watch
-/// that continues from an earlier revision never delivers changes with a lower one. A revision is
-/// only used within the epoch in which it was read; in a later epoch everything is read again.
-async fn read_and_watch(
+async fn watch_document(
     control: &Rc<Control>,
     source: &Source,
+    read_at: Instant,
     stagger: &mut Stagger,
-    is_failing: &mut bool,
 ) -> Result<(), Error> {
     let settings = &control.context.settings.control;
-    let (kind, key) = (source.kind, source.key.as_str());
-    let requested_at = Instant::now();
-    let (item, mut revision) = read(control, source).await?;
     let epochs = control.store.epochs();
-    let epoch = epochs.newest();
-    if std::mem::take(is_failing) {
-        log::info!(key = key, revision = revision; "document in the store can be read again");
-        control.store_recovered.set(true);
-    }
-    control.mark_refreshed(requested_at);
-    control.store_health.record_answer(requested_at);
-    apply_read(control, kind, item).await;
-    let next_read_at = requested_at + settings.store_read_every;
+    let next_read_at = read_at + settings.store_read_every;
     while Instant::now() < next_read_at && control.follows_store(Instant::now()) {
+        let epoch = epochs.newest();
+        let Some(revision) = source.known_revision(epochs) else {
+            return Ok(());
+        };
         control.context.metrics.store_call("watch");
-        let wait = match kind {
+        let wait = match source.kind {
             Kind::Preset => next_read_at.saturating_duration_since(Instant::now()),
             Kind::Routes => stagger.next(settings.watch_for),
         };
         let changes = tokio::select! {
             changes = control.store.changes(&source.prefix, revision, wait) => changes?,
             () = epochs.wait_for_change_since(epoch) => return Ok(()),
+            () = source.watch_lags.notified() => return Ok(()),
             () = control.store_health.recovered() => return Ok(()),
         };
         if epochs.has_changed_since(epoch) {
             return Ok(());
         }
-        revision = changes.revision.max(revision);
-        for change in changes.changes {
-            evacuations::apply_change(control, &change);
-            if let Change::Written(item) = change
-                && item.key == key
-            {
-                apply(control, kind, Delivery::Watch, &item.value);
-            }
-        }
+        apply_changes(control, source, Delivery::Watch, changes.changes);
+        source.record_known(epoch, changes.revision);
     }
     Ok(())
 }
 
+/// Returns whether all documents have been read, so that they can be polled.
+pub fn can_poll(control: &Control) -> bool {
+    let epochs = control.store.epochs();
+    let mut sources = control.sources.iter();
+    sources.all(|source| source.known_revision(epochs).is_some())
+}
+
+/// Polls the store for changes that no watch has delivered, and applies them. Returns true if this
+/// node then has all changes that were acknowledged before the call.
+pub async fn poll(control: &Rc<Control>) -> Result<bool, Error> {
+    let epochs = control.store.epochs();
+    let epoch = epochs.newest();
+    let mut store_revision = None;
+    for source in &control.sources {
+        let Some(known) = source.known_revision(epochs) else {
+            return Ok(false);
+        };
+        if store_revision.is_some_and(|revision| revision <= known) {
+            continue;
+        }
+        control.context.metrics.store_call("poll");
+        let changes = control.store.poll(&source.prefix, known).await?;
+        if epochs.has_changed_since(epoch) {
+            return Ok(false);
+        }
+        store_revision = Some(changes.revision);
+        if !changes.changes.is_empty() {
+            apply_changes(control, source, Delivery::Poll, changes.changes);
+            source.watch_lags.notify_waiters();
+        }
+        source.record_known(epoch, changes.revision);
+    }
+    Ok(true)
+}
+
+/// Applies changes that a watch or a poll of the store returned.
+fn apply_changes(control: &Control, source: &Source, delivery: Delivery, changes: Vec<Change>) {
+    for change in changes {
+        evacuations::apply_change(control, &change);
+        if let Change::Written(item) = change
+            && item.key == source.key
+        {
+            apply(control, source.kind, delivery, &item.value);
+        }
+    }
+}
+
 async fn apply_read(control: &Rc<Control>, kind: Kind, item: Option<Item>) {
     let revision = item.as_ref().map_or(0, |item| item.revision);
     let stored = item.and_then(|item| apply(control, kind, Delivery::Read, &item.value));
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -330,6 +330,7 @@
     }
     keys.range(range.key.clone()..range.range_end.clone())
         .map(|(_, stored)| stored.clone())
+        .filter(|stored| stored.mod_revision >= range.min_mod_revision)
         .collect()
 }
 
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -259,6 +259,23 @@
         }
     }
 
+    /// Returns the changes later than revision `after` of keys that begin with `prefix`, and the
+    /// revision up to which they are complete. The reply includes all changes that were
+    /// acknowledged before the call. Some dialects report no deletions.
+    ///
+    /// # Errors
+    /// If the call fails or the history has been compacted.
+    pub async fn poll(&self, prefix: &str, after: i64) -> Result<Changes, Error> {
+        let operation = Operation::Poll {
+            prefix: prefix.to_owned(),
+            after,
+        };
+        match self.run(&operation, self.timeout).await? {
+            Reply::Changes(changes) => Ok(changes),
+            _ => Err(Error::Mismatch),
+        }
+    }
+
     /// Writes if all conditions hold; returns false if one does not.
     ///
     /// # Errors
--- a/crates/store/src/etcd.rs
+++ b/crates/store/src/etcd.rs
@@ -34,6 +34,16 @@
                 key: prefix.as_bytes().to_vec(),
                 range_end: wire::prefix_end(prefix.as_bytes()),
                 serializable: *freshness == Freshness::MayLag,
+                ..wire::Range::default()
+            };
+            post(wire::RANGE, &range)
+        }
+        Operation::Poll { prefix, after } => {
+            let range = wire::Range {
+                key: prefix.as_bytes().to_vec(),
+                range_end: wire::prefix_end(prefix.as_bytes()),
+                min_mod_revision: after + 1,
+                ..wire::Range::default()
             };
             post(wire::RANGE, &range)
         }
@@ -73,6 +83,14 @@
                 revision: range.header.revision,
             })
         }
+        Operation::Poll { .. } => {
+            let range: wire::RangeReply = parse(response)?;
+            let written = range.kvs.into_iter().map(item).map(Change::Written);
+            Reply::Changes(Changes {
+                changes: written.collect(),
+                revision: range.header.revision,
+            })
+        }
         Operation::Swap(_) => {
             let transaction: wire::TxnReply = parse(response)?;
             Reply::Swapped(transaction.succeeded)
--- a/crates/store/src/operation.rs
+++ b/crates/store/src/operation.rs
@@ -94,6 +94,13 @@
         /// How long to wait for a change.
         wait: Duration,
     },
+    /// Read the keys that begin with a prefix and were written after a revision, without waiting.
+    Poll {
+        /// The prefix.
+        prefix: String,
+        /// Revision after which changes are reported.
+        after: i64,
+    },
     /// Write keys if all conditions hold.
     Swap(Swap),
     /// Grant a lease.
@@ -138,7 +145,7 @@
 pub enum Reply {
     /// Reply to [`Operation::Get`] and [`Operation::List`].
     Page(Page),
-    /// Reply to [`Operation::Changes`].
+    /// Reply to [`Operation::Changes`] and [`Operation::Poll`].
     Changes(Changes),
     /// Reply to [`Operation::Swap`]: whether the conditions held and the writes were applied.
     Swapped(bool),
--- a/crates/store/src/wire.rs
+++ b/crates/store/src/wire.rs
@@ -66,6 +66,15 @@
     /// Whether the member asked may reply from its own, possibly stale, state without a quorum.
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub serializable: bool,
+    /// Lowest revision of the last change of the keys to return; 0 for all keys.
+    #[serde_as(as = "DisplayFromStr")]
+    #[serde(skip_serializing_if = "is_zero")]
+    pub min_mod_revision: i64,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // The signature is serde's.
+const fn is_zero(revision: &i64) -> bool {
+    *revision == 0
 }
 
 /// Reply to [`Range`].
