fix(control): a report counts only for nodes that have the documents it is about

What callers saw: 404 on a route that had been added, at a node that the store served and that no fault had touched. Cause: a report kept a node from reading the store although the node could not get the newer document from the one that reported it: a reader that is slow, or whose exchanges fail while its datagrams arrive. A node that knew that it was behind waited for the same peer for as long as the reports came. Change: a report is a proof that the store held nothing newer than the versions it names. It extends a node's wait only once the node has these versions; until then it is kept, and the node takes over by the time of the last proof that counted. A node beyond the successors does so too while it knows of a newer document.

--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use mintridge_core::configs::failover::Settings;
-use mintridge_core::failover::Failover;
+use mintridge_core::failover::{Failover, Proof, Versions};
+use mintridge_core::preset::Revision;
+use mintridge_core::route;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -125,8 +127,7 @@
 
 struct Report {
     from: usize,
-    proved_at: Instant,
-    version: u64,
+    proof: Proof,
 }
 
 /// A simulated zone; its nodes are ordered by index.
@@ -200,6 +201,7 @@
         let position = (self.rank(index) + 1).saturating_sub(READERS);
         let is_reader = self.is_reader(index);
         let node = &mut self.nodes[index];
+        node.failover.update(node.versions());
         let is_acting = !is_reader && node.failover.acts_as_reader(self.now, position);
         if is_acting && !node.is_acting {
             node.check_failed = true;
@@ -304,13 +306,13 @@
     /// Reports this node's proof to all other nodes.
     fn send_report(&mut self, from: usize) {
         let node = &self.nodes[from];
-        let Some(proved_at) = node.failover.own_proof_at() else {
+        let Some(at) = node.failover.verified_at() else {
             return;
         };
+        let versions = node.versions();
         let report = Report {
             from,
-            proved_at,
-            version: node.version,
+            proof: Proof { versions, at },
         };
         for to in 0..self.nodes.len() {
             let is_lost = self.rng.random_ratio(LOSS_PERCENT, 100);
@@ -321,13 +323,18 @@
     }
 
     fn receive_report(&mut self, to: usize, report: &Report) {
+        let now = self.now;
         let node = &mut self.nodes[to];
+        let own = node.versions();
         let ahead = report.from < to;
-        node.failover.record_report(report.proved_at, ahead);
+        let counts = node.failover.record_report(now, own, report.proof, ahead);
         let is_catching_up = node.exchanges.iter().any(|e| e.peer == report.from);
-        if node.version < report.version && !is_catching_up {
+        if own.is_behind(&report.proof.versions) && !is_catching_up {
             self.begin_exchange(to, report.from);
         }
+        if counts && ahead && self.is_reader(to) {
+            self.send_report(to);
+        }
     }
 
     fn can_exchange(&self, a: usize, b: usize) -> bool {
@@ -418,6 +425,13 @@
         !self.faults.contains(&Fault::NoExchanges)
     }
 
+    fn versions(&self) -> Versions {
+        Versions {
+            preset: Revision(0),
+            routes: route::Version(self.version),
+        }
+    }
+
     fn start_read(&mut self, now: Instant) {
         self.follow = Follow::Reading {
             requested_at: now,
--- a/crates/core/tests/failover.rs
+++ b/crates/core/tests/failover.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use mintridge_core::configs::failover::Settings;
-use mintridge_core::failover::Failover;
+use mintridge_core::failover::{Failover, Proof, Versions};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -109,7 +109,13 @@
         for (to, node) in self.nodes.iter_mut().enumerate() {
             let is_lost = self.rng.random_ratio(self.loss_percent, 100);
             if to != from && node.condition != Condition::Stopped && !is_lost {
-                node.failover.record_report(self.now, from < to);
+                let versions = Versions::default();
+                let proof = Proof {
+                    versions,
+                    at: self.now,
+                };
+                node.failover
+                    .record_report(self.now, versions, proof, from < to);
             }
         }
     }
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mintridge_core::failover::Versions;
+use mintridge_core::failover::{Proof, Versions};
 use mintridge_core::preset::Revision;
 use mintridge_core::route::Version;
 use mintridge_store::client::Error;
@@ -48,6 +48,8 @@
     role_changed: Notify,
     /// Notified when a document has been read, so that a check may be possible.
     document_read: Notify,
+    /// Notified when a report is to be sent.
+    report_due: Notify,
     /// Notified when the store answers again after a failed check; a watch opened earlier may have
     /// missed changes.
     recovered: Notify,
@@ -145,10 +147,19 @@
         preset: report.preset,
         routes: report.routes,
     };
+    let own = state.versions();
     if let Some(at) = now.checked_sub(age) {
-        state.failover.record_report(at, precedes_own);
+        let proof = Proof {
+            versions: theirs,
+            at,
+        };
+        let counts = state.failover.record_report(now, own, proof, precedes_own);
+        if counts && precedes_own && state.table.is_designated_reader() {
+            // The second reader repeats the proof, in case the first one's datagram was lost.
+            control.store_health.report_due.notify_one();
+        }
     }
-    let is_behind = state.versions().is_behind(&theirs);
+    let is_behind = own.is_behind(&theirs);
     drop(state);
     if is_behind {
         catch_up(control, address);
@@ -202,6 +213,7 @@
         tokio::select! {
             () = tokio::time::sleep_until(next_at.into()) => {}
             () = control.store_health.document_read.notified() => {}
+            () = control.store_health.report_due.notified() => send_report(control, socket).await,
         }
     }
 }
@@ -212,7 +224,8 @@
     let snapshot = control.snapshot();
     let mut state = control.state.borrow_mut();
     let follows = state.bootstrap.follows_store(now, snapshot);
-    let position = state.table.successor_position();
+    let (own, position) = (state.versions(), state.table.successor_position());
+    state.failover.update(own);
     let acts_as_reader = !follows && state.failover.acts_as_reader(now, position);
     if acts_as_reader && !control.store_health.acts_as_reader.get() {
         // The store has to answer a check before any document is read.
@@ -288,11 +301,11 @@
     log::warn!(store_answered_ms:? = age, error:% = error; "store does not answer a check");
 }
 
-/// Reports to the zone that this node has all changes in the store.
+/// Reports to the zone when this node was last known to have all changes in the store.
 async fn send_report(control: &Control, socket: &UdpSocket) {
-    let (proof_at, versions, zone) = {
+    let (verified_at, versions, zone) = {
         let state = control.state.borrow();
-        let Some(proof_at) = state.failover.own_proof_at() else {
+        let Some(verified_at) = state.failover.verified_at() else {
             return;
         };
         let present = state
@@ -300,11 +313,11 @@
             .zone_peers()
             .filter(|record| record.is_present());
         let zone: Vec<SocketAddr> = present.map(|record| record.control_address).collect();
-        (proof_at, state.versions(), zone)
+        (verified_at, state.versions(), zone)
     };
     let report = Report {
         host: Arc::clone(control.context.host()),
-        age_millis: millis(proof_at.elapsed()),
+        age_millis: millis(verified_at.elapsed()),
         preset: versions.preset,
         routes: versions.routes,
     };
