--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -39,6 +39,10 @@
 const PUSH_PEERS: usize = 3;
 /// Time after which others consider a stopped node dead.
 const DEATH_DETECTION: Duration = Duration::from_millis(3_500);
+/// Time after which a node that has started knows most others.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+/// A node that was touched by a fault is held to the bound from this time after its end.
+const CALM_AFTER: Duration = Duration::from_secs(3);
 /// Percentage of datagrams that are lost.
 const LOSS_PERCENT: u32 = 2;
 
@@ -57,8 +61,10 @@
 /// What strikes a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
-    /// The process ends.
+    /// The process ends; it starts again when the fault ends.
     Stop,
+    /// The process is paused.
+    Freeze,
     /// The store serves it otherwise from now on.
     Store(Service),
     /// Its watch delivers nothing, and all its other calls work.
@@ -67,8 +73,9 @@
     NoExchanges,
 }
 
-const FAULTS: [Fault; 6] = [
+const FAULTS: [Fault; 7] = [
     Fault::Stop,
+    Fault::Freeze,
     Fault::Store(Service::Refused),
     Fault::Store(Service::Silent),
     Fault::Store(Service::Stale),
@@ -111,17 +118,23 @@
 
 struct Node {
     failover: Failover,
+    /// A node that has just started is no reader before this time.
+    settled_at: Instant,
     version: u64,
     service: Service,
     stopped_at: Option<Instant>,
-    /// The faults that have struck the node.
+    frozen: bool,
+    /// The faults that strike the node now.
     faults: Vec<Fault>,
+    /// When the latest fault ended, or the node started.
+    calm_since: Instant,
     follow: Follow,
     check: Option<Check>,
     /// Whether the store has not answered since this node began to act as a reader.
     check_failed: bool,
     is_acting: bool,
     exchanges: Vec<Exchange>,
+    is_catching_up: bool,
     next_round_at: Instant,
 }
 
@@ -143,19 +156,7 @@
     fn new(size: usize, seed: u64) -> Self {
         let now = Instant::now();
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let nodes = (0..size).map(|_| Node {
-            failover: Failover::new(Settings::default(), now),
-            version: 1,
-            service: Service::Served,
-            stopped_at: None,
-            faults: Vec::new(),
-            follow: Follow::Off,
-            check: None,
-            check_failed: false,
-            is_acting: false,
-            exchanges: Vec::new(),
-            next_round_at: now + ROUND_PERIOD.mul_f64(rng.random()),
-        });
+        let nodes = (0..size).map(|_| Node::new(now, now, 1, &mut rng));
         Self {
             nodes: nodes.collect(),
             now,
@@ -169,7 +170,7 @@
         while self.now < end {
             self.now += STEP;
             for index in 0..self.nodes.len() {
-                if self.nodes[index].stopped_at.is_none() {
+                if self.nodes[index].is_running() {
                     self.step(index);
                 }
             }
@@ -194,7 +195,7 @@
     }
 
     fn is_reader(&self, index: usize) -> bool {
-        self.rank(index) < READERS
+        self.now >= self.nodes[index].settled_at && self.rank(index) < READERS
     }
 
     fn update_role(&mut self, index: usize) {
@@ -316,7 +317,7 @@
         };
         for to in 0..self.nodes.len() {
             let is_lost = self.rng.random_ratio(LOSS_PERCENT, 100);
-            if to != from && self.nodes[to].stopped_at.is_none() && !is_lost {
+            if to != from && self.nodes[to].is_running() && !is_lost {
                 self.receive_report(to, &report);
             }
         }
@@ -328,8 +329,9 @@
         let own = node.versions();
         let ahead = report.from < to;
         let counts = node.failover.record_report(now, own, report.proof, ahead);
-        let is_catching_up = node.exchanges.iter().any(|e| e.peer == report.from);
+        let is_catching_up = node.is_catching_up;
         if own.is_behind(&report.proof.versions) && !is_catching_up {
+            self.nodes[to].is_catching_up = true;
             self.begin_exchange(to, report.from);
         }
         if counts && ahead && self.is_reader(to) {
@@ -340,7 +342,7 @@
     fn can_exchange(&self, a: usize, b: usize) -> bool {
         let ends = [&self.nodes[a], &self.nodes[b]];
         ends.iter()
-            .all(|node| node.stopped_at.is_none() && node.has_exchanges())
+            .all(|node| node.is_running() && node.has_exchanges())
     }
 
     fn exchange_duration(&self, a: usize, b: usize) -> Duration {
@@ -363,6 +365,7 @@
             exchanges.into_iter().partition(|e| now >= e.done_at);
         self.nodes[index].exchanges = pending;
         for exchange in done {
+            self.nodes[index].is_catching_up = false;
             if self.can_exchange(index, exchange.peer) {
                 let newest = self.nodes[index]
                     .version
@@ -405,6 +408,7 @@
         node.faults.push(fault);
         match fault {
             Fault::Stop => node.stopped_at = Some(now),
+            Fault::Freeze => node.frozen = true,
             Fault::Store(service) => node.service = service,
             Fault::NoExchanges => {}
             Fault::DeafWatch => {
@@ -415,12 +419,60 @@
         }
     }
 
+    /// Ends all faults of a node. A watch on which the store was silent stays open and delivers
+    /// nothing, and a process that ended starts again with the documents of some peer.
+    fn heal(&mut self, index: usize) {
+        let now = self.now;
+        let peers = (0..self.nodes.len()).filter(|peer| *peer != index);
+        let peers = peers.filter(|peer| self.nodes[*peer].is_running());
+        let peer = peers.choose(&mut self.rng);
+        let version = peer.map_or(self.version, |peer| self.nodes[peer].version);
+        let node = &mut self.nodes[index];
+        if node.stopped_at.is_some() {
+            *node = Node::new(now, now + SETTLED_AFTER, version, &mut self.rng);
+            return;
+        }
+        if let Follow::Watching { is_deaf, .. } = &mut node.follow {
+            *is_deaf |= node.service == Service::Silent;
+        }
+        node.service = Service::Served;
+        node.frozen = false;
+        node.faults.clear();
+        node.calm_since = now;
+    }
+
+    /// Returns whether a node that no fault touches lacks the newest version.
     fn is_behind(&self, node: &Node) -> bool {
         node.faults.is_empty() && node.version < self.version
     }
 }
 
 impl Node {
+    /// Creates a node that knows the others from `settled_at` on.
+    fn new(now: Instant, settled_at: Instant, version: u64, rng: &mut ChaCha8Rng) -> Self {
+        Self {
+            failover: Failover::new(Settings::default(), settled_at),
+            settled_at,
+            version,
+            service: Service::Served,
+            stopped_at: None,
+            frozen: false,
+            faults: Vec::new(),
+            calm_since: now,
+            follow: Follow::Off,
+            check: None,
+            check_failed: false,
+            is_acting: false,
+            exchanges: Vec::new(),
+            is_catching_up: false,
+            next_round_at: now + ROUND_PERIOD.mul_f64(rng.random()),
+        }
+    }
+
+    fn is_running(&self) -> bool {
+        self.stopped_at.is_none() && !self.frozen
+    }
+
     fn has_exchanges(&self) -> bool {
         !self.faults.contains(&Fault::NoExchanges)
     }
@@ -495,3 +547,94 @@
         failed.first()
     );
 }
+
+/// A fault of one node, and when it ends.
+struct Strike {
+    index: usize,
+    ends_at: Instant,
+}
+
+/// Guards against nodes that stay behind after faults have ended, while faults strike other nodes
+/// and changes come in series.
+#[rstest]
+#[case::pair(2, 0..150)]
+#[case::small(4, 0..150)]
+#[case::many(12, 0..60)]
+fn changes_reach_nodes_that_have_recovered(
+    #[case] size: usize,
+    #[case] seeds: std::ops::Range<u64>,
+) {
+    let mut failed = Vec::new();
+    for seed in seeds.clone() {
+        if let Some(failure) = play_series(size, seed) {
+            failed.push((seed, failure));
+        }
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {} seeds, the first: {:?}",
+        failed.len(),
+        seeds.count(),
+        failed.first()
+    );
+}
+
+/// Plays 20 seconds of changes and faults; returns the first violation.
+fn play_series(size: usize, seed: u64) -> Option<String> {
+    let mut zone = Zone::new(size, seed);
+    zone.run(Duration::from_secs(3));
+    let (mut changes, mut strikes, mut log) = (Vec::new(), Vec::<Strike>::new(), Vec::new());
+    let start = zone.now;
+    while zone.now < start + Duration::from_secs(20) {
+        zone.run(Duration::from_millis(100));
+        let now = zone.now;
+        let (ended, active) = strikes
+            .into_iter()
+            .partition(|strike| now >= strike.ends_at);
+        strikes = active;
+        for strike in ended as Vec<Strike> {
+            zone.heal(strike.index);
+        }
+        let is_struck = zone.rng.random_ratio(1, 8);
+        let calm = (0..size).filter(|index| zone.nodes[*index].faults.is_empty());
+        if let Some(index) = calm.choose(&mut zone.rng)
+            && is_struck
+            && strikes.len() + 1 < size
+        {
+            let fault = *FAULTS.iter().choose(&mut zone.rng).expect("a fault");
+            let millis = zone.rng.random_range(200..4_000);
+            let ends_at = now + Duration::from_millis(millis);
+            zone.strike(index, fault);
+            strikes.push(Strike { index, ends_at });
+            let at = millis_since(start, now);
+            log.push(format!("{at}: {index} {fault:?} for {millis}"));
+        }
+        if zone.rng.random_ratio(1, 5) {
+            zone.version += 1;
+            changes.push((now, zone.version));
+        }
+        let due = changes.iter().rev();
+        let mut due = due.filter(|(acknowledged_at, _)| now >= *acknowledged_at + IN_FORCE_TIMEOUT);
+        let Some((acknowledged_at, version)) = due.next() else {
+            continue;
+        };
+        for (index, node) in zone.nodes.iter().enumerate() {
+            let is_calm = node.faults.is_empty() && now >= node.calm_since + CALM_AFTER;
+            if is_calm && node.version < *version {
+                let (at, acknowledged_at) = (
+                    millis_since(start, now),
+                    millis_since(start, *acknowledged_at),
+                );
+                return Some(format!(
+                    "node {index} has {} at {at}, {version} was acknowledged at {acknowledged_at}; {log:#?}",
+                    node.version
+                ));
+            }
+        }
+    }
+    None
+}
+
+fn millis_since(start: Instant, now: Instant) -> u128 {
+    now.saturating_duration_since(start).as_millis()
+}
