feat(entry): refuse a missing route as unverified while the table is not confirmed

What callers saw: 404 on a route that had been added, which no caller repeats, at a node that had missed the change. Whatever makes a node miss one, it can tell that the store has not confirmed its table: the proofs of readers and its own checks stop counting. It asks nobody, so requests for routes that do not exist cost nothing more. The age is the gauge verified_age_milliseconds and verified_ms in 'request not taken'. Evidence: node/routes missing_route_is_refused_as_unverified_while_the_store_is_down; before, each of these requests was refused as no-route for as long as the store was down.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -67,13 +67,16 @@
     Unconfigured,
     /// The routing table has no route for the request.
     NoRoute,
+    /// The routing table has no route for the request, and the store has not confirmed recently
+    /// that there is no newer table.
+    Unverified,
     /// The request is in quarantine: upstreams crashed while they ran it.
     Quarantined,
 }
 
 impl Reason {
     /// All reasons, for metrics with a bounded label set.
-    pub const ALL: [Self; 20] = [
+    pub const ALL: [Self; 21] = [
         Self::Busy,
         Self::Deadline,
         Self::Late,
@@ -93,6 +96,7 @@
         Self::ForeignAnswer,
         Self::Unconfigured,
         Self::NoRoute,
+        Self::Unverified,
         Self::Quarantined,
     ];
 
@@ -119,6 +123,7 @@
             Self::ForeignAnswer => "foreign-answer",
             Self::Unconfigured => "unconfigured",
             Self::NoRoute => "no-route",
+            Self::Unverified => "unverified",
             Self::Quarantined => "quarantined",
         }
     }
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -123,7 +123,6 @@
     version: u64,
     service: Service,
     stopped_at: Option<Instant>,
-    frozen: bool,
     /// The faults that strike the node now.
     faults: Vec<Fault>,
     /// When the latest fault ended, or the node started.
@@ -408,9 +407,8 @@
         node.faults.push(fault);
         match fault {
             Fault::Stop => node.stopped_at = Some(now),
-            Fault::Freeze => node.frozen = true,
             Fault::Store(service) => node.service = service,
-            Fault::NoExchanges => {}
+            Fault::Freeze | Fault::NoExchanges => {}
             Fault::DeafWatch => {
                 if let Follow::Watching { is_deaf, .. } = &mut node.follow {
                     *is_deaf = true;
@@ -436,7 +434,6 @@
             *is_deaf |= node.service == Service::Silent;
         }
         node.service = Service::Served;
-        node.frozen = false;
         node.faults.clear();
         node.calm_since = now;
     }
@@ -456,7 +453,6 @@
             version,
             service: Service::Served,
             stopped_at: None,
-            frozen: false,
             faults: Vec::new(),
             calm_since: now,
             follow: Follow::Off,
@@ -470,7 +466,7 @@
     }
 
     fn is_running(&self) -> bool {
-        self.stopped_at.is_none() && !self.frozen
+        self.stopped_at.is_none() && !self.faults.contains(&Fault::Freeze)
     }
 
     fn has_exchanges(&self) -> bool {
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -129,6 +129,7 @@
         | Reason::Shed
         | Reason::Misdirected
         | Reason::Unconfigured
+        | Reason::Unverified
         | Reason::Stale
         | Reason::StoreUnavailable => "destination_unavailable",
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -108,6 +108,9 @@
     pub view: watch::Sender<Arc<View>>,
     /// Routing table in force on this node, from control; `None` until the first one is known.
     pub routes: watch::Sender<Option<Arc<Document>>>,
+    /// When the store was last known to hold nothing newer than the documents in force, from
+    /// control; the start of the process until then.
+    pub verified: watch::Sender<Instant>,
     /// Suspect requests to check new requests against, from control.
     pub screen: watch::Sender<Arc<Screen>>,
     /// State of the upstream to publish to other nodes, from the guard.
@@ -175,6 +178,13 @@
             .map_or(0, |document| document.table.version.0)
     }
 
+    /// Returns whether the store has confirmed recently that it holds no newer routing table.
+    #[must_use]
+    pub fn is_table_verified(&self, now: Instant) -> bool {
+        let verified_at = *self.latest.verified.borrow();
+        now < verified_at + self.settings.routes.doubted_after
+    }
+
     /// Returns the snapshot of suspect requests.
     #[must_use]
     pub fn screen(&self) -> Arc<Screen> {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -346,6 +346,18 @@
         changed
     }
 
+    /// Publishes when the store was last known to hold nothing newer than the documents in force.
+    fn publish_verified(&self) {
+        let Some(verified_at) = self.state.borrow().failover.verified_at() else {
+            return;
+        };
+        self.context.latest.verified.send_if_modified(|published| {
+            let is_newer = *published < verified_at;
+            *published = verified_at.max(*published);
+            is_newer
+        });
+    }
+
     /// Records that a peer or the store answered a request sent at `requested_at`. After a pause of
     /// the process the guard accepts no requests until such a refresh or a timeout.
     fn mark_refreshed(&self, requested_at: Instant) {
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -161,6 +161,7 @@
     }
     let is_behind = own.is_behind(&theirs);
     drop(state);
+    control.publish_verified();
     if is_behind {
         catch_up(control, address);
     }
@@ -200,7 +201,12 @@
     loop {
         let now = Instant::now();
         let mut next_at = now + ROLE_POLL_INTERVAL;
-        if !update_role(control, now) {
+        let reads = update_role(control, now);
+        control.publish_verified();
+        let verified_at = *control.context.latest.verified.borrow();
+        let age = now.saturating_duration_since(verified_at);
+        control.context.metrics.verified_age(age);
+        if !reads {
             next_at = takeover_at(control).map_or(next_at, |at| at.min(next_at));
         } else if control.store_health.is_untested() || watch::can_poll(control) {
             let check_at = check_at(control, now);
@@ -272,6 +278,7 @@
                     .borrow_mut()
                     .failover
                     .record_check(requested_at);
+                control.publish_verified();
                 send_report(control, socket).await;
             }
         }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -38,11 +38,14 @@
 use crate::headers::Head;
 use crate::link::Links;
 use crate::replay::Source;
-use crate::request_log::{History, RequestLog};
+use crate::request_log::{History, RequestLog, millis};
 use crate::{reports, traces};
 
 /// Retry delay sent to a caller when no host offers its service.
 const NO_UPSTREAM_RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Retry delay sent to a caller whose route may be in a newer routing table. Within this time
+/// another node of the zone begins to read the store, or the store answers again.
+const UNVERIFIED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Interval at which the operators' view of the upstreams is refreshed and idle links are closed.
 const PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -243,6 +246,10 @@
     }
 
     /// Refuses a request that is malformed, or that names no known route or no service.
+    ///
+    /// Failure: this node misses a change of the routing table. Symptom: requests on a route that
+    /// was added are told that there is none, which callers do not retry. A table that the store has
+    /// not confirmed recently therefore gives them a time to come back.
     fn refuse_malformed(
         &self,
         now: Instant,
@@ -252,6 +259,7 @@
         routes_version: u64,
     ) -> Response<Body> {
         self.context.metrics.bad_input("caller-request");
+        let verified_at = *self.context.latest.verified.borrow();
         if self.log.try_acquire(1) {
             let host = parts.headers.get(HOST);
             log::info!(
@@ -259,15 +267,19 @@
                 error:% = error,
                 host_asked = host.and_then(|host| host.to_str().ok()).unwrap_or(""),
                 path = parts.uri.path(),
-                routes_version = routes_version;
+                routes_version = routes_version,
+                verified_ms = millis(now.saturating_duration_since(verified_at));
                 "request not taken"
             );
         }
-        let retry_at = match error {
-            arrival::Malformed::InvalidRoute => now + NO_UPSTREAM_RETRY_DELAY,
-            _ => now,
+        let (reason, retry_at) = match error {
+            arrival::Malformed::NoRoute if !self.context.is_table_verified(now) => {
+                (Reason::Unverified, now + UNVERIFIED_RETRY_DELAY)
+            }
+            arrival::Malformed::InvalidRoute => (error.reason(), now + NO_UPSTREAM_RETRY_DELAY),
+            _ => (error.reason(), now),
         };
-        self.refuse(&Refusal::not_run(error.reason(), retry_at), request_id)
+        self.refuse(&Refusal::not_run(reason, retry_at), request_id)
     }
 
     /// Returns the fingerprint that repeats of a caller's request share. It does not wait for
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,7 @@
     revision: Gauge,
     routes_version: Gauge,
     reads_store: Gauge,
+    verified_age: Gauge,
     evacuated_zones: Gauge,
 }
 
@@ -127,6 +128,7 @@
             revision: Gauge::default(),
             routes_version: Gauge::default(),
             reads_store: Gauge::default(),
+            verified_age: Gauge::default(),
             evacuated_zones: Gauge::default(),
         };
         metrics.register();
@@ -208,6 +210,8 @@
         registry.register("routes_version", help, self.routes_version.clone());
         let help = "Whether this node follows documents in the store itself";
         registry.register("reads_store", help, self.reads_store.clone());
+        let help = "Time since the store was known to hold no newer documents than this node";
+        registry.register("verified_age_milliseconds", help, self.verified_age.clone());
     }
 
     /// Counts a request whose response head was sent to the caller, and records its latency unless
@@ -368,6 +372,13 @@
         self.reads_store.set(i64::from(reads));
     }
 
+    /// Sets the time since the store was last known to hold nothing newer than the documents in
+    /// force on this node.
+    pub fn verified_age(&self, age: Duration) {
+        self.verified_age
+            .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    }
+
     /// Sets the number of evacuated availability zones.
     pub fn evacuated_zones(&self, zones: usize) {
         self.evacuated_zones
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -124,6 +124,7 @@
         settings: watch::Sender::new(Arc::new(settings.clone())),
         view: watch::Sender::new(Arc::new(View::default())),
         routes: watch::Sender::new(None),
+        verified: watch::Sender::new(Instant::now()),
         screen: watch::Sender::new(Arc::default()),
         upstream: watch::Sender::new(None),
         guarded: watch::Sender::new(GuardState::default()),
--- a/crates/node/tests/routes.rs
+++ b/crates/node/tests/routes.rs
@@ -3,12 +3,13 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{Plan, ROUTES, Scene, get, route, start_processes, table, write_table};
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::Reason;
 use mintridge_core::route::{Route, Table};
+use mintridge_standin::store::Faults;
 
 /// Maximum size of a message between the nodes of these tests.
 const MAX_MESSAGE_BYTES: usize = 128 * 1024;
@@ -115,3 +116,41 @@
     wait_for_version(&scene, 2).await;
     assert!(scene.call(0, &call).await.is_success());
 }
+
+/// Guards against a node that has lost touch with the store and tells callers of a route that was
+/// added meanwhile that there is none.
+#[tokio::test]
+async fn missing_route_is_refused_as_unverified_while_the_store_is_down() {
+    let scene = start_one_zone().await;
+    write_table(&scene, &table(1, vec![route("/known/")]));
+    wait_for_version(&scene, 1).await;
+    let call = Call {
+        path: String::from("/unknown/1"),
+        ..get("unknown")
+    };
+    wait_for_reason(&scene, &call, Reason::NoRoute).await;
+    scene.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    wait_for_reason(&scene, &call, Reason::Unverified).await;
+    scene.store.set_faults(Faults::default());
+    wait_for_reason(&scene, &call, Reason::NoRoute).await;
+    assert_eq!(scene.runs("unknown"), 0);
+}
+
+/// Waits until each entry refuses the call as not run for this reason.
+async fn wait_for_reason(scene: &Scene, call: &Call, expected: Reason) {
+    let deadline = Instant::now() + Duration::from_mins(1);
+    for entry in 0..scene.hosts.len() {
+        loop {
+            let reply = scene.call(entry, call).await;
+            assert!(reply.is_not_run(), "{reply:?}");
+            if matches!(reply, Reply::Refused { reason, .. } if reason == expected) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "entry {entry}: {reply:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
