fix(control): no polls of a store while a document cannot be read

Cause: the checks went on beside the reads that are retried each 0.6 s anyway, where the check of before paused while reads failed.

--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -45,6 +45,9 @@
     /// Revision of the store up to which this node knows all changes, with the epoch to which it
     /// belongs; `None` until the document has been read.
     known: Cell<Option<(Option<Epoch>, i64)>>,
+    /// Whether the latest read or watch failed. Reads are then retried anyway, so that polls would
+    /// only add calls to a store that is down.
+    is_failing: Cell<bool>,
     /// Notified when a poll shows that the open watch has not delivered a change.
     watch_lags: Notify,
 }
@@ -56,6 +59,7 @@
             key: key.to_owned(),
             prefix: prefix.to_owned(),
             known: Cell::new(None),
+            is_failing: Cell::new(false),
             watch_lags: Notify::new(),
         })
     }
@@ -94,7 +98,6 @@
 /// Follows a document while this node reads the store.
 pub async fn follow(control: Rc<Control>, source: Rc<Source>) {
     let mut stagger = Stagger::new(control.context.host());
-    let mut is_failing = false;
     loop {
         if source.kind == Kind::Routes {
             read_routes_if_due(&control, &source).await;
@@ -115,7 +118,7 @@
         let read = read_document(&control, &source).await;
         let failure = match read {
             Ok(()) => {
-                if std::mem::take(&mut is_failing) {
+                if source.is_failing.take() {
                     log::info!(key = &*source.key; "document in the store can be read again");
                     control.store_recovered.set(true);
                 }
@@ -127,14 +130,12 @@
         let Some((error, failed_at)) = failure else {
             continue;
         };
-        if !matches!(error, Error::Compacted | Error::WatchEnded) {
-            if !is_failing {
-                log::warn!(
-                    key = &*source.key, error:% = error;
-                    "failed to follow a document in the store, retrying"
-                );
-            }
-            is_failing = true;
+        let is_expected = matches!(error, Error::Compacted | Error::WatchEnded);
+        if !is_expected && !source.is_failing.replace(true) {
+            log::warn!(
+                key = &*source.key, error:% = error;
+                "failed to follow a document in the store, retrying"
+            );
         }
         // A watch that ends long after the read is followed by the next read without a delay.
         tokio::time::sleep_until((failed_at + RETRY_DELAY).into()).await;
@@ -254,7 +255,7 @@
 pub fn can_poll(control: &Control) -> bool {
     let epochs = control.store.epochs();
     let mut sources = control.sources.iter();
-    sources.all(|source| source.known_revision(epochs).is_some())
+    sources.all(|source| !source.is_failing.get() && source.known_revision(epochs).is_some())
 }
 
 /// Polls the store for changes that no watch has delivered, and applies them. Returns true if this
