feat(control): log what a node knew of the quarantine when its upstream crashed

The logs named the crashes, but not whether the node beside the upstream had heard of the quarantine, so four hypotheses could not be told apart: a new process takes "heard nothing" for "nothing is quarantined"; it serves before its first exchange; the first exchange does not carry the quarantine; peers that can reach it do not tell it.

Added: a line at each crash with the age of the last exchange, whether the quarantine list in the store was read, and how many requests are known; a line at the first exchange with a peer and at the first read of that list.

By reading, exchanges do not pass the relays of the plan; new processes have new addresses, so no peer could start one with them.

--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -179,15 +179,29 @@
             return Err(Error::Timeout);
         }
     };
-    control.state.borrow_mut().last_contact_at = Some(Instant::now());
+    let now = Instant::now();
+    let previous = control.state.borrow_mut().last_contact_at.replace(now);
     let (digest, peer) = (theirs.digest, theirs.peer_state());
-    apply_exchange(control, Instant::now(), theirs);
+    apply_exchange(control, now, theirs);
+    if previous.is_none() {
+        log_first_exchange(control, address, &peer);
+    }
     control.mark_refreshed(requested_at);
     send_newer_documents(control, address, peer).await;
     compare_digests(control, address, digest).await;
     Ok(())
 }
 
+fn log_first_exchange(control: &Control, address: SocketAddr, peer: &PeerState) {
+    let quarantined = control.state.borrow().quarantine.quarantined().len();
+    log::info!(
+        peer:% = address,
+        suspects = peer.quarantine.fingerprints.len(),
+        quarantined = quarantined;
+        "first exchange with a peer"
+    );
+}
+
 /// Sends the first request of an exchange, without documents because the peer's versions are not
 /// known yet.
 async fn send_first_request(
--- a/crates/node/src/control/persistence.rs
+++ b/crates/node/src/control/persistence.rs
@@ -124,6 +124,8 @@
                 let stored = parse(control, &item.value);
                 suspects::merge(control, now, to_suspects(control, now, &stored));
             }
+            let quarantined = control.state.borrow().quarantine.quarantined().len();
+            log::info!(quarantined = quarantined; "quarantine list read");
         }
         Err(error) => log::info!(error:% = error; "failed to read the quarantine list"),
     }
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::Control;
+use crate::request_log::millis;
 
 /// Maximum number of requests logged per change, so that a flood of them does not fill the log.
 const MAX_LOGGED_CHANGES: usize = 8;
@@ -19,6 +20,9 @@
 pub async fn receive(control: Rc<Control>, mut events: mpsc::Receiver<Event>) {
     while let Some(event) = events.recv().await {
         let now = Instant::now();
+        if matches!(event, Event::Crashed { .. }) {
+            log_crash(&control, now);
+        }
         update(&control, |control| {
             control.state.borrow_mut().quarantine.record(now, event)
         });
@@ -73,6 +77,19 @@
     }
 }
 
+/// Logs how current this node's quarantine is when its upstream crashes.
+fn log_crash(control: &Control, now: Instant) {
+    let state = control.state.borrow();
+    let peer_heard = state.last_contact_at.map(|at| now - at);
+    log::info!(
+        peer_heard_ms:? = peer_heard.map(millis),
+        list_read = control.quarantine_loaded.get(),
+        suspects = state.quarantine.len(),
+        quarantined = state.quarantine.quarantined().len();
+        "upstream crash recorded as evidence"
+    );
+}
+
 fn fingerprints(suspects: &[Suspect]) -> BTreeSet<Fingerprint> {
     suspects.iter().map(|suspect| suspect.fingerprint).collect()
 }
