fix(quarantine): an isolated node refuses a request after one crash

Cause: the threshold of three counts the crashes of the whole fleet, and an isolated node applied it to its own crashes alone. Its empty quarantine was taken for complete: absence of knowledge taken for knowledge, the class of docs/incidents/lagging-reader.md. Each process without contact to peers and store therefore cost three crashes.

Why the fix works: while a node has no contact, one crash of its own suffices if it points to a single request that was never answered. It ends at the first contact, so an innocent request is refused until then or until its trial, and is told to come back within a second.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -14,13 +14,18 @@
 //! requests explain the crashes equally well, those that were ever answered are not blamed if
 //! another one never was.
 //!
+//! The threshold counts the crashes of the whole fleet. A node that is isolated from all others
+//! counts its own crashes only, while the others may have had the request in quarantine for long.
+//! One crash therefore suffices there, if it points to a single request. Such a provisional
+//! quarantine is known to this node alone and ends when it is in contact with another node again.
+//!
 //! From time to time one node sends a quarantined request to its upstream as a trial. A request
 //! that was quarantined by chance, or whose upstreams have been fixed, is therefore not refused
 //! forever, and one that still crashes upstreams crashes only a few.
 //!
 //! [`ends_least`]: crate::configs::quarantine::Settings::ends_least
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -31,7 +36,7 @@
 use crate::answered::Answered;
 use crate::configs::quarantine::Settings;
 use crate::fingerprint::Fingerprint;
-use crate::screen::Screen;
+use crate::screen::{Hold, Screen};
 
 /// Every exchange includes a change for this long. These are ten gossip rounds, enough to reach
 /// all of a thousand nodes. A node that is cut off for longer only catches up on the quarantined
@@ -40,6 +45,9 @@
 /// Maximum number of crashes stored per request. Ten may happen before the third has been gossiped
 /// to all nodes, and further ones add no evidence.
 const MAX_CRASHES_PER_REQUEST: usize = 16;
+/// Maximum number of crashes of an isolated node that suffice for a provisional quarantine; later
+/// ones replace earlier ones.
+const MAX_UNSHARED_CRASHES: usize = 64;
 
 /// A crash of an upstream while a request was in progress there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -117,19 +125,36 @@
     suspects: BTreeMap<Fingerprint, Entry>,
     /// Requests that this node's upstream has answered.
     answered: Answered,
+    /// Ids of the crashes that this node has observed since it became isolated; `None` while it is
+    /// in contact with other nodes.
+    unshared_crashes: Option<VecDeque<u64>>,
 }
 
 #[derive(Debug)]
 struct Entry {
     crashes: BTreeMap<u64, Crash>,
     trials: u32,
-    /// Time from which the request may be tried; `None` if it is not in quarantine.
-    trial_at: Option<Instant>,
+    /// `None` if the request is not in quarantine.
+    hold: Option<Hold>,
     expires_at: Instant,
     gossip_until: Instant,
 }
 
 impl Entry {
+    /// Returns whether the fleet's threshold is reached, so that all nodes agree on it.
+    fn is_established(&self) -> bool {
+        self.hold.is_some_and(|hold| !hold.is_provisional)
+    }
+
+    fn to_suspect(&self, fingerprint: Fingerprint) -> Suspect {
+        Suspect {
+            fingerprint,
+            crashes: self.crashes.values().copied().collect(),
+            trials: self.trials,
+            expires_at: self.expires_at,
+        }
+    }
+
     fn uncleared_crashes(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.values().filter(|crash| !crash.cleared)
     }
@@ -150,7 +175,31 @@
             crash_count: 0,
             suspects: BTreeMap::new(),
             answered: Answered::default(),
+            unshared_crashes: None,
+        }
+    }
+
+    /// Records whether this node is isolated: no other node can have told it, since its start or
+    /// for a while, which requests are in quarantine, or can learn of crashes from it.
+    ///
+    /// Failure: a new process starts with an empty quarantine, and neither a peer nor the store
+    /// answers it. Symptom: beside each such process a request that the fleet has in quarantine
+    /// crashes the upstream until the process has counted up to the threshold by itself.
+    pub fn set_isolated(&mut self, now: Instant, is_isolated: bool) -> Change {
+        if is_isolated == self.unshared_crashes.is_some() {
+            return Change::None;
+        }
+        if is_isolated {
+            self.unshared_crashes = Some(VecDeque::new());
+            return Change::None;
+        }
+        let unshared = self.unshared_crashes.take().unwrap_or_default();
+        for entry in self.suspects.values_mut() {
+            if unshared.iter().any(|id| entry.crashes.contains_key(id)) {
+                entry.gossip_until = now + GOSSIP_WINDOW;
+            }
         }
+        self.reevaluate(now, Change::Deferred)
     }
 
     /// Records an event observed at this node's upstream.
@@ -198,15 +247,26 @@
         let differing = peer.filter(|peer| peer.digest != self.digest());
         let peer_suspects = differing.map_or(&[][..], |peer| &peer.fingerprints);
         self.select(|fingerprint, entry| {
-            let catch_up = differing.is_some() && entry.trial_at.is_some();
+            let catch_up = differing.is_some() && entry.is_established();
             catch_up || now < entry.gossip_until || peer_suspects.contains(fingerprint)
         })
     }
 
-    /// Returns the requests in quarantine.
+    /// Returns the requests in quarantine, without provisional ones.
     #[must_use]
     pub fn quarantined(&self) -> Vec<Suspect> {
-        self.select(|_, entry| entry.trial_at.is_some())
+        self.select(|_, entry| entry.is_established())
+    }
+
+    /// Returns the requests that this node refuses, provisional ones included.
+    #[must_use]
+    pub fn refused(&self) -> Vec<(Suspect, Hold)> {
+        let entries = self.suspects.iter();
+        let refused = entries.filter_map(|(fingerprint, entry)| {
+            let hold = entry.hold?;
+            Some((entry.to_suspect(*fingerprint), hold))
+        });
+        refused.collect()
     }
 
     /// Returns the number of suspect requests, quarantined or not.
@@ -224,21 +284,19 @@
     fn select(&self, predicate: impl Fn(&Fingerprint, &Entry) -> bool) -> Vec<Suspect> {
         let selected = self.suspects.iter();
         let selected = selected.filter(|(fingerprint, entry)| predicate(fingerprint, entry));
-        let suspects = selected.map(|(fingerprint, entry)| Suspect {
-            fingerprint: *fingerprint,
-            crashes: entry.crashes.values().copied().collect(),
-            trials: entry.trials,
-            expires_at: entry.expires_at,
-        });
+        let suspects = selected.map(|(fingerprint, entry)| entry.to_suspect(*fingerprint));
         suspects.collect()
     }
 
     /// Returns a digest of the quarantined requests; it is the same on nodes with the same
     /// quarantine.
+    ///
+    /// Provisional ones are left out: a peer with the same request in quarantine would otherwise
+    /// see no difference and not send the evidence on which the quarantine rests.
     #[must_use]
     pub fn digest(&self) -> u64 {
         let quarantined = self.suspects.iter();
-        let quarantined = quarantined.filter(|(_, entry)| entry.trial_at.is_some());
+        let quarantined = quarantined.filter(|(_, entry)| entry.is_established());
         let digests =
             quarantined.map(|(fingerprint, entry)| digest_of((fingerprint, entry.trials)));
         digests.fold(0, |sum, digest| sum ^ digest)
@@ -250,7 +308,7 @@
         let uncleared = self.suspects.iter();
         let uncleared = uncleared.filter(|(_, entry)| entry.uncleared_crashes().next().is_some());
         uncleared
-            .map(|(fingerprint, entry)| (*fingerprint, entry.trial_at))
+            .map(|(fingerprint, entry)| (*fingerprint, entry.hold))
             .collect()
     }
 
@@ -266,6 +324,12 @@
             cleared: true,
             ..crash
         };
+        if let Some(unshared) = &mut self.unshared_crashes {
+            if unshared.len() == MAX_UNSHARED_CRASHES {
+                unshared.pop_front();
+            }
+            unshared.push_back(crash.id);
+        }
         let expires_at = now + self.settings.remember_for;
         let mut change = Change::None;
         for fingerprint in in_progress {
@@ -317,7 +381,7 @@
             return Change::None;
         };
         entry.trials += 1;
-        entry.trial_at = None;
+        entry.hold = None;
         entry.expires_at = now + remember_for;
         entry.gossip_until = now + GOSSIP_WINDOW;
         self.reevaluate(now, Change::Urgent)
@@ -328,7 +392,7 @@
         let new_entry = || Entry {
             crashes: BTreeMap::new(),
             trials: 0,
-            trial_at: None,
+            hold: None,
             expires_at: suspect.expires_at,
             gossip_until: now,
         };
@@ -347,7 +411,7 @@
         let has_new_trial = suspect.trials > entry.trials;
         if has_new_trial {
             entry.trials = suspect.trials;
-            entry.trial_at = None;
+            entry.hold = None;
         }
         entry.expires_at = entry.expires_at.max(suspect.expires_at);
         if !has_new_trial && entry.crashes == before {
@@ -369,12 +433,18 @@
         self.evict_surplus();
         let before = self.digest();
         let culprits = self.find_culprits();
+        let provisional = self.find_provisional_culprits();
         for (fingerprint, entry) in &mut self.suspects {
-            if !culprits.contains(fingerprint) {
-                entry.trial_at = None;
-            } else if entry.trial_at.is_none() {
-                entry.trial_at = Some(now + trial_delay(&self.settings, entry.trials));
+            let is_established = culprits.contains(fingerprint);
+            if !is_established && !provisional.contains(fingerprint) {
+                entry.hold = None;
+                continue;
             }
+            let delay = trial_delay(&self.settings, entry.trials);
+            entry.hold = Some(Hold {
+                trial_at: entry.hold.map_or(now + delay, |hold| hold.trial_at),
+                is_provisional: !is_established,
+            });
         }
         if self.digest() == before {
             change
@@ -429,6 +499,33 @@
         }
     }
 
+    /// Returns the requests to which the crashes of an isolated node point: those that were never
+    /// answered and of whose crashes no other such request explains all.
+    ///
+    /// An innocent request that is alone in progress at a crash is refused until the node has
+    /// contact again or a trial is answered.
+    fn find_provisional_culprits(&self) -> BTreeSet<Fingerprint> {
+        let Some(unshared) = &self.unshared_crashes else {
+            return BTreeSet::new();
+        };
+        let mut evidence: Vec<(Fingerprint, BTreeSet<u64>)> = Vec::new();
+        for (fingerprint, entry) in &self.suspects {
+            let ids = entry.uncleared_crashes().map(|crash| crash.id);
+            let ids: BTreeSet<u64> = ids.filter(|id| unshared.contains(id)).collect();
+            if !ids.is_empty() && !entry.was_answered() {
+                evidence.push((*fingerprint, ids));
+            }
+        }
+        let is_explained = |fingerprint: &Fingerprint, ids: &BTreeSet<u64>| {
+            let mut others = evidence.iter().filter(|(other, _)| other != fingerprint);
+            others.any(|(_, other_ids)| ids.is_subset(other_ids))
+        };
+        let culprits = evidence
+            .iter()
+            .filter(|(fingerprint, ids)| !is_explained(fingerprint, ids));
+        culprits.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
     /// Evicts the suspects beyond the configured maximum.
     ///
     /// Failure: an availability zone is lost with hundreds of requests in progress, or a caller
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -8,6 +8,8 @@
 use mintridge_core::fingerprint::{self, Fingerprint};
 use mintridge_core::quarantine::{Change, Event, Peer, Quarantine, trial_host};
 use mintridge_core::screen::Verdict;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -541,3 +543,219 @@
         fleet.crashes
     );
 }
+
+/// Returns a node that has been isolated since its start.
+fn isolated_node(number: u64) -> Quarantine {
+    let mut node = node(number);
+    node.set_isolated(Instant::now(), true);
+    node
+}
+
+/// Guards against an isolated node whose upstream crashes until the node has counted up to the
+/// threshold of the fleet by itself. Others are not told of its verdict, and its callers may soon
+/// retry, since contact with another node ends it.
+#[test]
+fn record_quarantines_after_one_crash_while_isolated() {
+    let now = Instant::now();
+    let mut node = isolated_node(0);
+    node.record(now, crashed(&[request(7)]));
+    let Verdict::Quarantined(retry_at) = node.screen().check(now, request(7)) else {
+        panic!("not quarantined");
+    };
+    assert!(retry_at <= now + SECOND);
+    assert_eq!(node.screen().check(now, request(8)), Verdict::Pass);
+    assert!(node.quarantined().is_empty());
+    assert_eq!(node.digest(), 0);
+}
+
+/// Guards against innocent requests that an isolated node refuses because they were in progress
+/// beside the culprit: a crash with two requests blames neither, and a second one only the request
+/// that both share.
+#[test]
+fn record_blames_only_what_explains_all_crashes_while_isolated() {
+    let now = Instant::now();
+    let mut node = isolated_node(0);
+    let culprit = request(1);
+    node.record(now, crashed(&[culprit, request(2)]));
+    assert!(!is_quarantined(&node, now, culprit) && !is_quarantined(&node, now, request(2)));
+    node.record(now, crashed(&[culprit, request(3)]));
+    assert!(is_quarantined(&node, now, culprit));
+    assert!(!is_quarantined(&node, now, request(2)) && !is_quarantined(&node, now, request(3)));
+    node.record(now, crashed(&[request(4)]));
+    assert!(is_quarantined(&node, now, culprit) && is_quarantined(&node, now, request(4)));
+}
+
+/// Guards against a common request that an isolated node refuses after a crash during which it was
+/// in progress: the upstream has answered it before.
+#[rstest]
+#[case::alone(&[2], false)]
+#[case::beside_the_culprit(&[1, 2], true)]
+fn record_blames_no_answered_request_while_isolated(
+    #[case] in_progress: &[u64],
+    #[case] culprit_quarantined: bool,
+) {
+    let now = Instant::now();
+    let mut node = isolated_node(0);
+    let (culprit, common) = (request(1), request(2));
+    node.record(now, answered("service", common));
+    let in_progress: Vec<_> = in_progress.iter().copied().map(request).collect();
+    node.record(now, crashed(&in_progress));
+    assert!(!is_quarantined(&node, now, common));
+    assert_eq!(is_quarantined(&node, now, culprit), culprit_quarantined);
+}
+
+/// Guards against an innocent request that a node refuses once it is isolated, because of a single
+/// crash that it learned of before.
+#[test]
+fn set_isolated_counts_no_earlier_crash() {
+    let now = Instant::now();
+    let mut nodes = [node(0), node(1)];
+    nodes[0].record(now, crashed(&[request(7)]));
+    nodes[1].record(now, crashed(&[request(8)]));
+    converge(now, &mut nodes);
+    nodes[0].set_isolated(now, true);
+    nodes[0].record(now, crashed(&[request(9)]));
+    assert!(is_quarantined(&nodes[0], now, request(9)));
+    assert!(!is_quarantined(&nodes[0], now, request(7)));
+    assert!(!is_quarantined(&nodes[0], now, request(8)));
+}
+
+/// Guards against an innocent request that stays refused after the node has contact again, and
+/// against a crash that the other nodes never learn of.
+#[test]
+fn set_isolated_releases_what_no_other_node_confirms() {
+    let began_at = Instant::now();
+    let mut node = isolated_node(0);
+    node.record(began_at, crashed(&[request(7)]));
+    let now = began_at + 60 * SECOND;
+    assert!(node.updates_for(now, None).is_empty());
+    node.set_isolated(now, false);
+    assert!(!is_quarantined(&node, now, request(7)));
+    assert_eq!(node.updates_for(now, None).len(), 1);
+    node.record(now, crashed(&[request(7)]));
+    assert!(!is_quarantined(&node, now, request(7)));
+}
+
+/// Guards against a request that runs again at the first contact of an isolated node, because both
+/// nodes refuse it and seem to agree.
+#[test]
+fn set_isolated_keeps_what_another_node_confirms() {
+    let now = Instant::now();
+    let mut peer = node(0);
+    for _ in 0..3 {
+        peer.record(now, crashed(&[request(7)]));
+    }
+    let now = now + 60 * SECOND;
+    let mut node = isolated_node(1);
+    node.record(now, crashed(&[request(7)]));
+    let known = Peer {
+        digest: node.digest(),
+        fingerprints: vec![],
+    };
+    node.merge(now, peer.updates_for(now, Some(&known)));
+    assert!(is_quarantined(&node, now, request(7)));
+    node.set_isolated(now, false);
+    assert!(is_quarantined(&node, now, request(7)));
+    assert_eq!(node.digest(), peer.digest());
+}
+
+/// Guards against a request that a node which stays isolated refuses forever.
+#[test]
+fn check_tries_a_request_while_isolated() {
+    let began_at = Instant::now();
+    let mut node = isolated_node(0);
+    node.record(began_at, crashed(&[request(7)]));
+    let now = began_at + Settings::default().trial_after;
+    assert_eq!(node.screen().check(now, request(7)), Verdict::Trial);
+    node.record(now, Event::Tried(request(7)));
+    assert!(is_quarantined(&node, now, request(7)));
+    node.record(now, answered("service", request(7)));
+    assert_eq!(node.screen().check(now, request(7)), Verdict::Pass);
+}
+
+/// Node that restarted while the fleet had a request in quarantine.
+struct Restarted {
+    quarantine: Quarantine,
+    contact_at: Instant,
+    upstream_back_at: Instant,
+    crashes: u32,
+}
+
+/// Fleet of which some nodes restart at the same time.
+#[derive(Clone, Copy)]
+struct Restarts {
+    nodes: usize,
+    restarted: usize,
+    /// Whether callers repeat the request through each restarted node; otherwise each repeat goes
+    /// through one random node of the fleet.
+    through_each: bool,
+}
+
+/// Guards against a request that crashes upstreams again and again beside nodes that restart without
+/// contact. Simulated load: each restarted node is isolated for 0.1 to 3 s, callers repeat the
+/// request twelve times a second, and crashed upstreams are back after half a second.
+#[rstest]
+#[case::of_12(12, 4)]
+#[case::of_300(300, 42)]
+#[case::of_510(510, 70)]
+fn record_in_a_simulation_of_isolated_restarts(#[case] nodes: usize, #[case] restarted: usize) {
+    for (seed, through_each) in (0..10).flat_map(|seed| [(seed, true), (seed, false)]) {
+        let restarts = Restarts {
+            nodes,
+            restarted,
+            through_each,
+        };
+        let unaware = simulate_restarts(seed, restarts, false);
+        let aware = simulate_restarts(seed, restarts, true);
+        println!("{nodes} nodes, seed {seed}: {unaware:?} without isolation, {aware:?} with it");
+        assert!(!through_each || unaware.iter().any(|crashes| *crashes > 1));
+        assert!(aware.iter().all(|crashes| *crashes <= 1));
+        assert!(aware.iter().sum::<u32>() <= unaware.iter().sum());
+    }
+}
+
+/// Returns the number of crashes beside each restarted node.
+fn simulate_restarts(seed: u64, restarts: Restarts, knows_isolation: bool) -> Vec<u32> {
+    const STEP: Duration = Duration::from_millis(10);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let began_at = Instant::now();
+    let mut peer = node(u64::MAX);
+    for _ in 0..3 {
+        peer.record(began_at, crashed(&[request(1)]));
+    }
+    let restarted_at = began_at + 60 * SECOND;
+    let restart = |number: u64| {
+        let mut quarantine = node(number);
+        quarantine.set_isolated(restarted_at, knows_isolation);
+        Restarted {
+            quarantine,
+            contact_at: restarted_at + rng.random_range(10..300) * STEP,
+            upstream_back_at: restarted_at,
+            crashes: 0,
+        }
+    };
+    let mut nodes: Vec<Restarted> = (0..).map(restart).take(restarts.restarted).collect();
+    for step in 0..500_u32 {
+        let now = restarted_at + step * STEP;
+        let random_node = rng.random_range(0..restarts.nodes);
+        for (index, node) in nodes.iter_mut().enumerate() {
+            if now >= node.contact_at {
+                let known = Peer {
+                    digest: node.quarantine.digest(),
+                    fingerprints: vec![],
+                };
+                node.quarantine
+                    .merge(now, peer.updates_for(now, Some(&known)));
+                node.quarantine.set_isolated(now, false);
+            }
+            let is_target = restarts.through_each || index == random_node;
+            let is_repeated = step % 8 == 0 && is_target && now >= node.upstream_back_at;
+            if is_repeated && !is_quarantined(&node.quarantine, now, request(1)) {
+                node.quarantine.record(now, crashed(&[request(1)]));
+                node.upstream_back_at = now + SECOND / 2;
+                node.crashes += 1;
+            }
+        }
+    }
+    nodes.iter().map(|node| node.crashes).collect()
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -117,6 +117,7 @@
     local
         .run_until(async {
             control.publish();
+            suspects::update_isolation(&control, Instant::now());
             tokio::task::spawn_local(peer::serve(Rc::clone(&control), listener));
             tokio::task::spawn_local(exchange::join(Rc::clone(&control)));
             tokio::task::spawn_local(exchange::rounds(Rc::clone(&control)));
@@ -376,6 +377,17 @@
         }
     }
 
+    /// Returns whether this node may not know which requests other nodes have in quarantine: it has
+    /// neither been in contact with a peer nor read the stored list since its start, or it has had
+    /// no contact for the isolation timeout.
+    fn may_lack_quarantine(&self, now: Instant) -> bool {
+        let snapshot = self.snapshot();
+        if snapshot.last_contact_at.is_none() {
+            return !self.quarantine_loaded.get();
+        }
+        self.state.borrow().bootstrap.is_isolated(now, snapshot)
+    }
+
     /// Returns this node's role in reading the store.
     fn role(&self, now: Instant, snapshot: Snapshot) -> Role {
         let role = self.state.borrow().bootstrap.role(now, snapshot);
--- a/crates/node/src/control/exchange.rs
+++ b/crates/node/src/control/exchange.rs
@@ -68,6 +68,7 @@
         if control.state.borrow_mut().table.tick(now) {
             control.publish();
         }
+        suspects::update_isolation(&control, now);
         suspects::tick(&control, now);
         evacuations::tick(&control, now);
         let next = control.state.borrow_mut().table.next_peer();
@@ -183,6 +184,7 @@
     let previous = control.state.borrow_mut().last_contact_at.replace(now);
     let (digest, peer) = (theirs.digest, theirs.peer_state());
     apply_exchange(control, now, theirs);
+    suspects::update_isolation(control, now);
     if previous.is_none() {
         log_first_exchange(control, address, &peer);
     }
--- a/crates/node/src/control/persistence.rs
+++ b/crates/node/src/control/persistence.rs
@@ -124,6 +124,7 @@
                 let stored = parse(control, &item.value);
                 suspects::merge(control, now, to_suspects(control, now, &stored));
             }
+            suspects::update_isolation(control, now);
             let quarantined = control.state.borrow().quarantine.quarantined().len();
             log::info!(quarantined = quarantined; "quarantine list read");
         }
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -1,13 +1,14 @@
 //! Requests suspected of crashing upstreams: events of the guard, evidence from other nodes, and
 //! the quarantine.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Instant;
 
 use mintridge_core::fingerprint::Fingerprint;
 use mintridge_core::quarantine::{Change, Event, Suspect};
+use mintridge_core::screen::Hold;
 use tokio::sync::mpsc;
 
 use super::Control;
@@ -16,6 +17,9 @@
 /// Maximum number of requests logged per change, so that a flood of them does not fill the log.
 const MAX_LOGGED_CHANGES: usize = 8;
 
+/// Requests that a node refuses.
+type Refused = BTreeMap<Fingerprint, (Suspect, Hold)>;
+
 /// Records events of the guard until the thread ends.
 pub async fn receive(control: Rc<Control>, mut events: mpsc::Receiver<Event>) {
     while let Some(event) = events.recv().await {
@@ -39,6 +43,18 @@
     });
 }
 
+/// Updates whether the quarantine treats this node as isolated.
+///
+/// Called after the evidence of a peer or of the store has been merged, so that a request is not let
+/// through between its provisional quarantine and the one that the evidence establishes.
+pub fn update_isolation(control: &Control, now: Instant) {
+    let is_isolated = control.may_lack_quarantine(now);
+    update(control, |control| {
+        let mut state = control.state.borrow_mut();
+        state.quarantine.set_isolated(now, is_isolated)
+    });
+}
+
 /// Removes expired evidence.
 pub fn tick(control: &Control, now: Instant) {
     update(control, |control| {
@@ -54,7 +70,7 @@
 /// update is therefore pushed to a few peers at once, and each peer to which it is new does the
 /// same.
 fn update(control: &Control, operation: impl FnOnce(&Control) -> Change) {
-    let before = fingerprints(&control.state.borrow().quarantine.quarantined());
+    let before = refused(control);
     let digest = control.state.borrow().quarantine.digest();
     let change = operation(control);
     if change == Change::None {
@@ -66,7 +82,7 @@
     let quarantine_changed = state.quarantine.digest() != digest;
     drop(state);
     control.context.latest.screen.send_replace(screen);
-    let after = control.state.borrow().quarantine.quarantined();
+    let after = refused(control);
     control.context.metrics.suspects(suspects, after.len());
     log_changes(&before, &after);
     if change == Change::Urgent {
@@ -90,24 +106,37 @@
     );
 }
 
-fn fingerprints(suspects: &[Suspect]) -> BTreeSet<Fingerprint> {
-    suspects.iter().map(|suspect| suspect.fingerprint).collect()
+/// Returns the requests that this node refuses.
+fn refused(control: &Control) -> Refused {
+    let refused = control.state.borrow().quarantine.refused();
+    let refused = refused.into_iter();
+    refused
+        .map(|(suspect, hold)| (suspect.fingerprint, (suspect, hold)))
+        .collect()
 }
 
-fn log_changes(before: &BTreeSet<Fingerprint>, after: &[Suspect]) {
-    let is_new = |suspect: &&Suspect| !before.contains(&suspect.fingerprint);
-    for suspect in after.iter().filter(is_new).take(MAX_LOGGED_CHANGES) {
-        log::warn!(
-            fingerprint:% = suspect.fingerprint,
-            ends = suspect.crashes.len(),
-            trials = suspect.trials;
-            "request quarantined: upstreams crashed while it was in progress"
-        );
+fn log_changes(before: &Refused, after: &Refused) {
+    let is_new = |(suspect, hold): &&(Suspect, Hold)| {
+        let previous = before.get(&suspect.fingerprint);
+        previous.is_none_or(|(_, previous)| previous.is_provisional != hold.is_provisional)
+    };
+    for (suspect, hold) in after.values().filter(is_new).take(MAX_LOGGED_CHANGES) {
+        let ends = suspect.crashes.len();
+        let trials = suspect.trials;
+        if hold.is_provisional {
+            log::warn!(
+                fingerprint:% = suspect.fingerprint, ends = ends, trials = trials;
+                "request quarantined provisionally: the upstream crashed while it was in progress, and this node is isolated"
+            );
+        } else {
+            log::warn!(
+                fingerprint:% = suspect.fingerprint, ends = ends, trials = trials;
+                "request quarantined: upstreams crashed while it was in progress"
+            );
+        }
     }
-    for fingerprint in before
-        .difference(&fingerprints(after))
-        .take(MAX_LOGGED_CHANGES)
-    {
+    let is_released = |fingerprint: &&Fingerprint| !after.contains_key(fingerprint);
+    for fingerprint in before.keys().filter(is_released).take(MAX_LOGGED_CHANGES) {
         log::info!(
             fingerprint:% = fingerprint;
             "request is no longer quarantined"
--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,9 +13,12 @@
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_node::settings::Settings;
-use mintridge_standin::scene::{Scene, wait_for};
+use mintridge_standin::relay::{Condition, Relay};
+use mintridge_standin::scene::{Scene, loopback, wait_for};
+use mintridge_standin::store::Faults;
 use mintridge_standin::upstream::{BYTES, CRASHES};
 use rstest::rstest;
+use rustix::process::Signal;
 
 /// How long the load runs and the caller repeats its request.
 const LOAD_DURATION: Duration = Duration::from_secs(12);
@@ -24,6 +28,11 @@
 const SPREAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for the quarantine to be written to the store, if the store is available.
 const STORE_WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without contact to a peer after which a node counts as isolated.
+const ISOLATED_AFTER: Duration = Duration::from_secs(1);
+/// Time for which a caller repeats its request through an isolated node; a crashed upstream is back
+/// within a fifth of it.
+const ISOLATED_REPEATS_DURATION: Duration = Duration::from_secs(6);
 /// Limit on any wait for a condition, generous for busy machines.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
@@ -377,3 +386,91 @@
     }
     assert_eq!(scene.crashes(), crashes);
 }
+
+/// Starts three hosts whose nodes soon count as isolated and never run trials.
+async fn start_isolatable() -> Scene {
+    let adjust = |settings: &mut Settings| {
+        settings.control.isolated_after = ISOLATED_AFTER;
+        settings.quarantine.trial_after = Duration::from_hours(1);
+    };
+    start_processes(Plan { adjust, ..hosts(3) }).await
+}
+
+/// Restarts the node of the first host with a store that does not answer, so that it finds no peer.
+async fn restart_without_contact(scene: &mut Scene) -> Arc<Relay> {
+    let relay = Arc::new(Relay::default());
+    relay.set(Condition::Silent);
+    let (listener, address) = loopback().await.expect("a free port");
+    tokio::spawn(Arc::clone(&relay).run(listener, scene.store_address));
+    scene.kill(0).await;
+    let started = scene.start_node_with(0, |settings| settings.store.address = address);
+    started.expect("it starts");
+    relay
+}
+
+/// Pauses all nodes but the first one and stops the store, until the first one is isolated.
+async fn cut_off_first_node(scene: &Scene) {
+    for index in 1..scene.hosts.len() {
+        let paused = scene.process(index).signal(Signal::STOP);
+        paused.expect("the process lives");
+    }
+    scene.store.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    tokio::time::sleep(2 * ISOLATED_AFTER).await;
+}
+
+/// Repeats the crashing request through the first node, without waiting for responses.
+async fn repeat_through_first_node(scene: &Scene) {
+    let entry = scene.addresses(0).callers;
+    let began_at = Instant::now();
+    let mut repeats = tokio::time::interval(REPEAT_INTERVAL);
+    for n in 0.. {
+        repeats.tick().await;
+        if began_at.elapsed() > ISOLATED_REPEATS_DURATION {
+            return;
+        }
+        let caller = scene.caller.clone();
+        let call = crashing(&format!("isolated-{n}"));
+        tokio::spawn(async move { caller.call(entry, &call).await });
+    }
+}
+
+/// Guards against a node that counts crashes up to the threshold of the whole fleet although it
+/// cannot hear of those that the others observe.
+#[rstest]
+#[case::new_process(true)]
+#[case::partitioned(false)]
+#[tokio::test]
+async fn request_crashes_the_upstream_of_an_isolated_node_once(#[case] restarts: bool) {
+    let mut scene = start_isolatable().await;
+    scene.crash_on(Some(CRASHES));
+    if restarts {
+        send_until_quarantined(&scene, &[0, 1, 2], &crashing("held")).await;
+        restart_without_contact(&mut scene).await;
+    } else {
+        cut_off_first_node(&scene).await;
+    }
+    let crashes = scene.crashes();
+    repeat_through_first_node(&scene).await;
+    assert_eq!(scene.crashes() - crashes, 1);
+}
+
+/// Guards against an innocent request that a node keeps refusing after a single crash although it
+/// has caught up with the other nodes since.
+#[tokio::test]
+async fn request_blamed_by_an_isolated_node_is_served_once_it_has_contact() {
+    let mut scene = start_isolatable().await;
+    let relay = restart_without_contact(&mut scene).await;
+    scene.crash_on(Some(CRASHES));
+    send_until_quarantined(&scene, &[0], &crashing("held")).await;
+    assert_eq!(scene.crashes(), 1);
+    scene.crash_on(None);
+    relay.set(Condition::Normal);
+    let give_up_at = Instant::now() + MAX_WAIT;
+    while !scene.call(0, &crashing("innocent")).await.is_success() {
+        assert!(Instant::now() < give_up_at, "never served");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
