fix(quarantine): a restart that no connection showed blames no request by itself

Cause: the guard records a crash on two kinds of evidence, and one crash sufficed on either. A connection that breaks while no new one is accepted shows that the process is gone. A new incarnation that is announced while requests are in progress and their connections still stand is what a loss of power looks like; the requests may not even have been sent.

Fix: the second kind is an event of its own, `Restarted`. It counts towards the fleet's threshold as before, and never suffices alone.

--- a/crates/core/src/quarantine.rs
+++ b/crates/core/src/quarantine.rs
@@ -93,6 +93,14 @@
         /// Requests in progress at the time.
         in_progress: Vec<Fingerprint>,
     },
+    /// The upstream restarted with requests in progress whose connections had not broken. Unlike a
+    /// crash of its process alone, that may be a loss of power.
+    Restarted {
+        /// Service of the upstream.
+        service: Arc<str>,
+        /// Requests in progress at the time.
+        in_progress: Vec<Fingerprint>,
+    },
     /// The upstream answered a request.
     Answered {
         /// Service of the upstream.
@@ -125,8 +133,8 @@
     suspects: BTreeMap<Fingerprint, Entry>,
     /// Requests that this node's upstream has answered.
     answered: Answered,
-    /// Ids of the crashes that this node has observed since it became isolated; `None` while it is
-    /// in contact with other nodes.
+    /// Ids of the crashes that may suffice for a provisional quarantine: those that this node has
+    /// observed since it became isolated; `None` while it is in contact with other nodes.
     unshared_crashes: Option<VecDeque<u64>>,
 }
 
@@ -208,7 +216,11 @@
             Event::Crashed {
                 service,
                 in_progress,
-            } => self.record_crash(now, &service, &in_progress),
+            } => self.record_crash(now, &service, &in_progress, true),
+            Event::Restarted {
+                service,
+                in_progress,
+            } => self.record_crash(now, &service, &in_progress, false),
             Event::Answered {
                 service,
                 fingerprint,
@@ -312,7 +324,14 @@
             .collect()
     }
 
-    fn record_crash(&mut self, now: Instant, service: &str, in_progress: &[Fingerprint]) -> Change {
+    /// Records a crash; `may_suffice` is whether it may be enough for a provisional quarantine.
+    fn record_crash(
+        &mut self,
+        now: Instant,
+        service: &str,
+        in_progress: &[Fingerprint],
+        may_suffice: bool,
+    ) -> Change {
         self.crash_count += 1;
         let crash = Crash {
             id: digest_of((self.node_id, self.crash_count)),
@@ -324,7 +343,9 @@
             cleared: true,
             ..crash
         };
-        if let Some(unshared) = &mut self.unshared_crashes {
+        if let Some(unshared) = &mut self.unshared_crashes
+            && may_suffice
+        {
             if unshared.len() == MAX_UNSHARED_CRASHES {
                 unshared.pop_front();
             }
--- a/crates/core/tests/quarantine.rs
+++ b/crates/core/tests/quarantine.rs
@@ -604,6 +604,23 @@
     assert_eq!(is_quarantined(&node, now, culprit), culprit_quarantined);
 }
 
+/// Guards against an innocent request that an isolated node refuses after its upstream lost power
+/// and restarted. Three such restarts count as three crashes do.
+#[test]
+fn record_blames_nothing_after_one_restart_while_isolated() {
+    let now = Instant::now();
+    let mut node = isolated_node(0);
+    let restarted = || Event::Restarted {
+        service: Arc::from("service"),
+        in_progress: vec![request(7)],
+    };
+    node.record(now, restarted());
+    node.record(now, restarted());
+    assert!(!is_quarantined(&node, now, request(7)));
+    node.record(now, restarted());
+    assert!(is_quarantined(&node, now, request(7)));
+}
+
 /// Guards against an innocent request that a node refuses once it is isolated, because of a single
 /// crash that it learned of before.
 #[test]
--- a/crates/node/src/control/suspects.rs
+++ b/crates/node/src/control/suspects.rs
@@ -24,7 +24,7 @@
 pub async fn receive(control: Rc<Control>, mut events: mpsc::Receiver<Event>) {
     while let Some(event) = events.recv().await {
         let now = Instant::now();
-        if matches!(event, Event::Crashed { .. }) {
+        if matches!(event, Event::Crashed { .. } | Event::Restarted { .. }) {
             log_crash(&control, now);
         }
         update(&control, |control| {
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -47,6 +47,19 @@
             Self::Restarted => "started again",
         }
     }
+
+    const fn event(self, service: Arc<str>, in_progress: Vec<Fingerprint>) -> Event {
+        match self {
+            Self::Unreachable => Event::Crashed {
+                service,
+                in_progress,
+            },
+            Self::Restarted => Event::Restarted {
+                service,
+                in_progress,
+            },
+        }
+    }
 }
 
 /// Requests in progress in the upstream. Those of a reported crash are removed, so that a
@@ -238,10 +251,7 @@
             "upstream ended with requests in progress"
         );
         if let Some(digest) = in_progress.values().next() {
-            self.report_event(Event::Crashed {
-                service: Arc::clone(&digest.service),
-                in_progress: fingerprints,
-            });
+            self.report_event(evidence.event(Arc::clone(&digest.service), fingerprints));
         }
     }
 }
