fix(bootstrap): a node that no peer ever answered is isolated although it read the stored list

Callers would have seen: three crashes beside a node whose peers are gone before one of them has answered its first exchange, where one is asked.

A node without any exchange of its own counted as in contact once it had read the quarantine list in the store, which is right for a host that is alone in its fleet. A node may know peers by the exchanges that they start, lose them before its own first one, and was then never isolated.

Fix: the decision is a function of `core::bootstrap`: a node that knows peers is isolated when none has answered it for `isolated_after`, counted from its start if none ever did; one that never knew a peer is not, once it has read the list.

--- a/crates/core/src/bootstrap.rs
+++ b/crates/core/src/bootstrap.rs
@@ -28,6 +28,15 @@
 /// Delay before the routing table is read again if the store fails or does not contain one yet.
 const ROUTES_RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// How a node may have learned which requests are in quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuarantineSources {
+    /// Whether it has read the list in the store since its start.
+    pub list_read: bool,
+    /// Whether it has known any other host since its start.
+    pub peer_known: bool,
+}
+
 /// Kind of hosts that the settings name for joining the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contacts {
@@ -168,6 +177,21 @@
         now > last_contact_at + self.isolated_after
     }
 
+    /// Whether other nodes may have requests in quarantine that this node does not know of.
+    ///
+    /// A node that has just started knows nothing until a peer answers it or it has read the stored
+    /// list. Later it depends on its peers; a node that never knew any has none to miss.
+    #[must_use]
+    pub fn may_lack_quarantine(
+        &self,
+        now: Instant,
+        snapshot: Snapshot,
+        sources: QuarantineSources,
+    ) -> bool {
+        let has_learned = snapshot.last_contact_at.is_some() || sources.list_read;
+        !has_learned || sources.peer_known && self.is_isolated(now, snapshot)
+    }
+
     /// Whether the node must read the routing table from the store now, since no peer has provided
     /// it.
     #[must_use]
--- a/crates/core/tests/bootstrap.rs
+++ b/crates/core/tests/bootstrap.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use mintridge_core::bootstrap::{Bootstrap, Contacts, Snapshot, Step, next_step};
+use mintridge_core::bootstrap::{
+    Bootstrap, Contacts, QuarantineSources, Snapshot, Step, next_step,
+};
 use mintridge_core::configs::bootstrap::Settings;
 use rstest::rstest;
 
@@ -139,3 +141,33 @@
     }
     assert!((8..=12).contains(&attempts), "{attempts} attempts");
 }
+
+/// Guards against a node that trusts an empty or outdated quarantine: a new process to which neither
+/// a peer nor the store has replied, and a node whose peers do not answer any more, or never did. A
+/// host that is alone in its fleet is not isolated.
+#[rstest]
+#[case::new_process(None, false, false, true)]
+#[case::new_process_with_peers(None, false, true, true)]
+#[case::alone(None, true, false, false)]
+#[case::in_contact(Some(Duration::from_secs(58)), false, true, false)]
+#[case::partitioned(Some(Duration::from_secs(10)), true, true, true)]
+#[case::never_answered(None, true, true, true)]
+fn may_lack_quarantine_without_contact(
+    #[case] contact_after: Option<Duration>,
+    #[case] list_read: bool,
+    #[case] peer_known: bool,
+    #[case] expected: bool,
+) {
+    let start = Instant::now();
+    let node = Bootstrap::new(settings(), ISOLATED_AFTER, start, Contacts::None, 1);
+    let snapshot = Snapshot {
+        last_contact_at: contact_after.map(|after| start + after),
+        ..empty_snapshot()
+    };
+    let sources = QuarantineSources {
+        list_read,
+        peer_known,
+    };
+    let now = start + Duration::from_mins(1);
+    assert_eq!(node.may_lack_quarantine(now, snapshot, sources), expected);
+}
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -17,7 +17,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use mintridge_core::bootstrap::{self, Bootstrap, Contacts, Role, Snapshot};
+use mintridge_core::bootstrap::{self, Bootstrap, Contacts, QuarantineSources, Role, Snapshot};
 use mintridge_core::evacuation;
 use mintridge_core::failover::{Failover, Versions};
 use mintridge_core::membership::{self, Record, Table, Version};
@@ -377,15 +377,16 @@
         }
     }
 
-    /// Returns whether this node may not know which requests other nodes have in quarantine: it has
-    /// neither been in contact with a peer nor read the stored list since its start, or it has had
-    /// no contact for the isolation timeout.
+    /// Returns whether other nodes may have requests in quarantine that this node does not know of.
     fn may_lack_quarantine(&self, now: Instant) -> bool {
         let snapshot = self.snapshot();
-        if snapshot.last_contact_at.is_none() {
-            return !self.quarantine_loaded.get();
-        }
-        self.state.borrow().bootstrap.is_isolated(now, snapshot)
+        let state = self.state.borrow();
+        let sources = QuarantineSources {
+            list_read: self.quarantine_loaded.get(),
+            peer_known: state.last_contact_at.is_some() || state.table.others().next().is_some(),
+        };
+        let bootstrap = &state.bootstrap;
+        bootstrap.may_lack_quarantine(now, snapshot, sources)
     }
 
     /// Returns this node's role in reading the store.
--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -387,12 +387,21 @@
     assert_eq!(scene.crashes(), crashes);
 }
 
-/// Starts three hosts whose nodes soon count as isolated and never run trials.
-async fn start_isolatable() -> Scene {
-    let adjust = |settings: &mut Settings| {
-        settings.control.isolated_after = ISOLATED_AFTER;
-        settings.quarantine.trial_after = Duration::from_hours(1);
-    };
+/// Settings of a node that soon counts as isolated and never runs trials.
+fn set_isolatable(settings: &mut Settings) {
+    settings.control.isolated_after = ISOLATED_AFTER;
+    settings.quarantine.trial_after = Duration::from_hours(1);
+}
+
+/// Settings as above, with which no node but the first answers exchanges.
+fn set_unanswering(settings: &mut Settings) {
+    set_isolatable(settings);
+    if &*settings.host != "service-1" {
+        settings.control.connections_most = 0;
+    }
+}
+
+async fn start_isolatable(adjust: fn(&mut Settings)) -> Scene {
     start_processes(Plan { adjust, ..hosts(3) }).await
 }
 
@@ -440,11 +449,15 @@
 /// Guards against a node that counts crashes up to the threshold of the whole fleet although it
 /// cannot hear of those that the others observe.
 #[rstest]
-#[case::new_process(true)]
-#[case::partitioned(false)]
+#[case::new_process(true, set_isolatable)]
+#[case::partitioned(false, set_isolatable)]
+#[case::never_answered(false, set_unanswering)]
 #[tokio::test]
-async fn request_crashes_the_upstream_of_an_isolated_node_once(#[case] restarts: bool) {
-    let mut scene = start_isolatable().await;
+async fn request_crashes_the_upstream_of_an_isolated_node_once(
+    #[case] restarts: bool,
+    #[case] adjust: fn(&mut Settings),
+) {
+    let mut scene = start_isolatable(adjust).await;
     scene.crash_on(Some(CRASHES));
     if restarts {
         send_until_quarantined(&scene, &[0, 1, 2], &crashing("held")).await;
@@ -461,7 +474,7 @@
 /// has caught up with the other nodes since.
 #[tokio::test]
 async fn request_blamed_by_an_isolated_node_is_served_once_it_has_contact() {
-    let mut scene = start_isolatable().await;
+    let mut scene = start_isolatable(set_isolatable).await;
     let relay = restart_without_contact(&mut scene).await;
     scene.crash_on(Some(CRASHES));
     send_until_quarantined(&scene, &[0], &crashing("held")).await;
