--- a/review/standins.py
+++ b/review/standins.py
@@ -328,9 +328,9 @@
             raise CannotRun(f"{self.command[0]} is missing: build it first")
         self.record = record
         self.prefix = loopback_prefix()
-        self.folder = tempfile.mkdtemp(prefix="mintridge-review-")
         self.store = Store((f"{self.prefix}.200", self.PORTS["store"]), record)
         self.store.put("op/config", json.dumps(configuration).encode())
+        self.folder = tempfile.mkdtemp(prefix="mintridge-review-")
         self.machines = [
             Machine(self, index, zone, service) for index, (zone, service) in enumerate(layout)
         ]
@@ -598,13 +598,11 @@
 def run(case, record_path):
     """Runs a case; its result is the exit code: 1 broken, 0 held, 2 could not run."""
     record = Record(record_path)
+    # A script that is ended from outside still ends the processes that it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = case(record, os.environ.get("TROUBLE", "1"))
-    except CannotRun as error:
-        record("could-not-run", reason=str(error))
-        print(f"could not run: {error}")
-        sys.exit(2)
-    except OSError as error:
+    except (CannotRun, OSError) as error:
         record("could-not-run", reason=str(error))
         print(f"could not run: {error}")
         sys.exit(2)
