--- a/crates/core/src/configs.rs
+++ b/crates/core/src/configs.rs
@@ -2,6 +2,7 @@
 //!
 //! Durations are written with their unit, such as `"500ms"` or `"3s"`.
 
+pub mod account;
 pub mod admission;
 pub mod bootstrap;
 pub mod claim;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 //! load reports between responses), [`probe`] (the budget for probes) and [`quota`] (the rate limit
 //! for log lines).
 
+pub mod account;
 pub mod admission;
 pub mod answered;
 pub mod attempts;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -72,11 +72,17 @@
     Unverified,
     /// The request is in quarantine: upstreams crashed while they ran it.
     Quarantined,
+    /// The request lacks a key of a client account, or no account has its key.
+    Unauthorized,
+    /// The client account has sent more requests than its limit allows.
+    RateLimited,
+    /// Most calls that the upstream makes for such requests fail.
+    DependencyFailing,
 }
 
 impl Reason {
     /// All reasons, for metrics with a bounded label set.
-    pub const ALL: [Self; 21] = [
+    pub const ALL: [Self; 24] = [
         Self::Busy,
         Self::Deadline,
         Self::Late,
@@ -98,6 +104,9 @@
         Self::NoRoute,
         Self::Unverified,
         Self::Quarantined,
+        Self::Unauthorized,
+        Self::RateLimited,
+        Self::DependencyFailing,
     ];
 
     /// Returns the form used in headers, problem details and metrics.
@@ -125,6 +134,9 @@
             Self::NoRoute => "no-route",
             Self::Unverified => "unverified",
             Self::Quarantined => "quarantined",
+            Self::Unauthorized => "unauthorized",
+            Self::RateLimited => "rate-limited",
+            Self::DependencyFailing => "dependency-failing",
         }
     }
 
@@ -196,13 +208,15 @@
 
     /// Returns the HTTP status of this refusal.
     ///
-    /// 429 is reserved for a client account that has filled its own share of the queue; 409 follows
+    /// 429 is reserved for a client account that has filled its own share of the queue or has
+    /// exceeded its limit; 409 follows
     /// the Idempotency-Key draft; the rest are RFC 9110 gateway statuses.
     #[must_use]
     pub const fn status(&self) -> u16 {
         match (self.outcome, self.reason) {
-            (Outcome::NotRun, Reason::Busy) => 429,
+            (Outcome::NotRun, Reason::Busy | Reason::RateLimited) => 429,
             (Outcome::NotRun, Reason::BadRequest) => 400,
+            (Outcome::NotRun, Reason::Unauthorized) => 401,
             (Outcome::NotRun, Reason::NoRoute) => 404,
             (Outcome::NotRun, _) => 503,
             (Outcome::Unknown, Reason::Duplicate) => 409,
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -17,6 +17,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::account::Directory;
+
 /// Step of the low-discrepancy sequence that distributes requests over the services of a split:
 /// the fractional part of the golden ratio.
 const GOLDEN_STEP: f64 = 0.618_033_988_749_894_9;
@@ -71,6 +73,9 @@
     pub attempts: u32,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Whether requests need no key of a client account.
+    #[serde(default)]
+    pub anonymous: bool,
 }
 
 /// Configuration of a service.
@@ -127,6 +132,9 @@
     /// Services by name.
     #[serde(default)]
     pub services: BTreeMap<Arc<str>, Service>,
+    /// Client accounts; if there are any, requests need a key of one of them.
+    #[serde(skip)]
+    pub accounts: Directory,
     /// Parts of the routes that could not be parsed.
     #[serde(skip)]
     pub faults: Vec<Fault>,
@@ -171,6 +179,7 @@
             target_latency: Duration::ZERO,
             attempts: 0,
             priority: u8::MAX,
+            anonymous: false,
         }
     }
 
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -23,6 +23,7 @@
         target_latency: Duration::from_millis(100),
         attempts: 2,
         priority: 0,
+        anonymous: false,
     }
 }
 
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -212,6 +212,9 @@
         Reason::Quarantined => {
             "the request was quarantined: upstreams had crashed while they ran it"
         }
+        Reason::Unauthorized => "it lacked a key of a client account, or no account had its key",
+        Reason::RateLimited => "its client account had sent more requests than its limit allows",
+        Reason::DependencyFailing => "most calls that the upstream makes for such requests failed",
     }
 }
 
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -121,7 +121,9 @@
         Reason::ForeignAnswer => "http_protocol_error",
         Reason::BadRequest => "http_request_error",
         Reason::NoUpstream | Reason::NoRoute => "destination_not_found",
-        Reason::Duplicate | Reason::Quarantined => "http_request_denied",
+        Reason::Duplicate | Reason::Quarantined | Reason::Unauthorized | Reason::RateLimited => {
+            "http_request_denied"
+        }
         Reason::Leaving
         | Reason::Evacuated
         | Reason::Doubtful
@@ -130,6 +132,7 @@
         | Reason::Misdirected
         | Reason::Unconfigured
         | Reason::Unverified
+        | Reason::DependencyFailing
         | Reason::Stale
         | Reason::StoreUnavailable => "destination_unavailable",
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -62,6 +62,9 @@
     /// Traces.
     #[serde(default)]
     pub traces: configs::traces::Settings,
+    /// Client accounts.
+    #[serde(default)]
+    pub accounts: core::account::Settings,
     /// Admission control for the upstream.
     #[serde(default)]
     pub admission: core::admission::Settings,
@@ -119,6 +122,7 @@
             control: configs::control::Settings::default(),
             logs: configs::logs::Settings::default(),
             traces: configs::traces::Settings::default(),
+            accounts: core::account::Settings::default(),
             admission: core::admission::Settings::default(),
             claim: core::claim::Settings::default(),
             gate: core::gate::Settings::default(),
