--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -99,6 +99,7 @@
         target_latency: Duration::from_secs(1),
         attempts: 2,
         priority: 0,
+        anonymous: false,
     }
 }
 
