feat(account): resolve the keys of client accounts

Cause: any process that reaches a node can send requests under any account's name.

Change: core::account reads the accounts of a routing table, keeps their keys as BLAKE3 digests in a map, and decides on whose behalf a request runs, and with which rank. An account or key that cannot be read is left out alone; a table that lists accounts needs keys even if none can be read. The debug output of a table shows neither keys nor the packed document.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -1,10 +1,24 @@
 //! Client accounts of the routing table: whose key a request carries, how urgent it is, and how
 //! many requests the account may send.
+//!
+//! Failure: any process that reaches a node can send requests under any account's name. Symptom:
+//! it takes that account's share of the queue, and the upstream acts on a name that nobody checked.
+//! A request therefore carries a key, and the node derives the account from it.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+pub mod authorization;
+pub mod directory;
+pub mod key;
+pub mod listing;
+
+pub use self::directory::Directory;
+
+/// Name that stands for no account, in messages between nodes and in the queue.
+pub const ANONYMOUS: &str = "anonymous";
+
 /// A client account of the routing table.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Account {
@@ -24,17 +38,3 @@
     /// Requests that may be sent at once after a time without requests.
     pub burst: f64,
 }
-
-/// The client accounts of a routing table.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Directory {
-    accounts: Vec<Arc<Account>>,
-}
-
-impl Directory {
-    /// Returns whether the routing table lists no account, so that requests need no key.
-    #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.accounts.is_empty()
-    }
-}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -12,6 +12,7 @@
 //! The parts that could not be parsed are reported as [`Fault`]s of the table.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -133,7 +134,7 @@
     #[serde(default)]
     pub services: BTreeMap<Arc<str>, Service>,
     /// Client accounts; if there are any, requests need a key of one of them.
-    #[serde(skip)]
+    #[serde(rename = "client_accounts", default, skip_serializing)]
     pub accounts: Directory,
     /// Parts of the routes that could not be parsed.
     #[serde(skip)]
@@ -214,14 +215,24 @@
 }
 
 /// A table with the document it was parsed from, which nodes pass on unchanged.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Default, PartialEq)]
 pub struct Document {
     /// The parsed table.
     pub table: Table,
-    /// The document as operators wrote it, compressed.
+    /// The document as operators wrote it, compressed. It contains the keys of client accounts.
     pub packed: Arc<[u8]>,
 }
 
+/// Shows the table and the length of the packed document, from which keys could be unpacked.
+impl fmt::Debug for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Document")
+            .field("table", &self.table)
+            .field("packed_bytes", &self.packed.len())
+            .finish()
+    }
+}
+
 /// Result of offering a table to a register.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Offered {
