feat(entry): a request needs the key of a client account

Cause: with client accounts in the routing table, the account of a request has to come from its key.

Change: Entry::admit resolves the key after the route is known and before the request is placed; checks that concern the key or the account belong there. A request without a valid key is refused with 401, or with 503 where the store has not confirmed the table. Parse errors of the routing table name a place and quote no value. Tables without accounts are treated as before.

--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE,
+};
 use hyper::{Response, StatusCode};
 use mintridge_core::outcome::{Outcome, Reason, Refusal};
 use serde::{Deserialize, Serialize};
@@ -74,6 +76,9 @@
     if let Ok(proxy_status) = HeaderValue::try_from(proxy_status) {
         headers.insert(PROXY_STATUS, proxy_status);
     }
+    if refusal.reason == Reason::Unauthorized {
+        headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
     let delay = refusal.retry_at.saturating_duration_since(now);
     headers.insert(RETRY_AFTER, retry_after(delay, precision));
     response
--- a/crates/node/src/adapter.rs
+++ b/crates/node/src/adapter.rs
@@ -12,6 +12,7 @@
 use mintridge_http::Body;
 use mintridge_store::dialect::Dialect;
 use mintridge_store::etcd;
+use serde::Deserialize;
 
 use crate::announcement::{self, Incoming, Message};
 
@@ -21,11 +22,46 @@
     /// The body cannot be parsed.
     #[error("does not parse: {0}")]
     Body(#[from] serde_json::Error),
+    /// A document of operators cannot be parsed. The parser's own message is left out, since it may
+    /// quote a value, and some values are keys.
+    #[error("does not parse at {path}, line {line}, column {column}")]
+    Document {
+        /// Path of the field.
+        path: String,
+        /// Line, starting at 1.
+        line: usize,
+        /// Column, starting at 1.
+        column: usize,
+    },
     /// The method or path is not one that the node supports.
     #[error("no such call")]
     Call,
 }
 
+/// Parses a document of operators that may contain keys of client accounts.
+///
+/// # Errors
+/// If the document does not parse; the error quotes no value of it.
+pub fn parse_document<'de, T: Deserialize<'de>>(document: &'de [u8]) -> Result<T, Malformed> {
+    let mut source = serde_json::Deserializer::from_slice(document);
+    let parsed = serde_path_to_error::deserialize(&mut source).map_err(|error| {
+        let path = error.path().to_string();
+        malformed_at(path, error.inner())
+    })?;
+    source
+        .end()
+        .map_err(|error| malformed_at(String::from("the end"), &error))?;
+    Ok(parsed)
+}
+
+fn malformed_at(path: String, error: &serde_json::Error) -> Malformed {
+    Malformed::Document {
+        path,
+        line: error.line(),
+        column: error.column(),
+    }
+}
+
 /// Functions that translate between the node and its platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Adapter {
@@ -55,7 +91,7 @@
             store: etcd::DIALECT,
             parse_message: announcement::read,
             acknowledge: announcement::acknowledge,
-            routes: |document| Ok(serde_json::from_slice(document)?),
+            routes: |document| parse_document(document),
             load: |value| serde_json::from_str(value).ok(),
             cold: |value| value.parse().ok().map(Duration::from_millis),
             request_limit: notice::parse_rate,
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -7,6 +7,9 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, header};
+pub use mintridge_core::account::ANONYMOUS;
+use mintridge_core::account::Directory;
+use mintridge_core::account::authorization::Caller;
 use mintridge_core::claim::{Claim, Key, Owner};
 use mintridge_core::fingerprint;
 use mintridge_core::outcome::Reason;
@@ -15,8 +18,6 @@
 use crate::configs::callers::Settings;
 use crate::headers::Head;
 
-/// Client account of requests that do not specify one.
-pub const ANONYMOUS: &str = "anonymous";
 /// Size limit of the name of a service or client account, and of an idempotency key.
 const MAX_TEXT_BYTES: usize = 256;
 
@@ -104,7 +105,11 @@
 }
 
 /// Service and handling of a request, as determined by its [`Routing`].
-struct Resolution {
+pub struct Resolution<'a> {
+    /// Client accounts of the routing table; `None` if it lists none.
+    pub accounts: Option<&'a Directory>,
+    /// Whether the request needs no key of an account.
+    pub anonymous: bool,
     service: Arc<str>,
     route: Arc<str>,
     repeatable: bool,
@@ -114,7 +119,8 @@
     attempts: u32,
 }
 
-/// Reads the request; `request_id` identifies it within the fleet.
+/// Reads a request that was resolved; `request_id` identifies it within the fleet. Where the routing
+/// table lists accounts, the client account is that of the caller's key, whatever the request says.
 ///
 /// # Errors
 /// If a header is missing or malformed.
@@ -123,13 +129,22 @@
     now: Instant,
     request_id: Arc<str>,
     parts: &Parts,
-    routing: Routing<'_>,
+    resolution: Resolution<'_>,
+    caller: &Caller,
 ) -> Result<Request, Malformed> {
-    let resolution = resolve(settings, parts, routing)?;
+    let account = caller.account.as_deref();
+    let client_account: Arc<str> = match (resolution.accounts, account) {
+        (Some(_), Some(account)) => Arc::clone(&account.name),
+        (Some(_), None) => Arc::from(ANONYMOUS),
+        (None, _) => {
+            let named = text(&parts.headers, &settings.client_account_header)?;
+            Arc::from(named.unwrap_or(ANONYMOUS))
+        }
+    };
+    let priority = resolution.accounts.map_or(resolution.priority, |accounts| {
+        accounts.rank(account, resolution.priority)
+    });
     let service = resolution.service;
-    let client_account =
-        text(&parts.headers, &settings.client_account_header)?.unwrap_or(ANONYMOUS);
-    let client_account: Arc<str> = Arc::from(client_account);
     let key = key(settings, &parts.headers)?.filter(|_| !parts.method.is_safe());
     let claim = key.map(|key| Claim {
         key: digest(&service, &client_account, key),
@@ -145,7 +160,7 @@
             request_id,
             repeatable: claim.is_none() && resolution.repeatable,
             claim,
-            priority: resolution.priority,
+            priority,
             route: resolution.route,
             target: target.min(deadline),
             only_in_time: false,
@@ -156,15 +171,21 @@
     })
 }
 
-fn resolve(
+/// Returns the service and the handling of a request.
+///
+/// # Errors
+/// If the request names no service, or no route matches it.
+pub fn resolve<'a>(
     settings: &Settings,
     parts: &Parts,
-    routing: Routing<'_>,
-) -> Result<Resolution, Malformed> {
+    routing: Routing<'a>,
+) -> Result<Resolution<'a>, Malformed> {
     match routing {
         Routing::ByService { attempts } => {
             let service = service(settings, parts)?;
             Ok(Resolution {
+                accounts: None,
+                anonymous: true,
                 route: Arc::clone(&service),
                 service,
                 repeatable: is_idempotent(&parts.method),
@@ -179,7 +200,10 @@
             let route = table.find(host, parts.uri.path());
             let route = route.ok_or(Malformed::NoRoute)?;
             let service = route.service(count).ok_or(Malformed::InvalidRoute)?;
+            let accounts = &table.accounts;
             Ok(Resolution {
+                accounts: (!accounts.is_empty()).then_some(accounts),
+                anonymous: route.anonymous,
                 service: Arc::clone(service),
                 route: Arc::clone(&route.name),
                 repeatable: route.kind == Kind::Idempotent,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -178,6 +178,15 @@
             .map_or(0, |document| document.table.version.0)
     }
 
+    /// Returns whether the routing table in force on this node lists client accounts.
+    #[must_use]
+    pub fn lists_accounts(&self) -> bool {
+        let routes = self.latest.routes.borrow();
+        routes
+            .as_ref()
+            .is_some_and(|document| !document.table.accounts.is_empty())
+    }
+
     /// Returns whether the store has confirmed recently that it holds no newer routing table.
     #[must_use]
     pub fn is_table_verified(&self, now: Instant) -> bool {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -312,6 +312,7 @@
         );
         self.context.metrics.routes_version(version.0);
         self.log_faults(current.as_deref());
+        self.log_account_faults(current.as_deref());
         log::debug!(document:? = current; "contents of the routing table");
         self.context.latest.routes.send_replace(current);
         self.updates_due.notify_one();
@@ -333,6 +334,23 @@
         }
     }
 
+    /// Logs the client accounts and keys of a routing table that were left out; called once per
+    /// version. A fault contains no value of the table, since that may be a key.
+    fn log_account_faults(&self, current: Option<&Document>) {
+        let faults = current.map_or(&[][..], |document| document.table.accounts.faults());
+        for _ in faults {
+            self.context.metrics.bad_input("account");
+        }
+        for fault in faults.iter().take(MAX_LOGGED_FAULTS) {
+            log::warn!(
+                client_account = &*fault.account,
+                cause = fault.cause,
+                faults = faults.len();
+                "part of the client accounts left out"
+            );
+        }
+    }
+
     /// Merges membership records; returns whether any of them changed the table.
     fn merge(&self, now: Instant, records: Vec<Record>) -> bool {
         let mut state = self.state.borrow_mut();
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,9 +13,11 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Body as _;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
+use mintridge_core::account::Directory;
+use mintridge_core::account::authorization::{Caller, Finding, Presented};
 use mintridge_core::fingerprint::{self, Fingerprint};
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
@@ -33,13 +35,13 @@
 use self::attempt::Outgoing;
 use self::candidates::candidates;
 use self::forward::forward;
-use crate::arrival::{self, Routing};
+use crate::arrival::{self, Resolution, Routing};
 use crate::context::{Context, View};
 use crate::headers::Head;
 use crate::link::Links;
 use crate::replay::Source;
 use crate::request_log::{History, RequestLog, millis};
-use crate::{reports, traces};
+use crate::{headers, reports, traces};
 
 /// Retry delay sent to a caller when no host offers its service.
 const NO_UPSTREAM_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -184,7 +186,7 @@
     request: Request<Body>,
     history: &mut History,
 ) -> Response<Body> {
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let settings = &entry.context.settings.callers;
     let request_id = match arrival::request_id(settings, &request_id, &parts.headers) {
         Ok(id) => id,
@@ -209,7 +211,19 @@
             attempts: entry.context.settings.retry.attempts,
         },
     };
-    let parsed = match arrival::read(settings, now, Arc::clone(&request_id), &parts, routing) {
+    let resolution = match arrival::resolve(settings, &parts, routing) {
+        Ok(resolution) => resolution,
+        Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
+    };
+    let caller = match entry.admit(now, &request_id, &resolution, &parts.headers) {
+        Ok(caller) => caller,
+        Err(refusal) => return entry.refuse(&refusal, &request_id),
+    };
+    if resolution.accounts.is_some() {
+        headers::strip_credentials(&settings.client_account_header, &mut parts.headers);
+    }
+    let id = Arc::clone(&request_id);
+    let parsed = match arrival::read(settings, now, id, &parts, resolution, &caller) {
         Ok(parsed) => parsed,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
@@ -229,6 +243,12 @@
     forward(&entry, outgoing, history).await
 }
 
+/// Returns on whose behalf a request is sent, by the key that it carries.
+fn identify(directory: &Directory, headers: &HeaderMap) -> (Caller, Finding) {
+    let fields = headers.get_all(AUTHORIZATION).iter();
+    Presented::read(fields.map(HeaderValue::as_bytes)).find(directory)
+}
+
 impl Entry {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
@@ -245,6 +265,56 @@
         }
     }
 
+    /// Decides whether the caller may send this request, and on behalf of which account. All checks
+    /// that concern the key or the account of a request are made here, after its route is known and
+    /// before it is placed.
+    fn admit(
+        &self,
+        now: Instant,
+        request_id: &str,
+        resolution: &Resolution<'_>,
+        headers: &HeaderMap,
+    ) -> Result<Caller, Refusal> {
+        let Some(directory) = resolution.accounts else {
+            return Ok(Caller::default());
+        };
+        let (caller, finding) = identify(directory, headers);
+        if resolution.anonymous {
+            if caller.has_key || finding == Finding::Malformed {
+                self.context.metrics.key(finding.as_str());
+            }
+            return Ok(caller);
+        }
+        self.check_key(now, request_id, finding)?;
+        Ok(caller)
+    }
+
+    /// Refuses a request whose key no account has, and one without a key.
+    fn check_key(&self, now: Instant, request_id: &str, finding: Finding) -> Result<(), Refusal> {
+        let refused = finding.refusal(self.context.is_table_verified(now));
+        let outcome = match refused {
+            Some(Reason::Unverified) => Reason::Unverified.as_str(),
+            _ => finding.as_str(),
+        };
+        self.context.metrics.key(outcome);
+        let Some(reason) = refused else { return Ok(()) };
+        if self.log.try_acquire(1) {
+            let verified_at = *self.context.latest.verified.borrow();
+            log::info!(
+                request = request_id,
+                key = finding.as_str(),
+                routes_version = self.context.routes_version(),
+                verified_ms = millis(now.saturating_duration_since(verified_at));
+                "request without a valid key not taken"
+            );
+        }
+        let delay = match reason {
+            Reason::Unverified => UNVERIFIED_RETRY_DELAY,
+            _ => Duration::ZERO,
+        };
+        Err(Refusal::not_run(reason, now + delay))
+    }
+
     /// Refuses a request that is malformed, or that names no known route or no service.
     ///
     /// Failure: this node misses a change of the routing table. Symptom: requests on a route that
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -145,7 +145,7 @@
     });
     Ok(Head {
         service: Arc::from(required(headers, SERVICE)?),
-        client_account: Arc::from(required(headers, CLIENT_ACCOUNT)?),
+        client_account: client_account(headers)?,
         deadline,
         request_id,
         claim,
@@ -161,6 +161,17 @@
     })
 }
 
+/// Reads the client account, whose name need not be ASCII.
+fn client_account(headers: &HeaderMap) -> Result<Arc<str>, Malformed> {
+    headers
+        .get(CLIENT_ACCOUNT)
+        .and_then(|name| std::str::from_utf8(name.as_bytes()).ok())
+        .map(Arc::from)
+        .ok_or(Malformed {
+            name: CLIENT_ACCOUNT,
+        })
+}
+
 /// Reads a header that gives a time as microseconds from now.
 fn instant(now: Instant, headers: &HeaderMap, name: HeaderName) -> Result<Instant, Malformed> {
     let micros = required(headers, name.clone())?
@@ -219,6 +230,15 @@
     }
 }
 
+/// Removes the key of a client account, and the name of an account that the sender claims.
+///
+/// Failure: an entry node passes on what its caller sent. Symptom: the upstream, and whoever reads
+/// its logs, gets the key, and it takes the caller for any account that the caller names.
+pub fn strip_credentials(client_account_header: &str, headers: &mut HeaderMap) {
+    headers.remove(header::AUTHORIZATION);
+    headers.remove(client_account_header);
+}
+
 /// Removes every mintridge header.
 ///
 /// Failure: an upstream returns the refusal of a nested call, with its headers, as its own
