test(node): a stopping node admits requests that outlast it

Cause: Node::stop ends the guard after node.stop_within, and admission does not compare the deadline of a request with that time. The test fails on this code: long requests placed on the stopping node are answered 502 when it ends.

--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Replies, get, hosts, mixed_load, start_processes, start_processes_with_entry, with_timeout,
+    Plan, Replies, add_entry, get, hosts, mixed_load, post_without_key, start_processes,
+    start_processes_with_entry, with_timeout,
 };
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
@@ -70,6 +71,48 @@
     assert_eq!(scene.runs("while-leaving"), 1);
 }
 
+/// Failure: a stopping node admits requests that outlast it. Symptom: it aborts them when it ends.
+/// They must run elsewhere, while it goes on serving those that end in time.
+#[tokio::test]
+async fn stop_admits_no_request_that_outlasts_the_node() {
+    let plan = Plan {
+        adjust: |settings| {
+            settings.node.linger = Duration::from_millis(1800);
+            settings.node.stop_within = Duration::from_millis(2500);
+        },
+        ..hosts(2)
+    };
+    let mut scene = start_processes(plan).await;
+    add_entry(&mut scene).await;
+    scene.wait_until_joined().await;
+    for index in 0..2 {
+        scene.update_behaviour(index, |behaviour| behaviour.service_micros = 2_200_000);
+    }
+    let term = scene.process(0).signal(Signal::TERM);
+    term.expect("the signal is sent");
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let (entry, caller) = (scene.addresses(2).callers, scene.caller.clone());
+    let long = (0..6).map(|n| {
+        let (caller, call) = (caller.clone(), post_without_key(&format!("long-{n}")));
+        tokio::spawn(async move { caller.call(entry, &with_timeout(6000, call)).await.reply })
+    });
+    let long: Vec<_> = long.collect();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = requests(&scene, 0);
+    for index in 0..2 {
+        scene.update_behaviour(index, |behaviour| behaviour.service_micros = 5_000);
+    }
+    for n in 0..20 {
+        let call = with_timeout(500, post_without_key(&format!("short-{n}")));
+        assert!(scene.call(2, &call).await.is_success(), "{call:?}");
+    }
+    assert!(requests(&scene, 0) > before, "its capacity is not used");
+    for reply in long {
+        let reply = reply.await.expect("the caller lives");
+        assert!(reply.is_success(), "{reply:?}");
+    }
+}
+
 /// An entry node gets SIGTERM while a caller's request runs: the caller must get the whole
 /// response.
 #[tokio::test]
