--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Plan, Replies, add_entry, get, hosts, mixed_load, post_without_key, start_processes,
+    Plan, Replies, get, hosts, mixed_load, post_without_key, start_processes,
     start_processes_with_entry, with_timeout,
 };
 use mintridge_core::preset::Preset;
@@ -83,7 +83,9 @@
         ..hosts(2)
     };
     let mut scene = start_processes(plan).await;
-    add_entry(&mut scene).await;
+    // In the zone of the host that stops, so that requests are placed there first.
+    let added = scene.add("entry-1", "other", "zone-a", <_>::default());
+    added.await.expect("it starts");
     scene.wait_until_joined().await;
     for index in 0..2 {
         scene.update_behaviour(index, |behaviour| behaviour.service_micros = 2_200_000);
