fix(node): a stopping node admits only what can end before it does

Cause: from the signal on, admission did not know when the process ends (node.stop_within), so long requests were admitted for node.linger more and aborted at the end.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -31,6 +31,7 @@
 use crate::request::{Arrival, Id};
 use crate::request_limit::RequestLimit;
 use crate::shares::Shares;
+use crate::stop::{self, Stop};
 use crate::warm_up::WarmUp;
 use crate::work::{Class, Demand, Times};
 
@@ -94,6 +95,7 @@
     request_limit: RequestLimit,
     /// Requests that hold a slot and wait to be sent; no other starts before them.
     delayed: HashSet<Id>,
+    stop: Stop,
     actions: VecDeque<Action>,
 }
 
@@ -124,6 +126,7 @@
             warm_up: WarmUp::default(),
             request_limit: RequestLimit::default(),
             delayed: HashSet::new(),
+            stop: Stop::default(),
             actions: VecDeque::new(),
         }
     }
@@ -178,6 +181,30 @@
         }
     }
 
+    /// Records that the process ends at `ends_at`; call [`Self::poll`] afterwards. Queued requests
+    /// that may not end before are refused.
+    pub const fn set_end(&mut self, ends_at: Instant) {
+        self.stop = Stop::at(ends_at);
+    }
+
+    /// Returns whether a request that starts now can end before the process does.
+    #[must_use]
+    pub fn can_end_in_time(
+        &self,
+        now: Instant,
+        deadline: Instant,
+        repeatable: bool,
+        route: &str,
+    ) -> bool {
+        let longest = self.times.longest_for_route(route);
+        self.stop.may_start(&stop::Request {
+            now,
+            deadline,
+            repeatable,
+            longest: longest.map(|longest| self.at_current_pace(now, longest)),
+        })
+    }
+
     /// Records a load report of the upstream; returns whether the known slowness changed.
     pub fn observe_load(&mut self, now: Instant, load: &Upstream) -> bool {
         let before = self.pace.reported_percent(&self.settings, now);
@@ -220,6 +247,9 @@
     }
 
     fn decide(&mut self, now: Instant, arrival: Arrival, weight: f64) -> Decision {
+        if !self.can_end(now, &arrival) {
+            return Decision::Refuse(self.refusal(now, Reason::Leaving));
+        }
         if self.pace.slow_percent(&self.settings, now).is_some() && arrival.only_in_time {
             return Decision::Refuse(self.refusal(now, Reason::Late));
         }
@@ -323,6 +353,7 @@
 
     /// Returns the next action; call until `None` after each event and at [`Self::wake_at`].
     pub fn poll(&mut self, now: Instant) -> Option<Action> {
+        self.refuse_past_end(now);
         self.refuse_past_deadline(now);
         self.refuse_excess_late(now);
         if let Some(action) = self.actions.pop_front() {
@@ -532,6 +563,30 @@
         self.request_limit.record_start(now);
     }
 
+    fn can_end(&self, now: Instant, arrival: &Arrival) -> bool {
+        self.can_end_in_time(now, arrival.deadline, arrival.repeatable, &arrival.route)
+    }
+
+    /// How long work takes now that needs `service_time` at the host's usual pace.
+    fn at_current_pace(&self, now: Instant, service_time: Duration) -> Duration {
+        let percent = self.pace.relative_percent(&self.settings, now);
+        service_time * percent.max(100) / 100
+    }
+
+    /// Refuses queued requests that can no longer end before the process of a stopping node does.
+    fn refuse_past_end(&mut self, now: Instant) {
+        if !self.stop.is_known() {
+            return;
+        }
+        let queued = self.queue.iter();
+        let outlasting = queued.filter(|arrival| !self.can_end(now, arrival));
+        let outlasting: Vec<Arrival> = outlasting.cloned().collect();
+        for arrival in outlasting {
+            self.queue.remove(arrival.id);
+            self.refuse_queued_request(now, &arrival, Reason::Leaving);
+        }
+    }
+
     /// Refuses queued requests that can no longer finish by their deadline, at a time when the
     /// refusal still reaches the caller before the deadline.
     fn refuse_past_deadline(&mut self, now: Instant) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,7 @@
 //! | which service gets it? | [`route`] |
 //! | which host gets it? | [`placement`], from each host's [`load`] |
 //! | may it be retried on another host? | [`attempts`], [`retry`] |
-//! | does it run now or wait, and in which order? | [`admission`] with [`queue`], [`shares`], [`work`], [`pace`], [`limit`], [`warm_up`] and [`request_limit`]; [`gate`] and [`health`] can refuse it |
+//! | does it run now or wait, and in which order? | [`admission`] with [`queue`], [`shares`], [`work`], [`pace`], [`limit`], [`warm_up`] and [`request_limit`]; [`gate`], [`health`] and [`stop`] can refuse it |
 //! | was its idempotency key used before? | [`claim`] |
 //! | did upstreams crash while they ran it? | [`screen`], from the decisions of [`quarantine`] by [`fingerprint`] and by which requests were [`answered`] |
 //! | what does the caller receive if no upstream answers? | [`outcome`] |
@@ -67,5 +67,6 @@
 pub mod screen;
 pub mod shares;
 pub mod stagger;
+pub mod stop;
 pub mod warm_up;
 pub mod work;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -29,6 +29,7 @@
         priority: 0,
         route: Arc::from("route"),
         only_in_time: false,
+        repeatable: false,
     }
 }
 
@@ -225,6 +226,7 @@
                 priority: 0,
                 route: Arc::from("route"),
                 only_in_time: false,
+                repeatable: false,
             };
             admission.arrive(now, arrival, 1.0) == Decision::Admit
         })
@@ -241,6 +243,7 @@
     Arrival {
         target,
         only_in_time,
+        repeatable: false,
         ..arrival(id, "a", deadline)
     }
 }
--- a/crates/core/tests/queue.rs
+++ b/crates/core/tests/queue.rs
@@ -127,6 +127,7 @@
         priority: kind.priority,
         route: Arc::from("route"),
         only_in_time: false,
+        repeatable: false,
     }
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -57,8 +57,12 @@
     /// The node serves requests.
     Serving,
     /// A stop has been requested. Callers are still served, but their connections are closed after
-    /// the last pending response so that they reconnect to another node.
-    Leaving,
+    /// the last pending response so that they reconnect to another node. The upstream gets only
+    /// requests that can end in time.
+    Leaving {
+        /// Deadline after which requests in progress are aborted.
+        give_up_at: Instant,
+    },
     /// No new requests are forwarded to the upstream, and peers are informed. The listener for
     /// callers is closed; requests in progress are finished.
     ClosingCallers {
@@ -211,7 +215,7 @@
     pub fn callers_phase(&self) -> watch::Receiver<Phase> {
         self.map_stage(|stage| match stage {
             Stage::Serving => Phase::Open,
-            Stage::Leaving => Phase::Leaving,
+            Stage::Leaving { .. } => Phase::Leaving,
             Stage::ClosingCallers { give_up_at } | Stage::ClosingPeers { give_up_at } => {
                 Phase::Closing { give_up_at }
             }
@@ -225,7 +229,7 @@
         self.map_stage(|stage| match stage {
             Stage::ClosingPeers { give_up_at } => Phase::Closing { give_up_at },
             Stage::Ending => close_immediately(),
-            Stage::Serving | Stage::Leaving | Stage::ClosingCallers { .. } => Phase::Open,
+            Stage::Serving | Stage::Leaving { .. } | Stage::ClosingCallers { .. } => Phase::Open,
         })
     }
 
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -185,6 +185,7 @@
     let fields = response.headers_mut();
     let refusal = problem::read(now, fields);
     let claimed = headers::take_claimed(fields);
+    let serves_others = headers::take_serves_others(fields);
     let known = headers::take_known(fields);
     entry
         .notices
@@ -206,6 +207,7 @@
         | Reason::Duplicate
         | Reason::Shed
         | Reason::Quarantined => Ending::Full,
+        Reason::Leaving if serves_others => Ending::Full,
         _ => Ending::Avoid,
     };
     Attempt::Refused {
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -310,6 +310,9 @@
         self.log_refusal(refusal, request_id, &report);
         headers::write_load(&report, response.headers_mut());
         self.write_known(response.headers_mut());
+        if refusal.reason == Reason::Leaving && !self.state.lock().gate.is_leaving() {
+            headers::write_serves_others(response.headers_mut());
+        }
         if claimed {
             headers::write_claimed(response.headers_mut());
         }
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -166,12 +166,21 @@
 
 async fn follow_stage(guard: Arc<Guard>) {
     let mut stage = guard.context.latest.stage.subscribe();
-    let closing = |stage: &Stage| !matches!(stage, Stage::Serving | Stage::Leaving);
-    let stopping = stage.wait_for(closing).await.is_ok();
-    if stopping {
-        guard.state.lock().gate.stop(Instant::now());
-        guard.publish();
+    loop {
+        match *stage.borrow_and_update() {
+            Stage::Serving => {}
+            Stage::Leaving { give_up_at } => {
+                guard.state.lock().admission.set_end(give_up_at);
+                guard.pump();
+            }
+            Stage::ClosingCallers { .. } | Stage::ClosingPeers { .. } | Stage::Ending => break,
+        }
+        if stage.changed().await.is_err() {
+            return;
+        }
     }
+    guard.state.lock().gate.stop(Instant::now());
+    guard.publish();
 }
 
 /// Reopens the gate after a pause of the process, once a refresh (an exchange with a peer or a read
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -125,6 +125,12 @@
         if let Some(reason) = state.gate.check_hand_over(now) {
             return Err(state.admission.refusal(now, reason));
         }
+        if !state
+            .admission
+            .can_end_in_time(now, head.deadline, head.repeatable, &head.route)
+        {
+            return Err(state.admission.refusal(now, Reason::Leaving));
+        }
         let sends_instance = self
             .context
             .settings
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -42,6 +42,9 @@
 /// Present on a refusal if the request may still hold its claim.
 const CLAIMED: HeaderName = HeaderName::from_static("mintridge-claimed");
 
+/// Present on a refusal that concerns this request alone: the host serves others.
+const SERVES_OTHERS: HeaderName = HeaderName::from_static("mintridge-serves-others");
+
 /// Fields that apply to a single connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -205,6 +208,17 @@
     headers.remove(CLAIMED).is_some()
 }
 
+/// Marks a refusal by a host that serves other requests.
+pub fn write_serves_others(headers: &mut HeaderMap) {
+    headers.insert(SERVES_OTHERS, HeaderValue::from_static("yes"));
+}
+
+/// Removes the mark set by [`write_serves_others`] and returns whether it was present.
+#[must_use]
+pub fn take_serves_others(headers: &mut HeaderMap) -> bool {
+    headers.remove(SERVES_OTHERS).is_some()
+}
+
 /// Removes hop-by-hop headers, including the fields that `Connection` names.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let connection_options: Vec<HeaderName> = headers
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -169,6 +169,7 @@
     /// 1. Callers are still served, but their connections are closed after the last pending
     ///    response so that they reconnect to another node. The upstream still gets new requests:
     ///    while its node forwards none, its capacity is missing and other upstreams carry its load.
+    ///    It gets only those that can end before the node does.
     /// 2. The node stops forwarding new requests to the upstream and informs its peers. The
     ///    listener for callers closes once their requests in progress are finished.
     /// 3. The listener for peers closes once their requests in progress are finished.
@@ -177,7 +178,7 @@
         let settings = &self.context.settings.node;
         let give_up_at = Instant::now() + settings.stop_within;
         log::info!("stopping");
-        self.set_stage(Stage::Leaving);
+        self.set_stage(Stage::Leaving { give_up_at });
         thread::sleep(settings.linger);
         self.set_stage(Stage::ClosingCallers { give_up_at });
         thread::sleep(PEER_UPDATE_DELAY);
