test(node): what upstreams, callers and logs get of keys and accounts

Cause: no test ran nodes with client accounts.

Change: the stand-in upstream returns the header fields that it received, and the calls of the bench may carry a key.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -27,6 +28,8 @@
     pub service: String,
     /// Client account on whose behalf the request is made.
     pub client_account: String,
+    /// Key of a client account, if any.
+    pub account_key: Option<String>,
     /// Method; POST requests are the non-idempotent ones.
     pub method: Method,
     /// Request path.
@@ -46,6 +49,7 @@
         Self {
             service: String::from("service"),
             client_account: String::from("client_account"),
+            account_key: None,
             method: Method::GET,
             path: String::from("/"),
             id: String::new(),
@@ -219,6 +223,9 @@
     if let Some(key) = &call.key {
         builder = builder.header("idempotency-key", key);
     }
+    if let Some(key) = &call.account_key {
+        builder = builder.header(AUTHORIZATION, format!("Bearer {key}"));
+    }
     builder.body(Full::new(call.body.clone())).ok()
 }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -6,11 +6,12 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_bench::load::{self, Plan as Load};
+use mintridge_core::outcome::Reason;
 use mintridge_core::preset::Preset;
 use mintridge_core::route::{Destination, Kind, Route, Table, Version};
 use mintridge_node::operators::Status;
@@ -122,6 +123,31 @@
     serialized.len()
 }
 
+/// Waits until this version of the routing table is in force on all nodes.
+pub async fn wait_for_version(scene: &Scene, version: u64) {
+    scene
+        .wait_until("the version is in force everywhere", |status| {
+            status.routes_version == version
+        })
+        .await;
+}
+
+/// Waits until each entry refuses the call as not run for this reason.
+pub async fn wait_for_reason(scene: &Scene, call: &Call, expected: Reason) {
+    let deadline = Instant::now() + Duration::from_mins(1);
+    for entry in 0..scene.hosts.len() {
+        loop {
+            let reply = scene.call(entry, call).await;
+            assert!(reply.is_not_run(), "{reply:?}");
+            if matches!(reply, Reply::Refused { reason, .. } if reason == expected) {
+                break;
+            }
+            assert!(Instant::now() < deadline, "entry {entry}: {reply:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
 /// Returns a repeatable call.
 pub fn get(id: &str) -> Call {
     Call {
--- a/crates/node/tests/routes.rs
+++ b/crates/node/tests/routes.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use common::{Plan, ROUTES, Scene, get, route, start_processes, table, write_table};
+use common::{
+    Plan, ROUTES, Scene, get, route, start_processes, table, wait_for_reason, wait_for_version,
+    write_table,
+};
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::Reason;
 use mintridge_core::route::{Route, Table};
@@ -27,14 +30,6 @@
     table(version, routes)
 }
 
-async fn wait_for_version(scene: &Scene, version: u64) {
-    scene
-        .wait_until("the version is in force everywhere", |status| {
-            status.routes_version == version
-        })
-        .await;
-}
-
 /// Starts six hosts in one zone: two of their nodes read the store, four get updates from peers.
 async fn start_one_zone() -> Scene {
     let plan = Plan {
@@ -138,19 +133,3 @@
     wait_for_reason(&scene, &call, Reason::NoRoute).await;
     assert_eq!(scene.runs("unknown"), 0);
 }
-
-/// Waits until each entry refuses the call as not run for this reason.
-async fn wait_for_reason(scene: &Scene, call: &Call, expected: Reason) {
-    let deadline = Instant::now() + Duration::from_mins(1);
-    for entry in 0..scene.hosts.len() {
-        loop {
-            let reply = scene.call(entry, call).await;
-            assert!(reply.is_not_run(), "{reply:?}");
-            if matches!(reply, Reply::Refused { reason, .. } if reason == expected) {
-                break;
-            }
-            assert!(Instant::now() < deadline, "entry {entry}: {reply:?}");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-}
--- a/crates/standin/src/scene.rs
+++ b/crates/standin/src/scene.rs
@@ -335,14 +335,19 @@
 
     /// Returns the value of a node's counter, or 0 if the node doesn't export it.
     pub async fn counter(&self, index: usize, name: &str) -> f64 {
-        let body = self.get(index, METRICS).await.unwrap_or_default();
-        let text = String::from_utf8_lossy(&body);
+        let text = self.operators_text(index, METRICS).await;
         let lines = text.lines().filter_map(|line| line.strip_prefix(name));
         lines
             .filter_map(|rest| rest.trim().parse::<f64>().ok())
             .sum()
     }
 
+    /// Returns what a node answers to operators at this path; empty if it can't be read.
+    pub async fn operators_text(&self, index: usize, path: &str) -> String {
+        let body = self.get(index, path).await.unwrap_or_default();
+        String::from_utf8_lossy(&body).into_owned()
+    }
+
     async fn get(&self, index: usize, path: &str) -> Option<Bytes> {
         let address = self.hosts[index].node.as_ref()?.addresses().operators;
         let uri = format!("http://{address}{path}").parse().ok()?;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -51,6 +51,8 @@
 pub const HEALTH: &str = "/health";
 /// Prefix of paths whose response body has the given number of bytes, as in `/bytes/1000`.
 pub const BYTES: &str = "/bytes/";
+/// End of paths whose response is a JSON list of the names and values of the header fields received.
+pub const FIELDS: &str = "/fields";
 /// Path that tests of crashes set as [`Behaviour::crashes_on`]; otherwise it is an ordinary path.
 pub const CRASHES: &str = "/crashes";
 /// Path that returns the refusal of a nested call, as an upstream does that forwards it unchanged.
@@ -267,6 +269,9 @@
     pub id: String,
     /// Client account that the upstream received.
     pub client_account: String,
+    /// `Authorization` field that the upstream received.
+    #[serde(default)]
+    pub authorization: String,
     /// Milliseconds until the deadline, as the upstream received them.
     pub left_millis: String,
     /// Length of the request body in bytes.
@@ -452,6 +457,9 @@
     if request.uri().path() == NESTED_REFUSAL {
         return nested_refusal();
     }
+    if request.uri().path().ends_with(FIELDS) {
+        return reply::json(StatusCode::OK, &fields(&request));
+    }
     let mut response = match (request.method(), length) {
         (&Method::GET, Some(length)) => {
             bytes_response(length, behaviour.manner == Mode::BreakAnswers)
@@ -488,6 +496,7 @@
     id: String,
 ) -> Response<Body> {
     let client_account = header(&request, CLIENT_ACCOUNT);
+    let authorization = header(&request, hyper::header::AUTHORIZATION.as_str());
     let left_millis = header(&request, TIMEOUT);
     let mut digest = blake3::Hasher::new();
     let mut body_bytes = 0;
@@ -505,6 +514,7 @@
         host: upstream.name.to_string(),
         id,
         client_account,
+        authorization,
         left_millis,
         body_bytes,
         body_digest: digest.finalize().to_hex().to_string(),
@@ -584,6 +594,17 @@
     }
 }
 
+/// Returns the names and values of all header fields, in the form of the `FIELDS` response.
+fn fields(request: &Request<Body>) -> Vec<(String, String)> {
+    let fields = request.headers().iter();
+    fields
+        .map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes());
+            (name.to_string(), value.into_owned())
+        })
+        .collect()
+}
+
 fn header(request: &Request<Body>, name: &str) -> String {
     request
         .headers()
