feat(guard): count keys that entry nodes pass on

Cause: an entry node with a routing table from before the accounts passes its caller's key on; the guard removes it, and nobody sees that it happened. Nor did a test see an entry that keeps the key, since the guard hides it.

Change: bad_input counts key-from-peer; the log line of a request names its client account.

With the removal at the entry taken out, or that at the guard, the tests of each fail.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -227,7 +227,7 @@
         Ok(parsed) => parsed,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
-    history.record_routing(&parsed.head.service, parsed.head.deadline);
+    history.record_routing(&parsed.head);
     let fingerprint = entry.fingerprint(&parsed.head, &parts, &body);
     history.set_fingerprint(fingerprint.head);
     let trial_host = match entry.screen(now, &parsed.head.service, fingerprint) {
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -156,8 +156,10 @@
         }
         let names = &self.context.settings.callers;
         // An entry node with an older routing table passes on what its caller sent.
-        if self.context.lists_accounts() {
-            headers::strip_credentials(&names.client_account_header, fields);
+        if self.context.lists_accounts()
+            && headers::strip_credentials(&names.client_account_header, fields)
+        {
+            self.context.metrics.bad_input("key-from-peer");
         }
         if &*head.client_account != ANONYMOUS {
             headers::set(fields, &names.client_account_header, &head.client_account);
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -230,13 +230,14 @@
     }
 }
 
-/// Removes the key of a client account, and the name of an account that the sender claims.
+/// Removes the key of a client account, and the name of an account that the sender claims. Returns
+/// whether there was a key.
 ///
 /// Failure: an entry node passes on what its caller sent. Symptom: the upstream, and whoever reads
 /// its logs, gets the key, and it takes the caller for any account that the caller names.
-pub fn strip_credentials(client_account_header: &str, headers: &mut HeaderMap) {
-    headers.remove(header::AUTHORIZATION);
+pub fn strip_credentials(client_account_header: &str, headers: &mut HeaderMap) -> bool {
     headers.remove(client_account_header);
+    headers.remove(header::AUTHORIZATION).is_some()
 }
 
 /// Removes every mintridge header.
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 
 use crate::configs::logs::Settings;
+use crate::headers::Head;
 
 /// Log of all requests that one role of the node handles.
 #[derive(Debug)]
@@ -91,6 +92,7 @@
     request_id: Arc<str>,
     arrived_at: Instant,
     service: Option<Arc<str>>,
+    client_account: Option<Arc<str>>,
     /// Digest of the request without its body; repeats of the request have the same one.
     fingerprint: u64,
     routes_version: u64,
@@ -108,6 +110,7 @@
             request_id: Arc::clone(request_id),
             arrived_at: now,
             service: None,
+            client_account: None,
             fingerprint: 0,
             routes_version: 0,
             time_limit: Duration::ZERO,
@@ -126,10 +129,11 @@
         self.routes_version = version;
     }
 
-    /// Records the request's service and deadline once they are known.
-    pub fn record_routing(&mut self, service: &Arc<str>, deadline: Instant) {
-        self.service = Some(Arc::clone(service));
-        self.time_limit = deadline.saturating_duration_since(self.arrived_at);
+    /// Records the request's service, client account and deadline once they are known.
+    pub fn record_routing(&mut self, head: &Head) {
+        self.service = Some(Arc::clone(&head.service));
+        self.client_account = Some(Arc::clone(&head.client_account));
+        self.time_limit = head.deadline.saturating_duration_since(self.arrived_at);
     }
 
     /// Sets the digest of the request without its body.
@@ -163,6 +167,7 @@
         log::info!(
             request = &*self.request_id,
             service = self.service.as_deref().unwrap_or(""),
+            client_account = self.client_account.as_deref().unwrap_or(""),
             fingerprint = format!("{:016x}", self.fingerprint),
             routes_version = self.routes_version,
             attempts = self.attempts.len(),
--- a/crates/node/tests/accounts.rs
+++ b/crates/node/tests/accounts.rs
@@ -10,14 +10,18 @@
     wait_for_version,
 };
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::WWW_AUTHENTICATE;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use mintridge_bench::caller::Call;
 use mintridge_core::account::authorization::Caller;
 use mintridge_core::outcome::Reason;
 use mintridge_core::route::{Route, Table};
+use mintridge_http::reply;
 use mintridge_node::adapter::Adapter;
 use mintridge_node::arrival::{self, ANONYMOUS, Routing};
+use mintridge_node::headers::{self, Head};
+use mintridge_node::link::Links;
 use mintridge_node::operators::{METRICS, STATE};
 use mintridge_node::settings::Settings;
 use mintridge_standin::store::Faults;
@@ -27,6 +31,8 @@
 /// Header in which the upstreams of these tests get the account. Unlike the default name it has no
 /// prefix by which nodes remove all of their own headers.
 const ACCOUNT_HEADER: &str = "x-tenant-name";
+/// Counter of keys that entry nodes passed on to the node beside the upstream.
+const KEYS_FROM_PEERS: &str = r#"mintridge_bad_input_total{kind="key-from-peer"}"#;
 /// Beginning of all keys, by which they are searched for.
 const SECRET: &str = "secret-";
 
@@ -72,6 +78,16 @@
     scene.store.overwrite(ROUTES, document.as_bytes());
 }
 
+/// Returns the sum of a counter over all nodes.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+async fn count(scene: &Scene, counter: &str) -> usize {
+    let mut sum = 0.0;
+    for index in 0..scene.hosts.len() {
+        sum += scene.counter(index, counter).await;
+    }
+    sum as usize
+}
+
 /// Returns the values of the account header that the upstream got with a request.
 async fn send(scene: &Scene, path: &str, headers: &[(&'static str, &str)]) -> Vec<String> {
     let call = Call {
@@ -79,7 +95,12 @@
         ..get("fields")
     };
     let reply = scene.caller.send(scene.entries()[0], &call, headers);
-    let response = reply.await.expect("a response");
+    account_fields(reply.await.expect("a response")).await
+}
+
+/// Returns the values of the account header among the fields that the upstream received, none of
+/// which may contain a key.
+async fn account_fields(response: Response<Incoming>) -> Vec<String> {
     assert_eq!(response.status(), StatusCode::OK);
     let body = response.into_body().collect().await.expect("a body");
     let fields: Vec<(String, String)> =
@@ -111,22 +132,47 @@
     assert_eq!(send(&scene, &open, &[small, forged]).await, ["small"]);
     assert!(send(&scene, &open, &[forged]).await.is_empty());
     assert!(send(&scene, &open, &[unknown, forged]).await.is_empty());
-    assert!(
-        (scene
-            .counter(0, "mintridge_keys_total{kind=\"resolved\"}")
-            .await
-            - 3.0)
-            .abs()
-            < 0.1
+    assert_eq!(
+        count(&scene, r#"mintridge_keys_total{kind="resolved"}"#).await,
+        3
     );
-    assert!(
-        (scene
-            .counter(0, "mintridge_keys_total{kind=\"unknown\"}")
-            .await
-            - 1.0)
-            .abs()
-            < 0.1
+    assert_eq!(
+        count(&scene, r#"mintridge_keys_total{kind="unknown"}"#).await,
+        1
     );
+    assert_eq!(count(&scene, KEYS_FROM_PEERS).await, 0);
+}
+
+/// Guards against an entry node with a table from before the accounts: it passes on the key that its
+/// caller sent, and the account that the caller names as one of its headers.
+#[tokio::test]
+async fn guard_removes_what_an_older_entry_passes_on() {
+    let scene = start(accounts()).await;
+    let now = Instant::now();
+    let head = Head {
+        service: Arc::from("service"),
+        client_account: Arc::from(ANONYMOUS),
+        deadline: now + Duration::from_secs(5),
+        request_id: Arc::from("fields"),
+        claim: None,
+        priority: 0,
+        route: Arc::from("/"),
+        target: now + Duration::from_secs(5),
+        repeatable: true,
+        only_in_time: false,
+        report_to: None,
+        known: None,
+    };
+    let request = Request::get(format!("http://127.0.0.1{FIELDS}"))
+        .header("authorization", "Bearer secret-1")
+        .header(ACCOUNT_HEADER, "forged");
+    let mut request = request.body(reply::empty()).expect("a request");
+    headers::write(now, &head, request.headers_mut());
+    let links = Links::new(<_>::default());
+    let response = links.send(scene.addresses(0).peers, request, head.deadline);
+    let response = response.await.expect("a response");
+    assert!(account_fields(response).await.is_empty());
+    assert_eq!(count(&scene, KEYS_FROM_PEERS).await, 1);
 }
 
 /// Guards against a table that is no longer served as before once nodes know accounts.
@@ -224,10 +270,8 @@
     wait_until_logged(&scene, "failed to parse the routing table").await;
     wait_until_logged(&scene, "part of the client accounts left out").await;
     wait_until_logged(&scene, "contents of the routing table").await;
-    let faults = scene
-        .counter(0, "mintridge_bad_input_total{kind=\"account\"}")
-        .await;
-    assert!((faults - 5.0).abs() < 0.1, "{faults}");
+    let faults = count(&scene, r#"mintridge_bad_input_total{kind="account"}"#).await;
+    assert_eq!(faults, 5 * scene.hosts.len());
     for index in 0..scene.hosts.len() {
         let logs = scene.process(index).logs();
         let leaks: Vec<_> = logs.iter().filter(|line| line.contains(SECRET)).collect();
