feat(entry): read the account header of callers only where the settings say so

Cause: on the platform the account header is now x-tenant-name. Where the table lists no tenants, callers would choose their share of the queue by it, and an empty one would be refused with 400.

--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -136,6 +136,7 @@
     let client_account: Arc<str> = match (resolution.accounts, account) {
         (Some(_), Some(account)) => Arc::clone(&account.name),
         (Some(_), None) => Arc::from(ANONYMOUS),
+        (None, _) if !settings.client_account_from_caller => Arc::from(ANONYMOUS),
         (None, _) => {
             let named = text(&parts.headers, &settings.client_account_header)?;
             Arc::from(named.unwrap_or(ANONYMOUS))
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -10,8 +10,12 @@
 pub struct Settings {
     /// Header that names the service; if it is absent, the host name of the request is the service.
     pub service_header: String,
-    /// Header that names the client account on whose behalf the request is sent.
+    /// Header that names the client account on whose behalf the request is sent. If the routing table
+    /// lists accounts, the caller's value is ignored, and the upstream gets the account of the key.
     pub client_account_header: String,
+    /// Whether callers name their client account in `client_account_header` where the routing table
+    /// lists no accounts. If not, the header passes unread.
+    pub client_account_from_caller: bool,
     /// Header with the timeout of the request in milliseconds.
     pub timeout_header: String,
     /// Header with the idempotency key of a non-idempotent request.
@@ -56,6 +60,7 @@
         Self {
             service_header: String::from("mintridge-service"),
             client_account_header: String::from("mintridge-client-account"),
+            client_account_from_caller: true,
             timeout_header: String::from("mintridge-timeout-ms"),
             key_header: String::from("idempotency-key"),
             request_header: None,
--- a/crates/node/tests/accounts.rs
+++ b/crates/node/tests/accounts.rs
@@ -20,12 +20,14 @@
 use mintridge_http::reply;
 use mintridge_node::adapter::Adapter;
 use mintridge_node::arrival::{self, ANONYMOUS, Routing};
+use mintridge_node::configs::callers;
 use mintridge_node::headers::{self, Head};
 use mintridge_node::link::Links;
 use mintridge_node::operators::{METRICS, STATE};
 use mintridge_node::settings::Settings;
 use mintridge_standin::store::Faults;
 use mintridge_standin::upstream::FIELDS;
+use rstest::rstest;
 use serde_json::{Value, json};
 
 /// Header in which the upstreams of these tests get the account. Unlike the default name it has no
@@ -295,32 +297,48 @@
     }
 }
 
-/// Guards against a request that claims an account or a rank by a header of its own.
-#[test]
-fn read_takes_account_and_rank_from_the_key() {
-    let document = document(1, accounts()).to_string();
-    let table: Table = (Adapter::default().routes)(document.as_bytes()).expect("a table");
-    let settings = Settings::default().callers;
+/// Returns the head of a request that names an account of its own; `key` resolves to its account.
+fn read(settings: &callers::Settings, table: &Table, key: &str) -> Head {
     let request = Request::get("/")
         .header("host", "127.0.0.1")
         .header(&settings.client_account_header, "forged");
     let (parts, ()) = request.body(()).expect("a request").into_parts();
-    let head = |account| {
-        let routing = Routing::Table {
-            table: &table,
-            count: 0,
-        };
-        let resolution = arrival::resolve(&settings, &parts, routing).expect("a route");
-        let caller = Caller {
-            account,
-            has_key: false,
-        };
-        let id = Arc::from("id");
-        let read = arrival::read(&settings, Instant::now(), id, &parts, resolution, &caller);
-        read.expect("a request").head
+    let routing = Routing::Table { table, count: 0 };
+    let resolution = arrival::resolve(settings, &parts, routing).expect("a route");
+    let caller = Caller {
+        account: table.accounts.resolve(key).cloned(),
+        has_key: true,
     };
-    let large = head(table.accounts.resolve("secret-1").cloned());
+    let id = Arc::from("id");
+    let read = arrival::read(settings, Instant::now(), id, &parts, resolution, &caller);
+    read.expect("a request").head
+}
+
+/// Guards against a request that claims an account or a rank by a header of its own.
+#[test]
+fn read_takes_account_and_rank_from_the_key() {
+    let document = document(1, accounts()).to_string();
+    let table = (Adapter::default().routes)(document.as_bytes()).expect("a table");
+    let settings = callers::Settings::default();
+    let large = read(&settings, &table, "secret-1");
     assert_eq!((&*large.client_account, large.priority), ("größte", 16));
-    let none = head(None);
+    let none = read(&settings, &table, "secret-4");
     assert_eq!((&*none.client_account, none.priority), (ANONYMOUS, 0));
 }
+
+/// Guards against a platform whose callers choose their share of the queue by a header that nodes
+/// did not read before.
+#[rstest]
+#[case::own_interface(true, "forged")]
+#[case::platform(false, ANONYMOUS)]
+fn read_trusts_callers_only_where_the_settings_say_so(
+    #[case] client_account_from_caller: bool,
+    #[case] expected: &str,
+) {
+    let settings = callers::Settings {
+        client_account_from_caller,
+        ..callers::Settings::default()
+    };
+    let head = read(&settings, &table(1, vec![route("/")]), "");
+    assert_eq!(&*head.client_account, expected);
+}
