--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -407,6 +407,40 @@
             .filter(|record| record.availability_zone == self.own.availability_zone)
     }
 
+    /// Returns the nodes to ask for what readers of the store know, best first: those of this node's
+    /// zone before others and present ones before others, each in the order in which they act as
+    /// readers.
+    #[must_use]
+    pub fn reader_candidates(&self) -> Vec<&Record> {
+        let own_zone = &self.own.availability_zone;
+        let mut records: Vec<&Record> = self.others().collect();
+        records.retain(|record| record.state != State::Left);
+        records.sort_by_cached_key(|record| {
+            let is_distant = record.availability_zone != *own_zone;
+            (
+                !record.is_present(),
+                is_distant,
+                record.state,
+                hash_rank(&record.host),
+            )
+        });
+        let present = records.iter().filter(|record| record.is_present()).count();
+        if present > 0 {
+            records.truncate(present);
+        }
+        records
+    }
+
+    /// Returns the number of designated readers of this node's zone besides this node.
+    #[must_use]
+    pub fn other_designated_readers(&self) -> usize {
+        let alive = self
+            .zone_peers()
+            .filter(|record| record.state == State::Alive);
+        let others = self.settings.holders_per_zone - usize::from(self.is_designated_reader());
+        alive.count().min(others)
+    }
+
     fn present_others(&self) -> Vec<Arc<str>> {
         self.others()
             .filter(|record| record.is_present())
