feat(node): refuse keys while the routing table is not confirmed

Cause: nothing binds a node that missed a revocation.

Change: control::currency asks other nodes and, if none answers, the store, by the decisions of core::account::currency; Context::may_use_keys tells the entry whether a request with a key is served. Without accounts.revoked_within nothing is asked, and may_use_keys is true.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,7 +27,8 @@
 //! Modules outside the request path: [`membership`] (which hosts are present), [`preset`] (the
 //! preset in force), [`evacuation`] (which zones get no new requests), [`bootstrap`] (when a
 //! starting or isolated node reads the store), [`failover`] (which nodes read the store when its
-//! designated readers cannot), [`stagger`] (delays between calls to an unavailable store),
+//! designated readers cannot), [`account::currency`] (until when keys of the routing table may be
+//! used), [`stagger`] (delays between calls to an unavailable store),
 //! [`instance`] (which incarnation of the upstream is running), [`notice`] (what the upstream
 //! states about itself in its responses), [`recipients`] (which nodes receive
 //! load reports between responses), [`probe`] (the budget for probes) and [`quota`] (the rate limit
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -322,3 +322,31 @@
     let smallest = tables.iter().map(|table| table.present().count()).min();
     assert_eq!(smallest, Some(40));
 }
+
+/// Guards against a node that asks distant or failed nodes while readers of its zone are there.
+#[test]
+fn reader_candidates_begin_with_the_readers_of_the_own_zone() {
+    let now = Instant::now();
+    let mut tables = fleet(20);
+    let readers: Vec<Arc<str>> = tables
+        .iter()
+        .filter(|table| table.is_designated_reader())
+        .map(|table| Arc::clone(&table.own().host))
+        .collect();
+    for table in &mut tables {
+        let distant = Arc::from("zone-b");
+        table.merge(
+            now,
+            Record {
+                availability_zone: distant,
+                ..record("distant", 1)
+            },
+        );
+        let candidates = table.reader_candidates();
+        let (first, others) = candidates.split_at(table.other_designated_readers());
+        assert!(first.iter().all(|record| readers.contains(&record.host)));
+        assert!(others.iter().all(|record| !readers.contains(&record.host)));
+        assert_eq!(candidates.len(), 20);
+        assert_eq!(&*candidates[19].host, "distant");
+    }
+}
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -192,6 +192,13 @@
     }
 }
 
+/// Returns whether the request's route needs no key.
+#[must_use]
+pub fn is_anonymous(table: &Table, parts: &Parts) -> bool {
+    let route = host(parts).and_then(|host| table.find(host, parts.uri.path()));
+    route.is_some_and(|route| route.anonymous)
+}
+
 /// Returns the `Host` header without the port.
 fn host(parts: &Parts) -> Option<&str> {
     let host = parts.headers.get(header::HOST)?.to_str().ok()?;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use mintridge_core::account::currency::{self, Moment};
 use mintridge_core::load::Report;
 use mintridge_core::membership::{Record, Upstream};
 use mintridge_core::outcome::Reason;
@@ -20,6 +21,7 @@
 use crate::adapter::Adapter;
 use crate::announcement::Message;
 use crate::claims::Job;
+use crate::clock;
 use crate::entry::UpstreamView;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -111,6 +113,9 @@
     /// When the store was last known to hold nothing newer than the documents in force, from
     /// control; the start of the process until then.
     pub verified: watch::Sender<Instant>,
+    /// When the routing table in force was last known to be the newest, from control; `None` until
+    /// then, and always if the settings set no bound for revocations.
+    pub confirmed: watch::Sender<Option<Moment>>,
     /// Suspect requests to check new requests against, from control.
     pub screen: watch::Sender<Arc<Screen>>,
     /// State of the upstream to publish to other nodes, from the guard.
@@ -185,6 +190,21 @@
         now < verified_at + self.settings.routes.doubted_after
     }
 
+    /// Returns whether a request that arrived at `now` may use the keys of a routing table that is
+    /// loaded after this call.
+    ///
+    /// Failure: a thread stops for seconds between its look at the table and this check, while
+    /// control confirms a newer one. Symptom: a key of the old table is used. The table must
+    /// therefore be loaded after this call.
+    #[must_use]
+    pub fn may_use_keys(&self, now: Instant) -> bool {
+        let Some(bound) = self.settings.accounts.revoked_within else {
+            return true;
+        };
+        let confirmed = *self.latest.confirmed.borrow();
+        currency::is_recent(bound, confirmed, clock::end_at(now))
+    }
+
     /// Returns the snapshot of suspect requests.
     #[must_use]
     pub fn screen(&self) -> Arc<Screen> {
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -2,6 +2,7 @@
 //! peers and, on the few nodes that read it, through the store.
 
 mod codec;
+mod currency;
 mod epochs;
 mod evacuations;
 mod exchange;
@@ -86,6 +87,8 @@
     store_recovered: Cell<bool>,
     /// Whether the store answers this node.
     store_health: failover::StoreHealth,
+    /// When the routing table was last known to be the newest.
+    currency: RefCell<currency::Duty>,
     /// The documents of operators in the store.
     sources: Vec<Rc<watch::Source>>,
 }
@@ -218,6 +221,7 @@
             quarantine_loaded: Cell::new(false),
             store_recovered: Cell::new(false),
             store_health: failover::StoreHealth::default(),
+            currency: RefCell::new(currency::Duty::new(settings.accounts.revoked_within)),
             sources: watch::sources(&context.settings.routes),
             context,
         }
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -23,9 +23,9 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use super::{Control, exchange, watch};
-use crate::datagram;
+use super::{Control, currency, exchange, watch};
 use crate::request_log::millis;
+use crate::{clock, datagram};
 
 /// Kind of the report datagrams in the metrics.
 const KIND: &str = "reader-report";
@@ -107,6 +107,15 @@
     routes: Version,
 }
 
+/// Any datagram to the address of control. The kinds are told apart by their fields.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Message {
+    Answer(currency::AnswerDatagram),
+    Query(currency::QueryDatagram),
+    Report(Report),
+}
+
 /// Sends and receives reports until the thread ends. They are UDP datagrams between the addresses
 /// that the nodes use for exchanges over TCP.
 pub async fn run(control: Rc<Control>) {
@@ -122,12 +131,18 @@
         }
     };
     tokio::task::spawn_local(receive(Rc::clone(&control), Rc::clone(&socket)));
+    tokio::task::spawn_local(currency::run(Rc::clone(&control), Rc::clone(&socket)));
     run_checks(&control, &socket).await;
 }
 
 async fn receive(control: Rc<Control>, socket: Rc<UdpSocket>) {
     let metrics = &control.context.metrics;
-    datagram::receive(&socket, metrics, KIND, |report| apply(&control, &report)).await;
+    datagram::receive(&socket, metrics, KIND, |message| match message {
+        Message::Answer(answer) => currency::apply_answer(&control, &answer),
+        Message::Query(query) => currency::answer(&control, &socket, &query),
+        Message::Report(report) => apply(&control, &report),
+    })
+    .await;
 }
 
 /// Records a report of a node in this zone, and fetches newer documents that the report mentions.
@@ -168,7 +183,7 @@
 }
 
 /// Starts an exchange with the node at this address, which has a newer document in force.
-fn catch_up(control: &Rc<Control>, address: SocketAddr) {
+pub fn catch_up(control: &Rc<Control>, address: SocketAddr) {
     if control.store_health.catching_up.replace(true) {
         return;
     }
@@ -272,7 +287,8 @@
 /// Checks the store, and has a report sent to the zone if this node has all changes there.
 async fn check(control: &Rc<Control>) {
     let health = &control.store_health;
-    let requested_at = Instant::now();
+    let queried = clock::start();
+    let requested_at = queried.at;
     let result = if health.is_untested() {
         read_stale(control).await.map(|()| false)
     } else {
@@ -289,6 +305,7 @@
                     .failover
                     .record_check(requested_at);
                 control.publish_verified();
+                currency::record_query(control, queried);
                 health.report_due.notify_one();
             }
         }
--- a/crates/node/src/control/watch.rs
+++ b/crates/node/src/control/watch.rs
@@ -17,7 +17,8 @@
 use mintridge_store::{keys, presets};
 use tokio::sync::Notify;
 
-use super::{Control, Delivery, evacuations, persistence};
+use super::{Control, Delivery, currency, evacuations, persistence};
+use crate::clock;
 use crate::configs::routes::Settings;
 
 /// Interval at which a node checks whether it has to follow the store.
@@ -193,7 +194,8 @@
     let epochs = control.store.epochs();
     loop {
         let epoch = epochs.newest();
-        let requested_at = Instant::now();
+        let queried = clock::start();
+        let requested_at = queried.at;
         let (item, revision) = read(control, source).await?;
         if epochs.has_changed_since(epoch) {
             continue;
@@ -203,6 +205,9 @@
         control.store_health.record_answer(requested_at);
         apply_read(control, source.kind, item).await;
         source.known.set(Some(known));
+        if source.kind == Kind::Routes && !epochs.has_changed_since(epoch) {
+            currency::record_query(control, queried);
+        }
         control.store_health.record_read();
         return Ok(());
     }
@@ -271,26 +276,59 @@
         if store_revision.is_some_and(|revision| revision <= known) {
             continue;
         }
-        control.context.metrics.store_call("poll");
-        let changes = match control.store.poll(&source.prefix, known).await {
-            Err(Error::Compacted) => {
-                source.known.set(None);
-                source.watch_lags.notify_waiters();
-                return Ok(false);
-            }
-            result => result?,
-        };
-        if epochs.has_changed_since(epoch) {
+        let Some(revision) = poll_source(control, source, epoch, known).await? else {
             return Ok(false);
-        }
-        store_revision = Some(changes.revision);
-        if !changes.changes.is_empty() {
-            apply_changes(control, source, Delivery::Poll, changes.changes);
+        };
+        store_revision = Some(revision);
+    }
+    Ok(true)
+}
+
+/// Polls the store for changes of the routing table, or reads it if the node does not know up to which
+/// revision it has all changes. Records a proof if this node then has all changes of the table that
+/// were acknowledged before the call.
+pub async fn poll_routes(control: &Rc<Control>) -> Result<(), Error> {
+    let mut sources = control.sources.iter();
+    let Some(source) = sources.find(|source| source.kind == Kind::Routes) else {
+        return Ok(());
+    };
+    let epochs = control.store.epochs();
+    let (queried, epoch) = (clock::start(), epochs.newest());
+    if let Some(known) = source.known_revision(epochs)
+        && poll_source(control, source, epoch, known).await?.is_some()
+    {
+        currency::record_query(control, queried);
+        return Ok(());
+    }
+    read_document(control, source).await
+}
+
+/// Polls the store for changes of one document after a revision, and applies them. Returns the
+/// revision up to which this node then has all changes; `None` if the document has to be read.
+async fn poll_source(
+    control: &Rc<Control>,
+    source: &Source,
+    epoch: Option<Epoch>,
+    known: i64,
+) -> Result<Option<i64>, Error> {
+    control.context.metrics.store_call("poll");
+    let changes = match control.store.poll(&source.prefix, known).await {
+        Err(Error::Compacted) => {
+            source.known.set(None);
             source.watch_lags.notify_waiters();
+            return Ok(None);
         }
-        source.record_known(epoch, changes.revision);
+        result => result?,
+    };
+    if control.store.epochs().has_changed_since(epoch) {
+        return Ok(None);
     }
-    Ok(true)
+    if !changes.changes.is_empty() {
+        apply_changes(control, source, Delivery::Poll, changes.changes);
+        source.watch_lags.notify_waiters();
+    }
+    source.record_known(epoch, changes.revision);
+    Ok(Some(changes.revision))
 }
 
 /// Applies changes that a watch or a poll of the store returned.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Body as _;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use mintridge_core::fingerprint::{self, Fingerprint};
@@ -39,7 +39,7 @@
 use crate::link::Links;
 use crate::replay::Source;
 use crate::request_log::{History, RequestLog, millis};
-use crate::{reports, traces};
+use crate::{clock, reports, traces};
 
 /// Retry delay sent to a caller when no host offers its service.
 const NO_UPSTREAM_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -191,6 +191,7 @@
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, 0),
     };
     history.set_request_id(&request_id);
+    let has_lapsed_key = entry.has_lapsed_key(now, &parts);
     let routes = entry.context.latest.routes.borrow().clone();
     let version = routes
         .as_ref()
@@ -214,6 +215,12 @@
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
     history.record_routing(&parsed.head.service, parsed.head.deadline);
+    if has_lapsed_key
+        && let Some(document) = &routes
+        && !arrival::is_anonymous(&document.table, &parts)
+    {
+        return entry.refuse_lapsed_key(now, &request_id);
+    }
     let fingerprint = entry.fingerprint(&parsed.head, &parts, &body);
     history.set_fingerprint(fingerprint.head);
     let trial_host = match entry.screen(now, &parsed.head.service, fingerprint) {
@@ -282,6 +289,29 @@
         self.refuse(&Refusal::not_run(reason, retry_at), request_id)
     }
 
+    /// Returns whether the request has a key that may have been revoked. The routing table must be
+    /// loaded after this call, see [`Context::may_use_keys`].
+    fn has_lapsed_key(&self, now: Instant, parts: &Parts) -> bool {
+        parts.headers.contains_key(AUTHORIZATION) && !self.context.may_use_keys(now)
+    }
+
+    /// Refuses a request whose key may have been revoked by a newer routing table.
+    fn refuse_lapsed_key(&self, now: Instant, request_id: &str) -> Response<Body> {
+        self.context.metrics.unconfirmed_key();
+        if self.log.try_acquire(1) {
+            let confirmed = *self.context.latest.confirmed.borrow();
+            let age = confirmed.map(|confirmed| millis(confirmed.age(clock::end_at(now))));
+            log::info!(
+                request = request_id,
+                routes_version = self.context.routes_version(),
+                confirmed_ms:? = age;
+                "key not accepted: the routing table is not confirmed as the newest"
+            );
+        }
+        let refusal = Refusal::not_run(Reason::Unverified, now + UNVERIFIED_RETRY_DELAY);
+        self.refuse(&refusal, request_id)
+    }
+
     /// Returns the fingerprint that repeats of a caller's request share. It does not wait for
     /// the body: one that has not arrived yet leaves the fingerprint without a body digest.
     fn fingerprint(&self, head: &Head, parts: &Parts, body: &Body) -> Fingerprint {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod arrival;
 pub mod body;
 pub mod claims;
+pub mod clock;
 pub mod configs;
 pub mod context;
 pub mod control;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -90,6 +90,8 @@
     routes_version: Gauge,
     reads_store: Gauge,
     verified_age: Gauge,
+    confirmed_age: Gauge,
+    unconfirmed_keys: Counter,
     evacuated_zones: Gauge,
 }
 
@@ -129,6 +131,8 @@
             routes_version: Gauge::default(),
             reads_store: Gauge::default(),
             verified_age: Gauge::default(),
+            confirmed_age: Gauge::default(),
+            unconfirmed_keys: Counter::default(),
             evacuated_zones: Gauge::default(),
         };
         metrics.register();
@@ -212,6 +216,14 @@
         registry.register("reads_store", help, self.reads_store.clone());
         let help = "Time since the store was known to hold no newer documents than this node";
         registry.register("verified_age_milliseconds", help, self.verified_age.clone());
+        let help = "Age of the proof that the routing table is the newest; -1 if there is none";
+        registry.register(
+            "confirmed_age_milliseconds",
+            help,
+            self.confirmed_age.clone(),
+        );
+        let help = "Requests with a key refused because the routing table is not confirmed";
+        registry.register("unconfirmed_keys", help, self.unconfirmed_keys.clone());
     }
 
     /// Counts a request whose response head was sent to the caller, and records its latency unless
@@ -379,6 +391,17 @@
             .set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
     }
 
+    /// Sets the age of the latest proof that the routing table is the newest.
+    pub fn confirmed_age(&self, age: Option<Duration>) {
+        let millis = age.map(|age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        self.confirmed_age.set(millis.unwrap_or(-1));
+    }
+
+    /// Counts a request with a key that was refused because the routing table is not confirmed.
+    pub fn unconfirmed_key(&self) {
+        self.unconfirmed_keys.inc();
+    }
+
     /// Sets the number of evacuated availability zones.
     pub fn evacuated_zones(&self, zones: usize) {
         self.evacuated_zones
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -125,6 +125,7 @@
         view: watch::Sender::new(Arc::new(View::default())),
         routes: watch::Sender::new(None),
         verified: watch::Sender::new(Instant::now()),
+        confirmed: watch::Sender::new(None),
         screen: watch::Sender::new(Arc::default()),
         upstream: watch::Sender::new(None),
         guarded: watch::Sender::new(GuardState::default()),
