--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -207,7 +207,7 @@
         Reason::Unconfigured => "the node had no routing table yet",
         Reason::NoRoute => "the routing table in force had no route for it",
         Reason::Unverified => {
-            "the routing table in force had no route for it, and the store had not confirmed the table recently"
+            "the routing table had not been confirmed as the newest recently, and it had no route for the request, or the request carried a key"
         }
         Reason::Quarantined => {
             "the request was quarantined: upstreams had crashed while they ran it"
