--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -5,6 +5,8 @@
 //! it takes that account's share of the queue, and the upstream acts on a name that nobody checked.
 //! A request therefore carries a key, and the node derives the account from it.
 
+pub mod currency;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -1,6 +1,7 @@
 //! The entry: receives callers' requests, chooses a host for each, and retries where that is safe.
 
 mod attempt;
+mod authorization;
 mod candidates;
 mod deferred;
 mod forward;
@@ -13,11 +14,9 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Body as _;
-use hyper::header::{AUTHORIZATION, HOST, HeaderMap, HeaderValue};
+use hyper::header::HOST;
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
-use mintridge_core::account::Directory;
-use mintridge_core::account::authorization::{Caller, Finding, Presented};
 use mintridge_core::fingerprint::{self, Fingerprint};
 use mintridge_core::load::Report;
 use mintridge_core::outcome::{Reason, Refusal};
@@ -35,7 +34,7 @@
 use self::attempt::Outgoing;
 use self::candidates::candidates;
 use self::forward::forward;
-use crate::arrival::{self, Resolution, Routing};
+use crate::arrival::{self, Routing};
 use crate::context::{Context, View};
 use crate::headers::Head;
 use crate::link::Links;
@@ -193,6 +192,8 @@
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, 0),
     };
     history.set_request_id(&request_id);
+    // The routing table must be loaded after this call.
+    let may_use_keys = entry.context.may_use_keys(now);
     let routes = entry.context.latest.routes.borrow().clone();
     let version = routes
         .as_ref()
@@ -215,7 +216,8 @@
         Ok(resolution) => resolution,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
-    let caller = match entry.admit(now, &request_id, &resolution, &parts.headers) {
+    let caller = match entry.authorize(now, &request_id, &resolution, &parts.headers, may_use_keys)
+    {
         Ok(caller) => caller,
         Err(refusal) => return entry.refuse(&refusal, &request_id),
     };
@@ -243,12 +245,6 @@
     forward(&entry, outgoing, history).await
 }
 
-/// Returns on whose behalf a request is sent, by the key that it carries.
-fn identify(directory: &Directory, headers: &HeaderMap) -> (Caller, Finding) {
-    let fields = headers.get_all(AUTHORIZATION).iter();
-    Presented::read(fields.map(HeaderValue::as_bytes)).find(directory)
-}
-
 impl Entry {
     fn new(context: Arc<Context>) -> Self {
         let settings = &context.settings;
@@ -265,56 +261,6 @@
         }
     }
 
-    /// Decides whether the caller may send this request, and on behalf of which account. All checks
-    /// that concern the key or the account of a request are made here, after its route is known and
-    /// before it is placed.
-    fn admit(
-        &self,
-        now: Instant,
-        request_id: &str,
-        resolution: &Resolution<'_>,
-        headers: &HeaderMap,
-    ) -> Result<Caller, Refusal> {
-        let Some(directory) = resolution.accounts else {
-            return Ok(Caller::default());
-        };
-        let (caller, finding) = identify(directory, headers);
-        if resolution.anonymous {
-            if caller.has_key || finding == Finding::Malformed {
-                self.context.metrics.key(finding.as_str());
-            }
-            return Ok(caller);
-        }
-        self.check_key(now, request_id, finding)?;
-        Ok(caller)
-    }
-
-    /// Refuses a request whose key no account has, and one without a key.
-    fn check_key(&self, now: Instant, request_id: &str, finding: Finding) -> Result<(), Refusal> {
-        let refused = finding.refusal(self.context.is_table_verified(now));
-        let outcome = match refused {
-            Some(Reason::Unverified) => Reason::Unverified.as_str(),
-            _ => finding.as_str(),
-        };
-        self.context.metrics.key(outcome);
-        let Some(reason) = refused else { return Ok(()) };
-        if self.log.try_acquire(1) {
-            let verified_at = *self.context.latest.verified.borrow();
-            log::info!(
-                request = request_id,
-                key = finding.as_str(),
-                routes_version = self.context.routes_version(),
-                verified_ms = millis(now.saturating_duration_since(verified_at));
-                "request without a valid key not taken"
-            );
-        }
-        let delay = match reason {
-            Reason::Unverified => UNVERIFIED_RETRY_DELAY,
-            _ => Duration::ZERO,
-        };
-        Err(Refusal::not_run(reason, now + delay))
-    }
-
     /// Refuses a request that is malformed, or that names no known route or no service.
     ///
     /// Failure: this node misses a change of the routing table. Symptom: requests on a route that
