--- a/crates/node/tests/revocation.rs
+++ b/crates/node/tests/revocation.rs
@@ -10,9 +10,11 @@
 use mintridge_bench::caller::Reply;
 use mintridge_core::outcome::Reason;
 use mintridge_http::problem;
+use mintridge_node::operators::Status;
 use mintridge_standin::relay::{Condition, Relay};
 use mintridge_standin::scene::{RunningNode, loopback};
 use mintridge_standin::store::Faults;
+use mintridge_standin::store::drill::Drill;
 use rstest::rstest;
 use rustix::process::Signal;
 
@@ -149,6 +151,29 @@
     }
 }
 
+/// Guards against keys that are refused, or an older table that comes back, after the store was
+/// restored from a copy without the newest table.
+#[tokio::test]
+async fn keys_are_accepted_when_the_store_is_restored() {
+    let (scene, _relays) = start_with_relays(3).await;
+    scene.store.take_backup();
+    write(&scene, 2);
+    let is_newest = |status: &Status| status.routes_version == 2;
+    scene
+        .wait_until("the newest table is in force", is_newest)
+        .await;
+    scene.store.drill(Drill::default()).await;
+    let until = Instant::now() + BOUND + LAPSED;
+    while Instant::now() < until {
+        for index in 0..3 {
+            assert_eq!(send_key(&scene, index, "/").await, None, "node {index}");
+            let status = scene.status(index).await.expect("it answers");
+            assert_eq!(status.routes_version, 2, "node {index}");
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against a bound that applies where the settings name none, and against a proof that
 /// counts for longer than nine tenths of it.
 #[rstest]
