test(soak): callers send keys of client accounts

Cause: no run with faults had client accounts.

Change: in seeds that end in 6 the routing table lists four accounts; callers name another account, send keys that no account has, and use a route that needs none. Upstreams record the account and whether a key arrived; each request has to arrive with the account of its key and without the key. Events of all seeds stay as they were.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -11,7 +11,8 @@
 /// silent or loses replies; upstreams that restart under the same ID or crash during a request. No
 /// unrepeatable request may run twice, "not run" must be true, responses must be complete and
 /// belong to their request, no state may revert, a leaving upstream must get no requests, planned
-/// work must not interrupt requests, and at the end all requests must be served again.
+/// work must not interrupt requests, requests must arrive with the account of their key and without
+/// the key, and at the end all requests must be served again.
 #[rstest]
 #[case::mixed(1, true)]
 #[case::planned(3, true)]
@@ -23,6 +24,10 @@
 #[case::cold(8, true)]
 // Upstreams name limits and state leaving in their responses, during kills, pauses and cuts.
 #[case::notices(5, true)]
+// Requests need keys of client accounts, during planned work.
+#[case::accounts_planned(6, true)]
+// Requests need keys of client accounts, during kills, pauses and cuts.
+#[case::accounts_mixed(16, true)]
 #[tokio::test(flavor = "multi_thread")]
 async fn run_keeps_every_promise(#[case] seed: u64, #[case] bodies: bool) {
     let settings = Settings {
--- a/crates/standin/src/soak.rs
+++ b/crates/standin/src/soak.rs
@@ -2,9 +2,10 @@
 //! outside, and the guarantees to callers and operators are checked during and after the run.
 //!
 //! [`plan`] draws the events from a seed, [`fleet`] executes them, [`callers`] generates load
-//! meanwhile, and [`promises`] checks the guarantees. At the end of a run every fault has been
+//! meanwhile, with keys of [`accounts`] in some runs, and [`promises`] checks the guarantees. At the end of a run every fault has been
 //! cleared, and the fleet must serve all requests again.
 
+pub mod accounts;
 pub mod callers;
 pub mod fleet;
 pub mod plan;
@@ -16,7 +17,7 @@
 
 use self::callers::{Record, Targets};
 use self::fleet::Fleet;
-use self::plan::{Entry, Mode};
+use self::plan::{Entry, Mode, Plan};
 use self::promises::Violation;
 use crate::scene::Error;
 use crate::upstream::CRASHES;
@@ -82,7 +83,7 @@
     let mut violations = Vec::new();
     let started_at = Instant::now();
     let load_task = tokio::spawn(callers::run(
-        load(settings, format!("seed-{}", settings.seed)),
+        load(settings, &plan, format!("seed-{}", settings.seed)),
         Targets::clone(&fleet.targets),
         started_at + settings.load,
     ));
@@ -102,7 +103,7 @@
         Some(repeat_task) => repeat_task.await.unwrap_or_default(),
         None => Vec::new(),
     };
-    recover(&mut fleet, settings, &mut violations).await?;
+    recover(&mut fleet, settings, &plan, &mut violations).await?;
     violations.append(&mut fleet.revisions.violations);
     let runs = runs(&fleet);
     violations.extend(promises::check_answers(&records, &runs));
@@ -117,6 +118,10 @@
     if plan.has_notices {
         violations.extend(promises::check_notices(&fleet.notice_counts()));
     }
+    if plan.accounts > 0 {
+        let arrivals = fleet.arrivals();
+        violations.extend(promises::check_accounts(&records, &arrivals));
+    }
     if plan.mode == Mode::Planned {
         violations.extend(promises::check_planned_work(&records, &runs));
     }
@@ -139,12 +144,13 @@
         .collect()
 }
 
-fn load(settings: &Settings, id_prefix: String) -> callers::Load {
+fn load(settings: &Settings, plan: &Plan, id_prefix: String) -> callers::Load {
     callers::Load {
         seed: settings.seed,
         id_prefix,
         rate: settings.rate,
         bodies: settings.bodies,
+        accounts: plan.accounts,
     }
 }
 
@@ -180,6 +186,7 @@
 async fn recover(
     fleet: &mut Fleet,
     settings: &Settings,
+    plan: &Plan,
     violations: &mut Vec<Violation>,
 ) -> Result<(), Error> {
     let deadline = Instant::now() + RECOVERY_TIMEOUT;
@@ -188,8 +195,8 @@
         let id_prefix = format!("after-{}-{:?}", settings.seed, Instant::now());
         let targets = Targets::clone(&fleet.targets);
         let until = Instant::now() + RECOVERY_LOAD_DURATION;
-        let records = callers::run(load(settings, id_prefix), targets, until).await;
-        let is_failed = |record: &&Record| !record.result.is_success();
+        let records = callers::run(load(settings, plan, id_prefix), targets, until).await;
+        let is_failed = |record: &&Record| !accounts::is_due(&record.call, &record.result);
         let failed = records.iter().filter(is_failed).count();
         if failed == 0 && !records.is_empty() {
             return Ok(());
--- a/crates/standin/src/soak/callers.rs
+++ b/crates/standin/src/soak/callers.rs
@@ -12,6 +12,7 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::task::JoinSet;
 
+use super::accounts;
 use crate::upstream::CRASHES;
 
 /// Share of non-idempotent requests.
@@ -58,6 +59,8 @@
     pub rate: f64,
     /// Whether some requests carry large bodies.
     pub bodies: bool,
+    /// Number of client accounts with whose keys requests are sent; without keys if 0.
+    pub accounts: u32,
 }
 
 /// Sends requests until `until` and returns all of them with their results.
@@ -70,7 +73,10 @@
     let mut due = Instant::now();
     while due < until {
         tokio::time::sleep_until(due.into()).await;
-        let call = draw(&mut rng, &load, number);
+        let mut call = draw(&mut rng, &load, number);
+        if load.accounts > 0 {
+            call = accounts::assign(&mut rng, load.accounts, call);
+        }
         let reachable: Vec<SocketAddr> = targets.lock().iter().flatten().copied().collect();
         if !reachable.is_empty() {
             let target = reachable[rng.random_range(0..reachable.len())];
--- a/crates/standin/src/soak/fleet.rs
+++ b/crates/standin/src/soak/fleet.rs
@@ -7,13 +7,15 @@
 
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
+use mintridge_node::operators::Status;
 use mintridge_node::settings::Settings;
 use rustix::process::Signal;
 use tokio::task::JoinHandle;
 
+use super::accounts;
 use super::callers::Targets;
 use super::plan::{self, Entry, Event};
-use super::promises::{COLD_RATE, Leaving, Revisions, Violation};
+use super::promises::{Arrivals, COLD_RATE, Leaving, Revisions, Violation};
 use crate::relay::{Condition, Relay};
 use crate::scene::{Error, Plan, RunningNode, Scene, loopback};
 use crate::store::Faults;
@@ -61,6 +63,8 @@
                 set_cold_headers
             } else if plan.has_notices {
                 set_notice_headers
+            } else if plan.accounts > 0 {
+                set_routes
             } else {
                 set_linger
             },
@@ -79,10 +83,17 @@
             faults: Faults::default(),
             third_crash_at: None,
         };
+        if plan.accounts > 0 {
+            let document = accounts::document(SERVICE, plan.accounts);
+            fleet.scene.store.overwrite(accounts::ROUTES, &document);
+        }
         for index in 0..hosts {
             fleet.add(index).await?;
         }
         fleet.scene.wait_until_joined().await;
+        if plan.accounts > 0 {
+            fleet.begin_accounts().await;
+        }
         if plan.has_notices {
             // Without a start time a restart under the same id looks like a late message.
             (0..hosts).for_each(|index| fleet.scene.announce_restart(index));
@@ -141,6 +152,31 @@
         self.targets.lock()[index] = Some(addresses.callers);
     }
 
+    /// Waits until all nodes have the routing table, and lets the upstreams record accounts.
+    async fn begin_accounts(&self) {
+        let description = "the routing table is in force everywhere";
+        let has_table = |status: &Status| status.routes_version > 0;
+        self.scene.wait_until(description, has_table).await;
+        for index in 0..self.scene.hosts.len() {
+            self.scene
+                .update_behaviour(index, |behaviour| behaviour.records_accounts = true);
+        }
+    }
+
+    /// What the upstreams recorded of the accounts and keys of requests.
+    #[must_use]
+    pub fn arrivals(&self) -> Arrivals {
+        let mut arrivals = Arrivals::default();
+        for host in &self.scene.hosts {
+            let counts = host.upstream.counts();
+            arrivals.keys += counts.keys;
+            for (id, accounts) in counts.accounts {
+                arrivals.accounts.entry(id).or_default().extend(accounts);
+            }
+        }
+        arrivals
+    }
+
     /// Whether the host's node runs and is not stopping.
     fn is_up(&self, index: usize) -> bool {
         self.scene.hosts[index].node.is_some() && !self.stopping.contains(&index)
@@ -356,6 +392,12 @@
     settings.node.linger = Duration::from_millis(800);
 }
 
+/// Configures nodes to follow the routing table that lists client accounts.
+fn set_routes(settings: &mut Settings) {
+    set_linger(settings);
+    settings.routes.key = Some(String::from(accounts::ROUTES));
+}
+
 /// Configures nodes to check whether their upstreams are cold, and to limit the rate of cold ones.
 fn set_cold_headers(settings: &mut Settings) {
     set_linger(settings);
--- a/crates/standin/src/soak/plan.rs
+++ b/crates/standin/src/soak/plan.rs
@@ -19,6 +19,9 @@
 /// leaving after two.
 const MIN_NOTICE_DURATION: Duration = Duration::from_secs(4);
 
+/// Number of client accounts in runs with accounts.
+const ACCOUNTS: u32 = 4;
+
 /// Kinds of events that a run injects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -100,13 +103,16 @@
     pub has_cold_upstreams: bool,
     /// Whether upstreams name limits and state that they are leaving in their responses.
     pub has_notices: bool,
+    /// Number of client accounts in the routing table; requests need keys if there are any.
+    pub accounts: u32,
     /// Events in order of their beginning.
     pub entries: Vec<Entry>,
 }
 
 /// Draws the plan of a seed for a number of hosts and a duration of load. Every third seed has
 /// planned operations only; in some of the others a request crashes upstreams, the store is
-/// restored from older backups, upstreams turn cold, or they name limits and state leaving.
+/// restored from older backups, upstreams turn cold, or they name limits and state leaving. In some of
+/// both kinds requests need keys of client accounts.
 #[must_use]
 pub fn draw(seed: u64, hosts: usize, load: Duration) -> Plan {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -147,6 +153,7 @@
     Plan {
         mode,
         has_notices,
+        accounts: if seed % 10 == 6 { ACCOUNTS } else { 0 },
         repeats_crash_request: mode == Mode::Mixed && seed % 5 == 2,
         has_cold_upstreams,
         entries,
--- a/crates/standin/src/soak/promises.rs
+++ b/crates/standin/src/soak/promises.rs
@@ -7,6 +7,7 @@
 
 use mintridge_bench::caller::Reply;
 
+use super::accounts;
 use super::callers::{Record, Repeat};
 use crate::upstream::Echo;
 
@@ -102,6 +103,22 @@
         /// Number of requests.
         requests: u64,
     },
+    /// A request arrived with another account than that of its key, or ran without a valid key.
+    #[error("{id} arrived with the account {received:?}, expected {expected:?}")]
+    WrongAccount {
+        /// The request.
+        id: String,
+        /// Account of its key, empty for none; `None` if it must not run.
+        expected: Option<String>,
+        /// Account that the upstream received.
+        received: String,
+    },
+    /// Upstreams received keys of client accounts.
+    #[error("{requests} requests arrived with the key of a client account")]
+    KeyPassedOn {
+        /// Number of requests.
+        requests: u64,
+    },
     /// The fleet did not serve all requests again after the last fault.
     #[error("{failed} of {sent} requests failed after the last fault")]
     NotRecovered {
@@ -179,6 +196,37 @@
     violations
 }
 
+/// What upstreams recorded of the accounts and keys of requests.
+#[derive(Clone, Debug, Default)]
+pub struct Arrivals {
+    /// Accounts with which a request arrived, by request id.
+    pub accounts: HashMap<String, Vec<String>>,
+    /// Number of requests with a key.
+    pub keys: u64,
+}
+
+/// Checks that each request arrived with the account of its key and without the key.
+#[must_use]
+pub fn check_accounts(records: &[Record], arrivals: &Arrivals) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    if arrivals.keys > 0 {
+        violations.push(Violation::KeyPassedOn {
+            requests: arrivals.keys,
+        });
+    }
+    for record in records {
+        let expected = accounts::expected(&record.call);
+        let received = arrivals.accounts.get(&record.call.id).into_iter().flatten();
+        let wrong = received.filter(|received| expected.as_ref() != Some(received));
+        violations.extend(wrong.map(|received| Violation::WrongAccount {
+            id: record.call.id.clone(),
+            expected: expected.clone(),
+            received: received.clone(),
+        }));
+    }
+    violations
+}
+
 /// Whether a connection closed without a response and its request did not run.
 #[must_use]
 pub fn is_closed_unanswered(record: &Record, runs: &BTreeMap<String, u32>) -> bool {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -115,6 +115,8 @@
     pub down_millis: u64,
     /// Time between the restart after a crash and its announcement, in milliseconds.
     pub unannounced_millis: u64,
+    /// Whether the client account of each request is recorded.
+    pub records_accounts: bool,
 }
 
 impl Default for Behaviour {
@@ -127,6 +129,7 @@
             crashes_on: None,
             down_millis: 1_000,
             unannounced_millis: 0,
+            records_accounts: false,
         }
     }
 }
@@ -153,6 +156,12 @@
     /// Number of requests that arrived by way of nodes that had passed on long before that the
     /// upstream is leaving.
     pub after_leaving: u64,
+    /// Client accounts with which a request arrived, by request id; only if they are recorded.
+    #[serde(default)]
+    pub accounts: HashMap<String, Vec<String>>,
+    /// Number of requests with a key of a client account; only if accounts are recorded.
+    #[serde(default)]
+    pub keys: u64,
 }
 
 /// State of an upstream, shared by its connections.
@@ -269,9 +278,6 @@
     pub id: String,
     /// Client account that the upstream received.
     pub client_account: String,
-    /// `Authorization` field that the upstream received.
-    #[serde(default)]
-    pub authorization: String,
     /// Milliseconds until the deadline, as the upstream received them.
     pub left_millis: String,
     /// Length of the request body in bytes.
@@ -289,6 +295,19 @@
 }
 
 impl Upstream {
+    /// Records the client account and the key with which a request arrived.
+    fn record_account(&self, id: &str, request: &Request<Body>) {
+        let account = header(request, CLIENT_ACCOUNT);
+        let has_key = request.headers().contains_key(hyper::header::AUTHORIZATION);
+        let counts = &mut self.state.lock().counts;
+        counts.keys += u64::from(has_key);
+        counts
+            .accounts
+            .entry(id.to_owned())
+            .or_default()
+            .push(account);
+    }
+
     /// Creates an upstream with this name and behaviour.
     #[must_use]
     pub fn new(name: &str, behaviour: Behaviour) -> Self {
@@ -411,6 +430,9 @@
     let id = header(&request, REQUEST_ID);
     let origin = header(&request, ORIGIN);
     let _open_request = OpenRequest::new(Arc::clone(&upstream), &origin);
+    if behaviour.records_accounts {
+        upstream.record_account(&id, &request);
+    }
     if behaviour.manner == Mode::FailFast {
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "failing fast\n");
     }
@@ -496,7 +518,6 @@
     id: String,
 ) -> Response<Body> {
     let client_account = header(&request, CLIENT_ACCOUNT);
-    let authorization = header(&request, hyper::header::AUTHORIZATION.as_str());
     let left_millis = header(&request, TIMEOUT);
     let mut digest = blake3::Hasher::new();
     let mut body_bytes = 0;
@@ -514,7 +535,6 @@
         host: upstream.name.to_string(),
         id,
         client_account,
-        authorization,
         left_millis,
         body_bytes,
         body_digest: digest.finalize().to_hex().to_string(),
--- a/crates/standin/tests/soak.rs
+++ b/crates/standin/tests/soak.rs
@@ -1,6 +1,6 @@
 //! Checks of the soak itself: every violation of a guarantee is reported.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -10,8 +10,8 @@
 use mintridge_standin::soak::callers::{Record, Repeat};
 use mintridge_standin::soak::plan::{Event, Mode, draw};
 use mintridge_standin::soak::promises::{
-    LEAVE_TIMEOUT, Leaving, Revisions, Violation, check_answers, check_cold_upstreams,
-    check_notices, check_planned_work, check_repeats,
+    Arrivals, LEAVE_TIMEOUT, Leaving, Revisions, Violation, check_accounts, check_answers,
+    check_cold_upstreams, check_notices, check_planned_work, check_repeats,
 };
 use rstest::rstest;
 
@@ -181,6 +181,31 @@
     assert_eq!(check_notices(&counts), expected);
 }
 
+/// Guards against a check that misses a request with a wrong account, a request that ran without a
+/// valid key, or a key that reached an upstream.
+#[rstest]
+#[case::account_of_the_key(Some("key-1"), "account-1", 0, 0)]
+#[case::other_account(Some("key-1"), "account-2", 0, 1)]
+#[case::no_account(Some("key-1"), "", 0, 1)]
+#[case::unknown_key(Some("key-unknown"), "", 0, 1)]
+#[case::anonymous(None, "", 0, 0)]
+#[case::anonymous_with_account(None, "forged", 0, 1)]
+#[case::key_passed_on(Some("key-1"), "account-1", 1, 1)]
+fn check_accounts_reports(
+    #[case] key: Option<&str>,
+    #[case] received: &str,
+    #[case] keys: u64,
+    #[case] expected: usize,
+) {
+    let mut record = record(Method::GET, answer_of("a"));
+    record.call.account_key = key.map(ToOwned::to_owned);
+    let arrivals = Arrivals {
+        accounts: HashMap::from([(id(), vec![received.to_owned()])]),
+        keys,
+    };
+    assert_eq!(check_accounts(&[record], &arrivals).len(), expected);
+}
+
 #[test]
 fn draw_contains_limits_and_leaving_in_some_seeds() {
     let plan = draw(5, 5, LOAD);
