refactor(entry): one end of the checks of a key, and what unverified means for keys

Cause: further checks of the key and the account belong at the end of Entry::admit, which left early on anonymous routes; messages and settings named only missing routes as unverified.

Change: one end; the messages, the setting and its page name keys as well.

--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -67,8 +67,8 @@
     Unconfigured,
     /// The routing table has no route for the request.
     NoRoute,
-    /// The routing table has no route for the request, and the store has not confirmed recently
-    /// that there is no newer table.
+    /// The routing table has no route for the request, or no account with its key, and the store has
+    /// not confirmed recently that there is no newer table.
     Unverified,
     /// The request is in quarantine: upstreams crashed while they ran it.
     Quarantined,
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -207,7 +207,7 @@
         Reason::Unconfigured => "the node had no routing table yet",
         Reason::NoRoute => "the routing table in force had no route for it",
         Reason::Unverified => {
-            "the routing table in force had no route for it, and the store had not confirmed the table recently"
+            "the routing table in force had no route for it, or no account with its key, and the store had not confirmed the table recently"
         }
         Reason::Quarantined => {
             "the request was quarantined: upstreams had crashed while they ran it"
--- a/crates/node/src/configs/routes.rs
+++ b/crates/node/src/configs/routes.rs
@@ -16,7 +16,8 @@
     /// table.
     pub evacuations: Option<String>,
     /// Time after which a table that the store has not confirmed again no longer proves that a
-    /// route does not exist. Requests that match no route are then refused with a retry delay.
+    /// route or a key does not exist. Requests that match no route, or whose key no account has, are
+    /// then refused with a retry delay.
     #[serde(with = "humantime_serde")]
     pub doubted_after: Duration,
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -279,13 +279,11 @@
             return Ok(Caller::default());
         };
         let (caller, finding) = identify(directory, headers);
-        if resolution.anonymous {
-            if caller.has_key || finding == Finding::Malformed {
-                self.context.metrics.key(finding.as_str());
-            }
-            return Ok(caller);
+        if !resolution.anonymous {
+            self.check_key(now, request_id, finding)?;
+        } else if finding != Finding::Missing {
+            self.context.metrics.key(finding.as_str());
         }
-        self.check_key(now, request_id, finding)?;
         Ok(caller)
     }
 
