test(node): a key is valid from one table to another

Cause: no test had a node without a table, or a table that removes a key.

Change: the key is refused as unconfigured, served, and refused as unauthorized in turn.

--- a/crates/node/tests/accounts.rs
+++ b/crates/node/tests/accounts.rs
@@ -64,12 +64,16 @@
     ])
 }
 
-async fn start(accounts: Value) -> Scene {
-    let scene = start_processes(Plan {
+async fn start_without_table() -> Scene {
+    let plan = Plan {
         adjust: require_keys,
         ..hosts(2)
-    })
-    .await;
+    };
+    start_processes(plan).await
+}
+
+async fn start(accounts: Value) -> Scene {
+    let scene = start_without_table().await;
     put(&scene, &document(1, accounts));
     wait_for_version(&scene, 1).await;
     scene
@@ -218,15 +222,36 @@
     assert_eq!(scene.runs("refused"), 0);
 }
 
+fn with_key(id: &str, key: &str) -> Call {
+    Call {
+        account_key: Some(key.to_owned()),
+        ..get(id)
+    }
+}
+
+/// Guards against a key that is refused for good by a node without a table, that is not served once
+/// the table has it, or that is served after a new table has removed it.
+#[tokio::test]
+async fn key_is_valid_from_one_table_to_another() {
+    let scene = start_without_table().await;
+    let call = with_key("small", "secret-3");
+    wait_for_reason(&scene, &call, Reason::Unconfigured).await;
+    put(&scene, &document(1, accounts()));
+    wait_for_version(&scene, 1).await;
+    assert!(scene.call(0, &call).await.is_success());
+    let mut remaining = accounts();
+    remaining.as_array_mut().expect("a list").pop();
+    put(&scene, &document(2, remaining));
+    wait_for_version(&scene, 2).await;
+    wait_for_reason(&scene, &call, Reason::Unauthorized).await;
+    assert_eq!(scene.runs("small"), 1);
+}
+
 /// Guards against a node that has lost touch with the store and tells callers that a key which was
 /// added meanwhile is wrong. Known keys are served throughout.
 #[tokio::test]
 async fn unknown_key_is_refused_as_unverified_while_the_store_is_down() {
     let scene = start(accounts()).await;
-    let with_key = |id, key: &str| Call {
-        account_key: Some(key.to_owned()),
-        ..get(id)
-    };
     let unknown = with_key("unknown", "secret-4");
     wait_for_reason(&scene, &unknown, Reason::Unauthorized).await;
     scene.store.set_faults(Faults {
@@ -260,10 +285,7 @@
     ]))
     .await;
     for key in ["secret-1", "secret-10", "secret-4"] {
-        let call = Call {
-            account_key: Some(key.to_owned()),
-            ..get(key.trim_start_matches(SECRET))
-        };
+        let call = with_key(key.trim_start_matches(SECRET), key);
         assert_eq!(scene.call(0, &call).await.is_success(), key != "secret-4");
     }
     let mut unreadable = document(2, accounts());
