--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -68,7 +68,8 @@
     /// The routing table has no route for the request.
     NoRoute,
     /// The store has not confirmed recently that there is no newer routing table, and the one in
-    /// force has no route for the request, or the request carries a key that may have been revoked.
+    /// force has no route for the request, no account with its key, or one whose key may have been
+    /// revoked.
     Unverified,
     /// The request is in quarantine: upstreams crashed while they ran it.
     Quarantined,
--- a/crates/node/src/entry/authorization.rs
+++ b/crates/node/src/entry/authorization.rs
@@ -30,15 +30,20 @@
             return Ok(Caller::default());
         };
         let (caller, finding) = identify(directory, headers);
+        let has_key = matches!(finding, Finding::Resolved | Finding::Unknown);
+        if has_key && !may_use_keys {
+            return if resolution.anonymous {
+                Ok(Caller::default())
+            } else {
+                Err(self.refuse_lapsed_key(now, request_id))
+            };
+        }
         if resolution.anonymous {
-            if caller.has_key || finding == Finding::Malformed {
+            if finding != Finding::Missing {
                 self.context.metrics.key(finding.as_str());
             }
             return Ok(caller);
         }
-        if caller.has_key && !may_use_keys {
-            return Err(self.refuse_lapsed_key(now, request_id));
-        }
         self.check_key(now, request_id, finding)?;
         Ok(caller)
     }
