fix(node): install the signal handlers before the listeners open

Cause: the handlers were installed after node::start had opened the listeners, so the default action of a SIGHUP ended the process. Change: the runtime and the handlers come first; signals that arrive meanwhile are handled once the node has started.

--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -1,5 +1,6 @@
 //! Process setup of a node: arguments, settings, logs and signals.
 
+use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -32,9 +33,21 @@
         println!("{}: good", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        return ExitCode::from(EXIT_START);
+    };
+    let Ok(signals) = runtime.block_on(async { Signals::install() }) else {
+        return ExitCode::from(EXIT_START);
+    };
     logs::start(&settings.logs, &settings.host);
     match node::start(settings, adapter) {
-        Ok(node) => run_until_stopped(node, arguments.settings),
+        Ok(node) => {
+            let running = run_until_stopped(node, arguments.settings, signals);
+            runtime.block_on(running)
+        }
         Err(error) => {
             eprintln!("{error:?}");
             ExitCode::from(EXIT_START)
@@ -42,31 +55,43 @@
     }
 }
 
+/// The signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers.
+    ///
+    /// Failure: the listeners open before the handlers are installed, and what waits for them
+    /// sends a signal at once. Symptom: the default action of a SIGHUP ends the process. Signals
+    /// that arrive while the node starts are handled once it has started.
+    fn install() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
 /// Waits for SIGTERM or SIGINT and stops gracefully; a second signal exits immediately.
-fn run_until_stopped(node: node::Node, settings_path: PathBuf) -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let Ok(runtime) = runtime else {
-        return ExitCode::from(EXIT_START);
-    };
+async fn run_until_stopped(node: node::Node, settings_path: PathBuf, signals: Signals) -> ExitCode {
+    let Signals {
+        mut terminate,
+        mut interrupt,
+        hangup,
+    } = signals;
     let context = Arc::clone(node.context());
-    runtime.block_on(async {
-        let (Ok(mut terminate), Ok(mut interrupt), Ok(hangup)) = (
-            signal(SignalKind::terminate()),
-            signal(SignalKind::interrupt()),
-            signal(SignalKind::hangup()),
-        ) else {
-            return ExitCode::from(EXIT_START);
-        };
-        tokio::spawn(reload::run(Arc::clone(&context), settings_path, hangup));
-        wait_for_signal(&mut terminate, &mut interrupt).await;
-        let stopping = tokio::task::spawn_blocking(move || node.stop());
-        tokio::select! {
-            _ = stopping => ExitCode::SUCCESS,
-            () = wait_for_signal(&mut terminate, &mut interrupt) => abort(&context),
-        }
-    })
+    tokio::spawn(reload::run(Arc::clone(&context), settings_path, hangup));
+    wait_for_signal(&mut terminate, &mut interrupt).await;
+    let stopping = tokio::task::spawn_blocking(move || node.stop());
+    tokio::select! {
+        _ = stopping => ExitCode::SUCCESS,
+        () = wait_for_signal(&mut terminate, &mut interrupt) => abort(&context),
+    }
 }
 
 async fn wait_for_signal(terminate: &mut Signal, interrupt: &mut Signal) {
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -2,13 +2,16 @@
 
 mod common;
 
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::{Scene, get, hosts, start_processes};
 use mintridge_node::reload::Changes;
 use mintridge_node::settings::Settings;
 use rstest::rstest;
-use rustix::process::Signal;
+use rustix::process::{Pid, Signal, kill_process};
 
 const COUNTER_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -86,3 +89,31 @@
     assert_eq!(changes.now, [String::from("retry")].into());
     assert_eq!(changes.at_next_start, [String::from("store")].into());
 }
+
+/// Failure: a SIGHUP within milliseconds of the opening of the listeners ends the process.
+#[test]
+fn hangup_as_soon_as_a_listener_opens_is_handled() {
+    for _ in 0..8 {
+        let mut settings = Settings::default();
+        let free = TcpListener::bind(settings.listeners.callers).expect("a port");
+        let callers = free.local_addr().expect("an address");
+        drop(free);
+        (settings.host, settings.listeners.callers) = (Arc::from("lone"), callers);
+        let path = std::env::temp_dir().join(format!("hangup-{}.json", callers.port()));
+        std::fs::write(&path, serde_json::to_vec(&settings).expect("text")).expect("written");
+        let mut node = Command::new(env!("CARGO_BIN_EXE_mintridge-node"));
+        let node = node.arg(&path).stdout(Stdio::null()).spawn();
+        let mut node = node.expect("it starts");
+        let started_at = Instant::now();
+        while TcpStream::connect(callers).is_err() {
+            assert!(started_at.elapsed() < Duration::from_secs(30), "no start");
+        }
+        let pid = Pid::from_child(&node);
+        kill_process(pid, Signal::HUP).expect("the signal is sent");
+        std::thread::sleep(Duration::from_millis(100));
+        let ended = node.try_wait().expect("its state");
+        let _ = node.kill().and_then(|()| node.wait());
+        let _ = std::fs::remove_file(&path);
+        assert_eq!(ended, None, "SIGHUP ended the process");
+    }
+}
