feat(call): recognize the calls that a running request makes

Cause: the entry could not tell a call of its own upstream from any other request, though its loss wastes the run that waits for it. Counter calls_total.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! | step | module |
 //! |---|---|
-//! | which service gets it? | [`route`] |
+//! | which service gets it, and whose call is it? | [`route`], [`call`] |
 //! | which host gets it? | [`placement`], from each host's [`load`] |
 //! | may it be retried on another host? | [`attempts`], [`retry`] |
 //! | does it run now or wait, and in which order? | [`admission`] with [`queue`], [`shares`], [`work`], [`pace`], [`limit`], [`warm_up`] and [`request_limit`]; [`gate`], [`health`] and [`stop`] can refuse it |
@@ -38,6 +38,7 @@
 pub mod answered;
 pub mod attempts;
 pub mod bootstrap;
+pub mod call;
 pub mod claim;
 pub mod configs;
 pub mod evacuation;
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -7,6 +7,7 @@
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::{Method, header};
+use mintridge_core::call::Parent;
 use mintridge_core::claim::{Claim, Key, Owner};
 use mintridge_core::fingerprint;
 use mintridge_core::outcome::Reason;
@@ -27,6 +28,10 @@
     pub head: Head,
     /// Maximum number of upstreams that the request may be sent to.
     pub attempts: u32,
+    /// The deadline that the caller states; `None` if it states none.
+    pub stated_deadline: Option<Instant>,
+    /// The request in progress at this node's upstream whose call this is.
+    pub parent: Option<Parent>,
 }
 
 /// How the service of a request is determined.
@@ -135,7 +140,9 @@
         key: digest(&service, &client_account, key),
         owner: Owner(Arc::clone(&request_id)),
     });
-    let deadline = now + timeout(settings, &parts.headers)?.min(resolution.timeout);
+    let stated = timeout(settings, &parts.headers)?;
+    let timeout = stated.unwrap_or(settings.timeout_default);
+    let deadline = now + timeout.min(resolution.timeout);
     let target = resolution.target.map_or(deadline, |target| now + target);
     Ok(Request {
         head: Head {
@@ -153,6 +160,8 @@
             known: None,
         },
         attempts: resolution.attempts,
+        stated_deadline: stated.map(|stated| now + stated),
+        parent: None,
     })
 }
 
@@ -239,12 +248,15 @@
     }
 }
 
-fn timeout(settings: &Settings, headers: &HeaderMap) -> Result<Duration, Malformed> {
+/// Returns the timeout that the caller states.
+fn timeout(settings: &Settings, headers: &HeaderMap) -> Result<Option<Duration>, Malformed> {
     let Some(value) = text(headers, &settings.timeout_header)? else {
-        return Ok(settings.timeout_default);
+        return Ok(None);
     };
     let millis = value.parse().map_err(|_| Malformed::Timeout)?;
-    Ok(Duration::from_millis(millis).min(settings.timeout_most))
+    Ok(Some(
+        Duration::from_millis(millis).min(settings.timeout_most),
+    ))
 }
 
 /// Returns the idempotency key. A request with two different keys is refused: whichever of them
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use mintridge_core::call;
 use mintridge_core::load::Report;
 use mintridge_core::membership::{Record, Upstream};
 use mintridge_core::outcome::Reason;
@@ -14,6 +15,7 @@
 use mintridge_core::screen::Screen;
 use mintridge_http::server::Phase;
 use mintridge_store::epoch::Epochs;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
@@ -148,6 +150,9 @@
     /// Newest epoch received from the store: the number of times the store has been restored from
     /// an older copy.
     pub epochs: Epochs,
+    /// Requests in progress at the upstream, by which the entry recognizes their calls. The guard
+    /// begins and ends them.
+    pub calls: Mutex<call::Register>,
     /// Queues between duties.
     pub rings: Rings,
     /// Watch channels between duties.
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Body as _;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use mintridge_core::fingerprint::{self, Fingerprint};
@@ -209,10 +209,12 @@
             attempts: entry.context.settings.retry.attempts,
         },
     };
-    let parsed = match arrival::read(settings, now, Arc::clone(&request_id), &parts, routing) {
+    let mut parsed = match arrival::read(settings, now, Arc::clone(&request_id), &parts, routing) {
         Ok(parsed) => parsed,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
+    let has_accounts = routes.is_some_and(|document| !document.table.accounts.is_empty());
+    entry.recognize_call(now, &mut parsed, &parts, has_accounts);
     history.record_routing(&parsed.head.service, parsed.head.deadline);
     let fingerprint = entry.fingerprint(&parsed.head, &parts, &body);
     history.set_fingerprint(fingerprint.head);
@@ -245,6 +247,31 @@
         }
     }
 
+    /// Finds the request in progress at this node's upstream whose call an arriving request is. With
+    /// client accounts the call takes the rank of its parent if that is more urgent: the parent's run
+    /// is wasted without it. Requests with a key are no calls of an upstream.
+    fn recognize_call(
+        &self,
+        now: Instant,
+        request: &mut arrival::Request,
+        parts: &Parts,
+        has_accounts: bool,
+    ) {
+        let Some(deadline) = request.stated_deadline else {
+            return;
+        };
+        if parts.headers.contains_key(AUTHORIZATION) {
+            return;
+        }
+        request.parent = self.context.calls.lock().record_call(now, deadline);
+        if let Some(parent) = &request.parent {
+            self.context.metrics.call();
+            if has_accounts {
+                request.head.priority = request.head.priority.min(parent.rank);
+            }
+        }
+    }
+
     /// Refuses a request that is malformed, or that names no known route or no service.
     ///
     /// Failure: this node misses a change of the routing table. Symptom: requests on a route that
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -39,7 +39,7 @@
     let (handed_over_at, address) = guard.wait_for_start(slot.id, head).await?;
     let time_left = head.deadline.saturating_duration_since(handed_over_at);
     guard.prepare(&mut request, head, time_left);
-    let run = guard.begin_run(slot.id, digest.clone());
+    let run = guard.begin_run(slot.id, head, digest.clone());
     let result = traces::in_span(
         traces::child_span("upstream"),
         guard.upstream.send(address, request, head.deadline),
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -15,6 +15,7 @@
 use hyper::Request;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 use hyper::header::CONTENT_LENGTH;
+use mintridge_core::call::Parent;
 use mintridge_core::fingerprint::{self, Fingerprint};
 use mintridge_core::quarantine::Event;
 use mintridge_core::request::Id;
@@ -174,13 +175,20 @@
 
 impl Drop for Run {
     fn drop(&mut self) {
+        self.guard.context.calls.lock().end(self.id);
         self.guard.state.lock().runs.in_progress.remove(&self.id);
     }
 }
 
 impl Guard {
     /// Records that the request with this slot is handed over to the upstream.
-    pub(super) fn begin_run(self: &Arc<Self>, id: Id, digest: Digest) -> Run {
+    pub(super) fn begin_run(self: &Arc<Self>, id: Id, head: &Head, digest: Digest) -> Run {
+        self.context.calls.lock().begin(Parent {
+            id,
+            deadline: head.deadline,
+            rank: head.priority,
+            route: Arc::clone(&head.route),
+        });
         self.state.lock().runs.in_progress.insert(id, digest);
         Run {
             guard: Arc::clone(self),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -63,6 +63,7 @@
     refusals: Family<RefusalLabels, Counter>,
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
+    calls: Counter,
     upstream_crashes: Counter,
     suspects: Gauge,
     quarantined: Gauge,
@@ -102,6 +103,7 @@
             refusals: Family::default(),
             guard_refusals: Family::default(),
             retries: Counter::default(),
+            calls: Counter::default(),
             upstream_crashes: Counter::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
@@ -151,6 +153,8 @@
         let help = "Refusals given to peers by the guard of this upstream";
         registry.register("guard_refusals", help, self.guard_refusals.clone());
         registry.register("retries", "Second attempts made", self.retries.clone());
+        let help = "Requests recognized as calls of requests in progress at the upstream";
+        registry.register("calls", help, self.calls.clone());
         let help = "Ends of the upstream, unplanned, with requests in progress";
         registry.register("upstream_ends", help, self.upstream_crashes.clone());
         let help = "Requests known under which upstreams ended";
@@ -233,6 +237,11 @@
         self.guard_refusals.get_or_create(&labels(refusal)).inc();
     }
 
+    /// Counts a request recognized as a call of a request in progress.
+    pub fn call(&self) {
+        self.calls.inc();
+    }
+
     /// Counts a retry.
     pub fn retry(&self) {
         self.retries.inc();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use mintridge_store::epoch::Epochs;
+use parking_lot::Mutex;
 use socket2::{Domain, Type};
 use tokio::sync::{mpsc, watch};
 
@@ -91,6 +92,7 @@
         incarnation: unix_millis(),
         metrics: Metrics::default(),
         epochs,
+        calls: Mutex::default(),
         rings,
         latest,
     });
