feat(retry): keep retries for calls and the most urgent rank, and stop them when all hosts shed

Cause: any request could spend the last token of an entry's retry budget, and retries were made while every host of the service shed. Change, only while calls of running requests were observed within 10 s: half of retry.burst (retry.reserved_share) is kept for calls and for the most urgent rank in use, and a retry is made only if an untried host is likelier to run the request than to shed it, by decayed counts of each host and of the service. The deposit and the size of the budget are unchanged, so the bound on all retries is too. Counter retries_withheld_total, log line retry withheld.

--- a/crates/core/src/configs/retry.rs
+++ b/crates/core/src/configs/retry.rs
@@ -14,6 +14,9 @@
     pub on_statuses: Vec<u16>,
     /// Size of the retry budget: retries that can be made at once after a time without any.
     pub burst: f64,
+    /// Share of `burst` that is reserved for requests of the most urgent rank and for calls of
+    /// running requests, where such calls are observed.
+    pub reserved_share: f64,
 }
 
 impl Default for Settings {
@@ -23,6 +26,7 @@
             placements: 3,
             on_statuses: vec![502, 503],
             burst: 10.0,
+            reserved_share: 0.5,
         }
     }
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -1,9 +1,10 @@
 //! Retries are made only where they are safe, and do not multiply the load.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use mintridge_core::configs::retry::Settings;
-use mintridge_core::retry::{Budget, Progress};
+use mintridge_core::retry::{Budget, Chances, Progress, Ranks};
 use rstest::rstest;
 
 #[rstest]
@@ -112,3 +113,58 @@
     }
     assert!(retries <= 1_000 + 10, "{retries} retries");
 }
+
+/// Failure: retries of other requests use up the budget before a call or an urgent request needs it.
+#[test]
+fn exceeds_reserve_leaves_half_of_the_burst() {
+    let now = Instant::now();
+    let settings = Settings {
+        burst: 4.0,
+        ..Settings::default()
+    };
+    let mut budget = Budget::new(settings, 0.1);
+    let deadline = now + Duration::from_secs(1);
+    let mut others = 0;
+    while budget.exceeds_reserve() {
+        assert!(budget.may_retry(now, deadline, 1, Progress::NotHandedOver, true));
+        others += 1;
+    }
+    assert_eq!(others, 2);
+    assert!(budget.may_retry(now, deadline, 1, Progress::NotHandedOver, true));
+}
+
+/// Failure: the reserve is open to a rank that is not the most urgent, or to none after urgent
+/// requests have ceased.
+#[test]
+fn record_rank_returns_whether_it_is_the_most_urgent() {
+    let now = Instant::now();
+    let mut ranks = Ranks::default();
+    assert!(ranks.record(now, 3));
+    assert!(ranks.record(now, 1));
+    assert!(!ranks.record(now, 3));
+    assert!(!ranks.record(now + Duration::from_secs(11), 3));
+    assert!(ranks.record(now + Duration::from_secs(22), 3));
+}
+
+/// Failure: all hosts shed, and each request is retried in vain; or a retry that would succeed is
+/// not made.
+#[test]
+fn has_likely_host_if_not_all_shed() {
+    let now = Instant::now();
+    let hosts: Vec<Arc<str>> = ["a", "b", "c"].map(Arc::from).to_vec();
+    let mut chances = Chances::default();
+    assert!(chances.has_likely_host(now, hosts.iter()));
+    for _ in 0..4 {
+        hosts
+            .iter()
+            .for_each(|host| chances.record(now, host, false));
+    }
+    assert!(!chances.has_likely_host(now, hosts.iter()));
+    for _ in 0..8 {
+        chances.record(now, &hosts[2], true);
+    }
+    assert!(chances.has_likely_host(now, hosts.iter()));
+    assert!(!chances.has_likely_host(now, hosts[..2].iter()));
+    let later = now + Duration::from_secs(20);
+    assert!(chances.has_likely_host(later, hosts[..2].iter()));
+}
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -5,6 +5,7 @@
 mod deferred;
 mod forward;
 mod placed;
+mod retrying;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -54,6 +55,7 @@
     context: Arc<Context>,
     placement: Mutex<Placement>,
     budgets: Mutex<HashMap<Arc<str>, retry::Budget>>,
+    retrying: retrying::Services,
     peers: Mutex<HashMap<Arc<str>, SocketAddr>>,
     notices: Mutex<notice::Register>,
     links: Links,
@@ -238,6 +240,7 @@
         Self {
             placement: Mutex::new(Placement::new(settings.placement.clone(), seed)),
             budgets: Mutex::default(),
+            retrying: Mutex::default(),
             peers: Mutex::default(),
             notices: Mutex::default(),
             links: Links::new(settings.link.clone()),
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -21,9 +21,11 @@
 use crate::request_log::History;
 
 /// State of one request while it is forwarded.
-struct Forwarding {
-    outgoing: Outgoing,
-    attempts: Attempts,
+pub struct Forwarding {
+    pub(super) outgoing: Outgoing,
+    pub(super) attempts: Attempts,
+    /// Whether a retry may use the reserved part of the budget.
+    pub(super) may_use_reserve: bool,
     /// Whether the request may hold a claim on its idempotency key.
     claimed: bool,
     /// Why the outcome is unknown, for the last attempt that may have run.
@@ -49,6 +51,7 @@
     history: &mut History,
 ) -> Response<Body> {
     let mut forwarding = Forwarding {
+        may_use_reserve: entry.may_use_reserve(&outgoing.request),
         outgoing,
         attempts: Attempts::default(),
         claimed: false,
@@ -62,6 +65,7 @@
             return entry.give_up(forwarding, refusal);
         };
         let attempted = attempt(&forwarding.outgoing, &mut placed).await;
+        entry.record_chance(&placed.service, &placed.host, &attempted);
         history.record_attempt(placed.log_record(attempted.outcome()));
         match entry.next_step(&mut forwarding, attempted, placed) {
             NextStep::PassOn(answered) => {
@@ -195,6 +199,11 @@
         if forwarding.attempts.handovers() >= request.attempts {
             return false;
         }
+        let is_safe = progress != Progress::MayHaveRun || request.head.repeatable;
+        if is_safe && let Some(withheld) = self.retry_withheld(forwarding) {
+            self.record_withheld(&request.head.request_id, withheld);
+            return false;
+        }
         let deadline = request.head.deadline;
         let allowed = self.with_budget(service, |budget| {
             budget.may_retry(
@@ -211,7 +220,7 @@
         allowed
     }
 
-    fn with_budget<T>(
+    pub(super) fn with_budget<T>(
         &self,
         service: &Arc<str>,
         operation: impl FnOnce(&mut retry::Budget) -> T,
@@ -253,6 +262,9 @@
         if let Some((response, placed)) = forwarding.failure.take() {
             return self.pass_on(response, placed, forwarding.outgoing);
         }
+        if let Some(parent) = &forwarding.outgoing.request.parent {
+            self.context.calls.lock().record_refusal(parent.id);
+        }
         let head = &forwarding.outgoing.request.head;
         let refusal = match forwarding.may_have_run {
             Some(reason) => Refusal::unknown(reason, refusal.retry_at),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -54,6 +54,26 @@
     Unchanged,
 }
 
+/// Why a retry that the budget allows is not made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// The rest of the budget is reserved for more urgent requests and for calls.
+    Reserved,
+    /// No other host is likelier to run the request than to shed it.
+    Unlikely,
+}
+
+impl Withheld {
+    /// Returns the form used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reserved => "reserved",
+            Self::Unlikely => "unlikely",
+        }
+    }
+}
+
 /// All metrics of one node.
 #[derive(Debug)]
 pub struct Metrics {
@@ -64,6 +84,7 @@
     guard_refusals: Family<RefusalLabels, Counter>,
     retries: Counter,
     calls: Counter,
+    retries_withheld: Family<KindLabels, Counter>,
     upstream_crashes: Counter,
     suspects: Gauge,
     quarantined: Gauge,
@@ -104,6 +125,7 @@
             guard_refusals: Family::default(),
             retries: Counter::default(),
             calls: Counter::default(),
+            retries_withheld: Family::default(),
             upstream_crashes: Counter::default(),
             suspects: Gauge::default(),
             quarantined: Gauge::default(),
@@ -155,6 +177,8 @@
         registry.register("retries", "Second attempts made", self.retries.clone());
         let help = "Requests recognized as calls of requests in progress at the upstream";
         registry.register("calls", help, self.calls.clone());
+        let help = "Retries not made, kept for other requests or unlikely to be run";
+        registry.register("retries_withheld", help, self.retries_withheld.clone());
         let help = "Ends of the upstream, unplanned, with requests in progress";
         registry.register("upstream_ends", help, self.upstream_crashes.clone());
         let help = "Requests known under which upstreams ended";
@@ -242,6 +266,14 @@
         self.calls.inc();
     }
 
+    /// Counts a retry that is not made.
+    pub fn retry_withheld(&self, withheld: Withheld) {
+        let kind = withheld.as_str();
+        self.retries_withheld
+            .get_or_create(&KindLabels { kind })
+            .inc();
+    }
+
     /// Counts a retry.
     pub fn retry(&self) {
         self.retries.inc();
