--- a/crates/core/src/account/authorization.rs
+++ b/crates/core/src/account/authorization.rs
@@ -42,8 +42,6 @@
     /// Account that the key belongs to; `None` for a request without one, also if the routing table
     /// lists no accounts.
     pub account: Option<Arc<Account>>,
-    /// Whether the request carries a key, which need not belong to an account.
-    pub has_key: bool,
 }
 
 impl<'a> Presented<'a> {
@@ -68,7 +66,6 @@
         };
         let caller = Caller {
             account: directory.resolve(key).cloned(),
-            has_key: true,
         };
         let finding = match caller.account {
             Some(_) => Finding::Resolved,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -6,6 +6,7 @@
 mod deferred;
 mod forward;
 mod placed;
+mod retrying;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -14,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::body::Body as _;
-use hyper::header::HOST;
+use hyper::header::{AUTHORIZATION, HOST};
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use mintridge_core::fingerprint::{self, Fingerprint};
@@ -55,6 +56,7 @@
     context: Arc<Context>,
     placement: Mutex<Placement>,
     budgets: Mutex<HashMap<Arc<str>, retry::Budget>>,
+    retrying: retrying::Services,
     peers: Mutex<HashMap<Arc<str>, SocketAddr>>,
     notices: Mutex<notice::Register>,
     links: Links,
@@ -221,14 +223,19 @@
         Ok(caller) => caller,
         Err(refusal) => return entry.refuse(&refusal, &request_id),
     };
-    if resolution.accounts.is_some() {
+    let has_accounts = resolution.accounts.is_some();
+    let has_key = parts.headers.contains_key(AUTHORIZATION);
+    if has_accounts {
         headers::strip_credentials(&settings.client_account_header, &mut parts.headers);
     }
     let id = Arc::clone(&request_id);
-    let parsed = match arrival::read(settings, now, id, &parts, resolution, &caller) {
+    let mut parsed = match arrival::read(settings, now, id, &parts, resolution, &caller) {
         Ok(parsed) => parsed,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
+    if !has_key {
+        entry.recognize_call(now, &mut parsed, has_accounts);
+    }
     history.record_routing(&parsed.head);
     let fingerprint = entry.fingerprint(&parsed.head, &parts, &body);
     history.set_fingerprint(fingerprint.head);
@@ -252,6 +259,7 @@
         Self {
             placement: Mutex::new(Placement::new(settings.placement.clone(), seed)),
             budgets: Mutex::default(),
+            retrying: Mutex::default(),
             peers: Mutex::default(),
             notices: Mutex::default(),
             links: Links::new(settings.link.clone()),
@@ -261,6 +269,22 @@
         }
     }
 
+    /// Finds the request in progress at this node's upstream whose call an arriving request is. With
+    /// client accounts the call takes the rank of its parent if that is more urgent: the parent's run
+    /// is wasted without it. Requests with a key are no calls of an upstream.
+    fn recognize_call(&self, now: Instant, request: &mut arrival::Request, has_accounts: bool) {
+        let Some(deadline) = request.stated_deadline else {
+            return;
+        };
+        request.parent = self.context.calls.lock().record_call(now, deadline);
+        if let Some(parent) = &request.parent {
+            self.context.metrics.call();
+            if has_accounts {
+                request.head.priority = request.head.priority.min(parent.rank);
+            }
+        }
+    }
+
     /// Refuses a request that is malformed, or that names no known route or no service.
     ///
     /// Failure: this node misses a change of the routing table. Symptom: requests on a route that
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -39,7 +39,7 @@
     let (handed_over_at, address) = guard.wait_for_start(slot.id, head).await?;
     let time_left = head.deadline.saturating_duration_since(handed_over_at);
     guard.prepare(&mut request, head, time_left);
-    let run = guard.begin_run(slot.id, digest.clone());
+    let run = guard.begin_run(slot.id, head, digest.clone());
     let result = traces::in_span(
         traces::child_span("upstream"),
         guard.upstream.send(address, request, head.deadline),
@@ -83,6 +83,7 @@
         notice: guard.upstream.notice(&parts.headers),
     });
     guard.record_response(now, slot.id, parts.status, now - handed_over_at);
+    guard.record_run_end(now, slot.id, &head.route, parts.status);
     if !parts.status.is_server_error() && parts.status != StatusCode::TOO_MANY_REQUESTS {
         guard.report_answer(head, &digest);
     }
