refactor(account): the finding alone tells whether a request bears a key

Cause: Caller repeated what Finding says. Change: the field is gone; the test of findings asserts in its place that an account is there for a resolved key and for no other.

--- a/crates/core/tests/account.rs
+++ b/crates/core/tests/account.rs
@@ -140,8 +140,7 @@
     let (caller, finding) = presented.find(&directory);
     assert_eq!(finding, expected);
     assert_eq!(caller.account.is_some(), finding == Finding::Resolved);
-    let has_key = matches!(finding, Finding::Resolved | Finding::Unknown);
-    assert_eq!(caller.has_key, has_key);
+    assert_eq!(caller.account.is_some(), finding == Finding::Resolved);
 }
 
 #[test]
--- a/crates/node/tests/accounts.rs
+++ b/crates/node/tests/accounts.rs
@@ -329,7 +329,6 @@
     let resolution = arrival::resolve(settings, &parts, routing).expect("a route");
     let caller = Caller {
         account: table.accounts.resolve(key).cloned(),
-        has_key: true,
     };
     let id = Arc::from("id");
     let read = arrival::read(settings, Instant::now(), id, &parts, resolution, &caller);
