feat(account): limit the request rate of accounts over all nodes

Cause: no node sees all requests of an account, and a share of its own is worth less than one request at most nodes for a small account.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -1,6 +1,8 @@
 //! Client accounts of the routing table: whose key a request carries, how urgent it is, and how
 //! many requests the account may send.
 
+pub mod limiter;
+
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
