--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -33,7 +33,20 @@
     accounts: Vec<Arc<Account>>,
 }
 
+impl FromIterator<Arc<Account>> for Directory {
+    fn from_iter<T: IntoIterator<Item = Arc<Account>>>(accounts: T) -> Self {
+        Self {
+            accounts: accounts.into_iter().collect(),
+        }
+    }
+}
+
 impl Directory {
+    /// Returns the accounts.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.accounts.iter()
+    }
+
     /// Returns whether the routing table lists no account, so that requests need no key.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/core/src/account/limiter/pool.rs
+++ b/crates/core/src/account/limiter/pool.rs
@@ -18,8 +18,9 @@
 /// Spare tokens are granted only from what exceeds this part of the capacity, so that requests that
 /// wait are not refused because other nodes keep tokens in reserve.
 const KEPT_FOR_WAITING: f64 = 0.5;
-/// How long the last message of a node is remembered, to recognize repeated ones.
-const SENDER_REMEMBERED_FOR: Duration = Duration::from_mins(1);
+/// How long the last message of a node is remembered, to recognize repeated ones. A node whose clock
+/// was set back before it restarted is ignored for as long.
+const SENDER_REMEMBERED_FOR: Duration = Duration::from_secs(10);
 
 /// The buckets of the shards that nodes delegated to this one.
 #[derive(Debug)]
