feat(node): enforce the rates of client accounts at the entry

Cause: the decisions of account::limiter had no sockets, and the entry did not ask them.

Change: a duty exchanges datagrams on listeners.accounts; the entry takes a permit before it forwards a request, which returns the token if the request ends as not run. The guard refuses a request whose token has expired in the queue, as not run, so that the entry takes a new one.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -176,6 +176,12 @@
         std::iter::once(&self.own).chain(self.others().filter(|record| record.is_present()))
     }
 
+    /// Returns the names of the other hosts that have left and whose records are still retained.
+    pub fn left(&self) -> impl Iterator<Item = &Arc<str>> {
+        let left = self.others().filter(|record| record.state == State::Left);
+        left.map(|record| &record.host)
+    }
+
     /// Whether any other host is alive or suspected.
     #[must_use]
     pub fn has_peers(&self) -> bool {
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -148,6 +148,7 @@
             priority: resolution.priority,
             route: resolution.route,
             target: target.min(deadline),
+            run_by: None,
             only_in_time: false,
             report_to: None,
             known: None,
--- a/crates/node/src/configs/listeners.rs
+++ b/crates/node/src/configs/listeners.rs
@@ -23,6 +23,9 @@
     /// Additional address for operators, for metrics collectors that need a fixed address while
     /// `operators` changes.
     pub metrics: Option<SocketAddr>,
+    /// Address for the datagrams by which nodes limit the request rates of client accounts; its port
+    /// is the same on all hosts. If unset, rates are not limited.
+    pub accounts: Option<SocketAddr>,
     /// Maximum number of connections waiting to be accepted, per listener.
     pub backlog: i32,
 }
@@ -38,6 +41,7 @@
             announcements: any_port,
             operators: any_port,
             metrics: None,
+            accounts: None,
             backlog: 1024,
         }
     }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
+use crate::accounts::Limiter;
 use crate::adapter::Adapter;
 use crate::announcement::Message;
 use crate::claims::Job;
@@ -36,6 +37,9 @@
     /// Evacuated availability zones, whose upstreams get no new requests.
     #[serde(default)]
     pub evacuated: BTreeSet<Arc<str>>,
+    /// Hosts that have left on their own initiative in the last minute.
+    #[serde(default)]
+    pub left: BTreeSet<Arc<str>>,
 }
 
 /// State of the upstream beside this node, as observed by its guard.
@@ -87,6 +91,8 @@
     pub announcements: SocketAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
+    /// Port of the socket for messages that limit accounts, if it is set.
+    pub accounts_port: Option<u16>,
 }
 
 /// Senders of the bounded queues between duties, which settings and metrics call rings.
@@ -144,6 +150,8 @@
     /// Newest epoch received from the store: the number of times the store has been restored from
     /// an older copy.
     pub epochs: Epochs,
+    /// Limits the request rates of client accounts, where `listeners.accounts` is set.
+    pub limiter: Option<Arc<Limiter>>,
     /// Queues between duties.
     pub rings: Rings,
     /// Watch channels between duties.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -237,6 +237,7 @@
             in_force: Arc::clone(state.register.current()),
             holder: state.table.is_designated_reader(),
             evacuated: state.evacuations.evacuated().cloned().collect(),
+            left: state.table.left().cloned().collect(),
         };
         drop(state);
         self.context
--- a/crates/node/src/duties.rs
+++ b/crates/node/src/duties.rs
@@ -5,6 +5,7 @@
 //! its own module, its settings in `configs/` and an entry in this list.
 
 use std::io;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
@@ -16,7 +17,7 @@
 use crate::announcement::Message;
 use crate::claims::Job;
 use crate::context::Context;
-use crate::{announcement, claims, control, entry, guard, operators};
+use crate::{accounts, announcement, claims, control, entry, guard, operators};
 
 /// Listening socket, opened before the thread of its duty starts.
 pub type Socket = std::net::TcpListener;
@@ -36,6 +37,8 @@
     pub operators: Socket,
     /// Additional listener for operators, at a fixed address.
     pub metrics: Option<Socket>,
+    /// Socket for messages that limit accounts, if it is set.
+    pub accounts: Option<UdpSocket>,
     /// Messages of the upstream, for the guard.
     pub messages: mpsc::Receiver<Message>,
     /// Claims on idempotency keys, for the claims thread.
@@ -65,11 +68,12 @@
         announcements,
         operators,
         metrics,
+        accounts,
         messages,
         jobs,
         quarantine_events,
     } = inputs;
-    Ok(vec![
+    let mut duties = vec![
         spawn("entry", context, move |context| async move {
             let listener = TcpListener::from_std(callers)?;
             entry::run(context, listener).await;
@@ -103,7 +107,15 @@
             operators::run(context, listener).await;
             Ok(())
         })?,
-    ])
+    ];
+    if let (Some(socket), Some(limiter)) = (accounts, context.limiter.clone()) {
+        duties.push(spawn("accounts", context, move |context| async move {
+            let socket = tokio::net::UdpSocket::from_std(socket)?;
+            accounts::run(context, limiter, socket).await;
+            Ok(())
+        })?);
+    }
+    Ok(duties)
 }
 
 fn spawn<F, W>(name: &'static str, context: &Arc<Context>, work: W) -> io::Result<Duty>
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -33,6 +33,7 @@
 use self::attempt::Outgoing;
 use self::candidates::candidates;
 use self::forward::forward;
+use crate::accounts::Permit;
 use crate::arrival::{self, Routing};
 use crate::context::{Context, View};
 use crate::headers::Head;
@@ -220,7 +221,12 @@
         Ok(trial_host) => trial_host,
         Err(refusal) => return entry.refuse(&refusal, &parsed.head.request_id),
     };
+    let permit = match entry.acquire_permit(&parsed.head.client_account).await {
+        Ok(permit) => permit,
+        Err(refusal) => return entry.refuse(&refusal, &parsed.head.request_id),
+    };
     let outgoing = Outgoing {
+        permit,
         request: parsed,
         parts,
         source: Source::new(body, settings.replay_most),
@@ -314,6 +320,24 @@
         }
     }
 
+    /// Returns a permit for a request of this client account, or `None` if the account has no limit
+    /// or this node limits none.
+    async fn acquire_permit(&self, account: &str) -> Result<Option<Permit>, Refusal> {
+        match &self.context.limiter {
+            Some(limiter) => limiter.acquire(account).await,
+            None => Ok(None),
+        }
+    }
+
+    /// Replaces a permit that has expired while earlier attempts were made.
+    async fn renew_permit(&self, outgoing: &mut Outgoing) -> Result<(), Refusal> {
+        if outgoing.permit.as_ref().is_some_and(Permit::is_expired) {
+            let account = &outgoing.request.head.client_account;
+            outgoing.permit = self.acquire_permit(account).await?;
+        }
+        Ok(())
+    }
+
     /// Returns a request ID that is unique in the fleet: host, incarnation and a counter.
     fn create_request_id(&self) -> Arc<str> {
         let count = self.next_number.fetch_add(1, Ordering::Relaxed);
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -15,6 +15,7 @@
 use super::Entry;
 use super::deferred::{self, Deferred, Gate};
 use super::placed::Placed;
+use crate::accounts::Permit;
 use crate::context::Context;
 use crate::replay::Source;
 use crate::{arrival, headers, link, traces};
@@ -27,6 +28,8 @@
     pub parts: Parts,
     /// Source of the request body, which each attempt replays.
     pub source: Source,
+    /// Permit of the request's client account, if the account's rate is limited.
+    pub permit: Option<Permit>,
     /// The only host that may run the request, as a trial; all others quarantine it.
     pub trial_host: Option<Arc<str>>,
 }
@@ -71,6 +74,7 @@
         };
         let head = headers::Head {
             only_in_time: placed.only_in_time,
+            run_by: outgoing.permit.as_ref().and_then(Permit::run_by),
             report_to: Some(entry.context.addresses.peers),
             known: placed.known.clone(),
             ..head.clone()
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -32,6 +32,16 @@
     failure: Option<(Response<Incoming>, Placed)>,
 }
 
+impl Forwarding {
+    /// Records whether the request may have run by now, which decides whether its account gets the
+    /// token back.
+    const fn set_may_have_run(&mut self, may_have_run: bool) {
+        if let Some(permit) = &mut self.outgoing.permit {
+            permit.set_may_have_run(may_have_run);
+        }
+    }
+}
+
 /// What to do after an attempt has ended.
 enum NextStep {
     /// Pass this response on to the caller.
@@ -56,11 +66,15 @@
         failure: None,
     };
     loop {
+        if let Err(refusal) = entry.renew_permit(&mut forwarding.outgoing).await {
+            return entry.give_up(forwarding, refusal);
+        }
         let Some(mut placed) = entry.place(&mut forwarding) else {
             let retry_at = Instant::now() + NO_UPSTREAM_RETRY_DELAY;
             let refusal = Refusal::not_run(Reason::NoUpstream, retry_at);
             return entry.give_up(forwarding, refusal);
         };
+        forwarding.set_may_have_run(true);
         let attempted = attempt(&forwarding.outgoing, &mut placed).await;
         history.record_attempt(placed.log_record(attempted.outcome()));
         match entry.next_step(&mut forwarding, attempted, placed) {
@@ -108,6 +122,8 @@
                 if may_have_run {
                     forwarding.may_have_run = Some(refusal.reason);
                 }
+                let has_run = forwarding.may_have_run.is_some() || forwarding.failure.is_some();
+                forwarding.set_may_have_run(has_run);
                 let may_retry = if forwarding.outgoing.trial_host.is_some() {
                     false
                 } else if refusal.never_reached_upstream() {
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -122,6 +122,11 @@
         if now >= head.deadline {
             return Err(state.admission.refusal(now, Reason::Deadline));
         }
+        // The request waited for longer than its account's token is valid. The entry may send it
+        // again with a new one.
+        if head.run_by.is_some_and(|run_by| now >= run_by) {
+            return Err(state.admission.refusal(now, Reason::Late));
+        }
         if let Some(reason) = state.gate.check_hand_over(now) {
             return Err(state.admission.refusal(now, reason));
         }
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -26,6 +26,9 @@
 const ROUTE: HeaderName = HeaderName::from_static("mintridge-route");
 /// Time left until the target latency is missed, in microseconds.
 const TARGET: HeaderName = HeaderName::from_static("mintridge-target-us");
+/// Time left in which the request may be sent to an upstream, in microseconds; present if its client
+/// account has a limited rate.
+const RUN_WITHIN: HeaderName = HeaderName::from_static("mintridge-run-within-us");
 /// Address at which the entry node receives load reports.
 const REPORT_TO: HeaderName = HeaderName::from_static("mintridge-report-to");
 /// Present on a request that the node must refuse if it would miss its target latency there.
@@ -73,6 +76,9 @@
     pub route: Arc<str>,
     /// Target time of the response; the caller gets less value from a later one.
     pub target: Instant,
+    /// When the token expires that a request of a rate-limited account has taken; the request is not
+    /// sent to an upstream later.
+    pub run_by: Option<Instant>,
     /// Whether the request may run more than once: its route or method is idempotent, and its
     /// caller did not ask for at most one run by sending an idempotency key.
     pub repeatable: bool,
@@ -107,6 +113,10 @@
     insert(headers, ROUTE, &head.route);
     let target = head.target.saturating_duration_since(now);
     insert(headers, TARGET, &target.as_micros().to_string());
+    if let Some(run_by) = head.run_by {
+        let left = run_by.saturating_duration_since(now);
+        insert(headers, RUN_WITHIN, &left.as_micros().to_string());
+    }
     if let Some(address) = head.report_to {
         insert(headers, REPORT_TO, &address.to_string());
     }
@@ -154,6 +164,11 @@
             .map_err(|_| Malformed { name: PRIORITY })?,
         route: Arc::from(required(headers, ROUTE)?),
         target: instant(now, headers, TARGET)?,
+        run_by: if headers.contains_key(&RUN_WITHIN) {
+            Some(instant(now, headers, RUN_WITHIN)?)
+        } else {
+            None
+        },
         repeatable: headers.contains_key(REPEATABLE),
         only_in_time: headers.contains_key(ONLY_IN_TIME),
         report_to: text(headers, REPORT_TO).and_then(|address| address.parse().ok()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 //! date, and [`operators`] serves health, metrics and state. `mintridge-core` makes the decisions;
 //! this crate provides the sockets, threads and timers.
 
+pub mod accounts;
 pub mod adapter;
 pub mod announcement;
 pub mod arrival;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hyper::Response;
+use mintridge_core::account::limiter::Statistics;
 use mintridge_core::claim::Verdict as ClaimVerdict;
 use mintridge_core::health::Verdict;
 use mintridge_core::notice::{Limit, Notice};
@@ -91,6 +92,8 @@
     reads_store: Gauge,
     verified_age: Gauge,
     evacuated_zones: Gauge,
+    rate_limits: Family<KindLabels, Counter>,
+    delegations: Gauge,
 }
 
 impl Default for Metrics {
@@ -130,6 +133,8 @@
             reads_store: Gauge::default(),
             verified_age: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            rate_limits: Family::default(),
+            delegations: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -159,6 +164,10 @@
         registry.register("held_back", help, self.quarantined.clone());
         let help = "Availability zones whose upstreams get nothing new";
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
+        let help = "Requests of limited accounts by decision, and changes of owners";
+        registry.register("rate_limits", help, self.rate_limits.clone());
+        let help = "Shares of limits delegated to this node, counted for each shard";
+        registry.register("delegations", help, self.delegations.clone());
         registry.register("reloads", "Settings files read again", self.reloads.clone());
         registry.register(
             "pace_asked",
@@ -317,6 +326,23 @@
         count(&self.rings_full, ring);
     }
 
+    /// Counts what limited accounts were granted and refused since the last call, and sets the number
+    /// of delegations that this node holds as an owner.
+    pub fn rate_limits(&self, before: &Statistics, now: &Statistics, delegations: usize) {
+        let kinds = [
+            ("granted", before.granted, now.granted),
+            ("refused", before.refused, now.refused),
+            ("returned", before.returned, now.returned),
+            ("owner-change", before.owner_changes, now.owner_changes),
+        ];
+        for (kind, before, now) in kinds {
+            let counter = self.rate_limits.get_or_create(&KindLabels { kind });
+            counter.inc_by(now.saturating_sub(before));
+        }
+        self.delegations
+            .set(i64::try_from(delegations).unwrap_or(i64::MAX));
+    }
+
     /// Counts malformed input by its kind.
     pub fn bad_input(&self, kind: &'static str) {
         count(&self.bad_input, kind);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,7 +1,7 @@
 //! Life cycle of a node: start, graceful stop and immediate shutdown.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,6 +11,7 @@
 use socket2::{Domain, Type};
 use tokio::sync::{mpsc, watch};
 
+use crate::accounts::Limiter;
 use crate::adapter::Adapter;
 use crate::context::{Addresses, Context, GuardState, Latest, Rings, Stage, View, unix_millis};
 use crate::duties::{self, Duty, Inputs, Socket};
@@ -63,12 +64,17 @@
         Some(address) => Some(listen(address, "metrics")?.0),
         None => None,
     };
+    let accounts = match listeners.accounts {
+        Some(address) => Some(bind_datagrams(address, "accounts")?),
+        None => None,
+    };
     let addresses = Addresses {
         callers: callers.1,
         peers: peers.1,
         control: control.1,
         announcements: announcements.1,
         operators: operators.1,
+        accounts_port: accounts.as_ref().map(|(_, address)| address.port()),
     };
     let (to_guard, messages) = mpsc::channel(settings.guard.announcements_ring);
     let (to_claims, jobs) = mpsc::channel(settings.claims.ring);
@@ -84,11 +90,17 @@
     let latest = latest(&settings);
     let epochs = settings.store.epoch_header.as_deref();
     let epochs = epochs.map(Epochs::from_header).unwrap_or_default();
+    let incarnation = unix_millis();
+    let limiter = accounts.as_ref().map(|_| {
+        let limiter = Limiter::new(&settings.accounts, &settings.host, incarnation);
+        Arc::new(limiter)
+    });
     let context = Arc::new(Context {
         settings,
         adapter,
         addresses,
-        incarnation: unix_millis(),
+        incarnation,
+        limiter,
         metrics: Metrics::default(),
         epochs,
         rings,
@@ -101,6 +113,7 @@
         announcements: announcements.0,
         operators: operators.0,
         metrics,
+        accounts: accounts.map(|(socket, _)| socket),
         messages,
         jobs,
         quarantine_events,
@@ -113,6 +126,7 @@
         control:% = addresses.control,
         announcements:% = addresses.announcements,
         operators:% = addresses.operators,
+        accounts_port:? = addresses.accounts_port,
         peers_named = context.settings.peers.len();
         "node started"
     );
@@ -157,6 +171,20 @@
     opened().change_context(Error::Listen { address, purpose })
 }
 
+/// Binds a socket for datagrams.
+fn bind_datagrams(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(UdpSocket, SocketAddr), Report<Error>> {
+    let bound = || -> io::Result<(UdpSocket, SocketAddr)> {
+        let socket = UdpSocket::bind(address)?;
+        socket.set_nonblocking(true)?;
+        let bound = socket.local_addr()?;
+        Ok((socket, bound))
+    };
+    bound().change_context(Error::Listen { address, purpose })
+}
+
 impl Node {
     /// State shared by the duties.
     #[must_use]
--- a/crates/standin/src/process.rs
+++ b/crates/standin/src/process.rs
@@ -159,5 +159,6 @@
         control: address("control")?,
         announcements: address("announcements")?,
         operators: address("operators")?,
+        accounts_port: None,
     })
 }
