feat(account): take a share back from a former owner at once

Cause: after a change of the owner a share was idle until its delegation lapsed, up to 4 s, also when the former owner had left properly.

Change: a node asks the former owner to release its share, and treats the share as free when that owner has left. An answer to a release counts only if the share was not delegated to that owner again since.

--- a/crates/core/src/account/limiter.rs
+++ b/crates/core/src/account/limiter.rs
@@ -48,7 +48,7 @@
 /// leave room for its own.
 pub const SETTLED_AFTER: Duration = Duration::from_secs(5);
 /// Maximum number of accounts in one message, so that it fits into 1,024 bytes.
-pub const MAX_ENTRIES: usize = 24;
+pub const MAX_ENTRIES: usize = 14;
 
 /// Identifies an account in messages: 48 bits of a hash of its name, so that the length of a message
 /// does not depend on names. Two of 10,000 accounts share a key with a probability below 1 in
@@ -91,6 +91,8 @@
     pub hosts: u32,
     /// Set if the node delegates its share: the latest answer that it received from the owner.
     pub delegation: Option<AnswerId>,
+    /// Whether the node takes its share back; the owner's answer shows that it no longer counts.
+    pub release: bool,
     /// Tokens asked for and returned.
     pub entries: Vec<Entry>,
 }
--- a/crates/core/src/account/limiter/client.rs
+++ b/crates/core/src/account/limiter/client.rs
@@ -89,6 +89,7 @@
     shard: u32,
     to: Arc<str>,
     sent_at: Instant,
+    release: bool,
     keys: Vec<Key>,
 }
 
@@ -116,7 +117,8 @@
     }
 
     /// Applies the present hosts, this one included, and those known to have left. `joined` is false
-    /// while this node may be one of a fleet that it does not know yet.
+    /// while this node may be one of a fleet that it does not know yet. The process of a host that
+    /// has left grants nothing any more, so that a share delegated to it is free.
     pub fn set_hosts(
         &mut self,
         now: Instant,
@@ -125,6 +127,12 @@
         joined: bool,
     ) {
         self.fleet.update(now, present, left, joined);
+        for shard in &mut self.shards {
+            let holder = shard.holder().filter(|holder| left.contains(*holder));
+            if let Some(holder) = holder.cloned() {
+                shard.record_release(now, &holder, None);
+            }
+        }
     }
 
     /// Replaces the limits of all accounts. Without any limit, no messages are sent.
@@ -280,12 +288,15 @@
         let joined_at = self.fleet.joined_at();
         let settled = joined_at.is_some_and(|at| now >= at + SETTLED_AFTER);
         let owner = self.fleet.owner(shard);
-        let delegation = self.shards[shard as usize].send(now, owner, to, settled);
+        let state = &mut self.shards[shard as usize];
+        let release = state.releases(now, owner, to);
         self.sequence += 1;
+        let delegation = state.send(now, owner, to, self.sequence, settled);
         let pending = Pending {
             shard,
             to: Arc::clone(to),
             sent_at: now,
+            release,
             keys: entries.iter().map(|entry| entry.key).collect(),
         };
         self.pending.insert(self.sequence, pending);
@@ -296,6 +307,7 @@
             shard,
             hosts: self.fleet.count(now),
             delegation,
+            release,
             entries,
         };
         (Arc::clone(to), ask)
@@ -313,6 +325,10 @@
         self.fleet.record_report(now, answer.hosts);
         let owner = self.fleet.owner(pending.shard);
         let shard = &mut self.shards[pending.shard as usize];
+        let sequence = answer.sequence;
+        if pending.release && shard.is_released(now, owner, &pending.to, sequence) {
+            shard.record_release(now, &pending.to, Some(answer.id.incarnation));
+        }
         if shard.receive(now, owner, &answer.from, answer.id) {
             self.statistics.owner_changes += 1;
         }
--- a/crates/core/src/account/limiter/pool.rs
+++ b/crates/core/src/account/limiter/pool.rs
@@ -115,6 +115,11 @@
         if ask.shard >= self.settings.shards || !self.record_sender(now, ask) {
             return None;
         }
+        if ask.release
+            && let Some(shard) = self.shards.get_mut(&ask.shard)
+        {
+            shard.release(now, &ask.from);
+        }
         let until = self.counts_until(ask).filter(|until| now < *until);
         if let Some(until) = until {
             let part = 1.0 / f64::from(ask.hosts.max(hosts).max(1));
@@ -223,6 +228,15 @@
         }
     }
 
+    /// Removes the delegation of a node that takes its share back. An earlier message of that node
+    /// that arrives later is ignored.
+    fn release(&mut self, now: Instant, host: &str) {
+        self.expire(now);
+        if self.delegations.remove(host).is_some() {
+            self.recount(now);
+        }
+    }
+
     /// Removes delegations that have lapsed, each at the time when it did, so that after a pause of
     /// the process nothing is filled for the time after it.
     fn expire(&mut self, now: Instant) {
--- a/crates/core/src/account/limiter/shard.rs
+++ b/crates/core/src/account/limiter/shard.rs
@@ -24,6 +24,8 @@
     bound: Option<Bound>,
     /// No owner counts this node's share from then on.
     held_until: Instant,
+    /// Number of the last message that delegated the share.
+    delegated_by: u64,
     /// The shard's owner, and when the first ask was sent to it that it has not answered since.
     unanswered: Option<(Arc<str>, Instant)>,
     /// When the next ask is due.
@@ -46,6 +48,7 @@
             own,
             bound: None,
             held_until: now,
+            delegated_by: 0,
             unanswered: None,
             ask_at: now,
         }
@@ -81,26 +84,73 @@
     }
 
     /// Returns the nodes to which an ask is due. While this node replaces the owner, the owner is
-    /// asked too, so that its return is noticed.
+    /// asked too, so that its return is noticed. A former owner is asked to release the share.
     pub fn due(&self, now: Instant, owner: &Arc<str>) -> Vec<Arc<str>> {
         if now < self.ask_at {
             return Vec::new();
         }
         let delegate = self.delegate(now, owner);
-        let mut recipients = vec![Arc::clone(delegate)];
-        if delegate != owner {
+        let mut recipients: Vec<Arc<str>> = Vec::new();
+        recipients.extend(self.former(now, owner).cloned());
+        recipients.push(Arc::clone(delegate));
+        if !recipients.contains(owner) {
             recipients.push(Arc::clone(owner));
         }
         recipients
     }
 
-    /// Records that an ask is sent to a node, and returns the delegation to send with it, if any.
+    /// Returns the node that may count this node's share although it is to be delegated to another.
+    fn former(&self, now: Instant, owner: &Arc<str>) -> Option<&Arc<str>> {
+        let bound = self.bound.as_ref().filter(|_| now < self.held_until)?;
+        (bound.owner != *self.delegate(now, owner)).then_some(&bound.owner)
+    }
+
+    /// Returns whether the share may be taken back because `from` has answered the ask with this
+    /// number, which was to release it.
+    ///
+    /// Failure: the owner changes to another node and back. Symptom: the answer to a release arrives
+    /// after the share was delegated to the same node again, and the share counts twice.
+    pub fn is_released(
+        &self,
+        now: Instant,
+        owner: &Arc<str>,
+        from: &Arc<str>,
+        sequence: u64,
+    ) -> bool {
+        sequence > self.delegated_by && self.releases(now, owner, from)
+    }
+
+    /// Returns whether an ask to this node is to release the share.
+    pub fn releases(&self, now: Instant, owner: &Arc<str>, to: &Arc<str>) -> bool {
+        self.former(now, owner) == Some(to)
+    }
+
+    /// Records that a node no longer counts this node's share: it said so, or its process has ended.
+    pub fn record_release(&mut self, now: Instant, host: &str, incarnation: Option<u64>) {
+        let is_bound = |bound: &Bound| {
+            let is_process = incarnation.is_none_or(|it| it == bound.answer.incarnation);
+            &*bound.owner == host && is_process
+        };
+        if self.bound.as_ref().is_some_and(is_bound) {
+            self.bound = None;
+            self.held_until = now;
+            self.ask_at = now;
+        }
+    }
+
+    /// Returns the node that may count this node's share.
+    pub fn holder(&self) -> Option<&Arc<str>> {
+        self.bound.as_ref().map(|bound| &bound.owner)
+    }
+
+    /// Records that the ask with this number is sent to a node, and returns the delegation to send with it, if any.
     /// `settled` is false while this node may not use its share.
     pub fn send(
         &mut self,
         now: Instant,
         owner: &Arc<str>,
         to: &Arc<str>,
+        sequence: u64,
         settled: bool,
     ) -> Option<AnswerId> {
         if to == owner {
@@ -112,6 +162,7 @@
         let bound = self.bound.as_ref().filter(|bound| bound.owner == *to)?;
         let counted_until = bound.received_at + DELEGATION_LIFE + DELEGATION_MARGIN;
         self.held_until = self.held_until.max(counted_until);
+        self.delegated_by = sequence;
         Some(bound.answer)
     }
 
--- a/crates/core/src/account/limiter/terms.rs
+++ b/crates/core/src/account/limiter/terms.rs
@@ -12,8 +12,9 @@
 /// Part of the overshoot that the life of tokens uses up. The rest covers nodes that know different
 /// numbers of hosts for some seconds, and the rounding of expiry times in the owner's record.
 const LIFE_SHARE: f64 = 0.75;
-/// Longest life of a token. It is well below any window, so that a lower limit is binding after one.
-const MAX_LIFE: Duration = Duration::from_secs(2);
+/// Longest life of a token, as a part of the window. Tokens granted under a former limit have expired
+/// one window after it was lowered.
+const MAX_LIFE: f64 = 0.4;
 
 /// Parameters of one account, over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -34,7 +35,7 @@
         let slack = (1.0 - SLACK_IN_BURST) * settings.rate_slack;
         let window = settings.rate_window.as_secs_f64();
         let excess = overshoot * window + (overshoot * limit.burst + slack) / limit.per_second;
-        let life = (LIFE_SHARE * excess).clamp(0.0, MAX_LIFE.as_secs_f64());
+        let life = (LIFE_SHARE * excess).clamp(0.0, MAX_LIFE * window);
         Self {
             limit,
             capacity: limit.burst + SLACK_IN_BURST * settings.rate_slack,
--- a/crates/node/src/accounts/wire.rs
+++ b/crates/node/src/accounts/wire.rs
@@ -13,9 +13,9 @@
 /// A message as it is sent.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Sender, its incarnation, number, shard, hosts, delegation, and entries.
+    /// Sender, its incarnation, number, shard, hosts, delegation, release, and entries.
     #[serde(rename = "q")]
-    Ask(Arc<str>, u64, u64, u32, u32, Option<Id>, Vec<Asked>),
+    Ask(Arc<str>, u64, u64, u32, u32, Option<Id>, bool, Vec<Asked>),
     /// Sender, its answer, number of the ask, hosts, and grants.
     #[serde(rename = "a")]
     Answer(Arc<str>, Id, u64, u32, Vec<Granted>),
@@ -43,6 +43,7 @@
             ask.shard,
             ask.hosts,
             ask.delegation.map(|id| (id.incarnation, id.number)),
+            ask.release,
             ask.entries.into_iter().map(entry).collect(),
         )
     }
@@ -76,7 +77,16 @@
 impl From<Message> for Received {
     fn from(message: Message) -> Self {
         match message {
-            Message::Ask(from, incarnation, sequence, shard, hosts, delegation, entries) => {
+            Message::Ask(
+                from,
+                incarnation,
+                sequence,
+                shard,
+                hosts,
+                delegation,
+                release,
+                entries,
+            ) => {
                 let entry = |(key, needed, spare, returned): Asked| Entry {
                     key: Key(key),
                     needed,
@@ -93,6 +103,7 @@
                     shard,
                     hosts,
                     delegation: delegation.map(id),
+                    release,
                     entries: entries.into_iter().map(entry).collect(),
                 })
             }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -218,7 +218,7 @@
 }
 
 #[allow(clippy::cast_precision_loss)]
-fn bounds(settings: &Settings) -> [Bound; 10] {
+fn bounds(settings: &Settings) -> [Bound; 11] {
     let share = |key, found| Bound {
         key,
         found,
@@ -248,6 +248,7 @@
         at_least_one("claim.writes_per_second", settings.claim.writes_per_second),
         at_least_one("claim.writes_burst", settings.claim.writes_burst),
         at_least_one("retry.attempts", f64::from(settings.retry.attempts)),
+        at_least_one("accounts.shards", f64::from(settings.accounts.shards)),
         at_least_one("claims.ring", settings.claims.ring as f64),
         Bound {
             key: "claim.batch_most",
