merge: request rates of client accounts over all nodes

Cause: the limiter was written against a directory without keys. The socket is opened only where the deployment sets a window for rates.

--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -5,15 +5,15 @@
 //! it takes that account's share of the queue, and the upstream acts on a name that nobody checked.
 //! A request therefore carries a key, and the node derives the account from it.
 
-pub mod currency;
-
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 pub mod authorization;
+pub mod currency;
 pub mod directory;
 pub mod key;
+pub mod limiter;
 pub mod listing;
 
 pub use self::directory::Directory;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -20,6 +20,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, watch};
 
+use crate::accounts::Limiter;
 use crate::adapter::Adapter;
 use crate::announcement::Message;
 use crate::claims::Job;
@@ -40,6 +41,9 @@
     /// Evacuated availability zones, whose upstreams get no new requests.
     #[serde(default)]
     pub evacuated: BTreeSet<Arc<str>>,
+    /// Hosts that have left on their own initiative in the last minute.
+    #[serde(default)]
+    pub left: BTreeSet<Arc<str>>,
 }
 
 /// State of the upstream beside this node, as observed by its guard.
@@ -95,6 +99,8 @@
     pub announcements: SocketAddr,
     /// Listener for operators.
     pub operators: SocketAddr,
+    /// Port of the socket for messages that limit accounts, if it is set.
+    pub accounts_port: Option<u16>,
 }
 
 /// Senders of the bounded queues between duties, which settings and metrics call rings.
@@ -158,6 +164,8 @@
     /// Requests in progress at the upstream, by which the entry recognizes their calls. The guard
     /// begins and ends them.
     pub calls: Mutex<call::Register>,
+    /// Limits the request rates of client accounts, where `listeners.accounts` is set.
+    pub limiter: Option<Arc<Limiter>>,
     /// Queues between duties.
     pub rings: Rings,
     /// Watch channels between duties.
--- a/crates/node/tests/accounts.rs
+++ b/crates/node/tests/accounts.rs
@@ -167,6 +167,7 @@
         repeatable: true,
         only_in_time: false,
         report_to: None,
+        run_by: None,
         known: None,
     };
     let request = Request::get(format!("http://127.0.0.1{FIELDS}"))
