fix(call): a request right after another one with the same timeout is no call

Cause: the deadline of a caller's request that arrives within 5 ms of another one equals that of its run within the tolerance, so calls would be observed where upstreams make none. Change: a run makes its first call more than 5 ms after its hand-over.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -43,17 +43,49 @@
     pub refused: u32,
 }
 
+/// A request in progress, and its calls.
+#[derive(Debug)]
+struct Run {
+    parent: Parent,
+    begun_at: Instant,
+    calls: Calls,
+}
+
+impl Run {
+    /// Returns whether a request that arrives now with this deadline may be a call of this run.
+    ///
+    /// Failure: a caller's request arrives within [`MAX_LATE`] of another one with the same timeout.
+    /// Symptom: it is taken for a call of that one, also where upstreams make no calls. The first
+    /// call of a run is therefore expected later than that.
+    fn may_have_made(&self, now: Instant, deadline: Instant) -> bool {
+        now > self.begun_at + MAX_LATE
+            && self.parent.deadline <= deadline + MAX_EARLY
+            && deadline <= self.parent.deadline + MAX_LATE
+    }
+
+    /// Difference between this deadline and that of the parent.
+    fn distance(&self, deadline: Instant) -> Duration {
+        let late = deadline.saturating_duration_since(self.parent.deadline);
+        late.max(self.parent.deadline.saturating_duration_since(deadline))
+    }
+}
+
 /// The requests in progress at the upstream, and the calls of each.
 #[derive(Debug, Default)]
 pub struct Register {
-    runs: HashMap<Id, (Parent, Calls)>,
+    runs: HashMap<Id, Run>,
     last_call_at: Option<Instant>,
 }
 
 impl Register {
     /// Records that a request is handed over to the upstream.
-    pub fn begin(&mut self, parent: Parent) {
-        self.runs.insert(parent.id, (parent, Calls::default()));
+    pub fn begin(&mut self, now: Instant, parent: Parent) {
+        let run = Run {
+            begun_at: now,
+            calls: Calls::default(),
+            parent,
+        };
+        self.runs.insert(run.parent.id, run);
     }
 
     /// Records the end of a run.
@@ -63,33 +95,25 @@
 
     /// Returns the parent of a request that arrives with this stated deadline, and counts its call.
     pub fn record_call(&mut self, now: Instant, deadline: Instant) -> Option<Parent> {
-        let matching = self.runs.values_mut().filter(|(parent, _)| {
-            parent.deadline <= deadline + MAX_EARLY && deadline <= parent.deadline + MAX_LATE
-        });
-        let distance = |parent: &Parent| {
-            let late = deadline.saturating_duration_since(parent.deadline);
-            late.max(parent.deadline.saturating_duration_since(deadline))
-        };
-        let nearest = matching.min_by_key(|(parent, _)| (distance(parent), parent.id));
-        let (parent, calls) = nearest?;
-        calls.made += 1;
+        let runs = self.runs.values_mut();
+        let matching = runs.filter(|run| run.may_have_made(now, deadline));
+        let run = matching.min_by_key(|run| (run.distance(deadline), run.parent.id))?;
+        run.calls.made += 1;
         self.last_call_at = Some(now);
-        Some(parent.clone())
+        Some(run.parent.clone())
     }
 
     /// Records that a call of this run was refused.
     pub fn record_refusal(&mut self, id: Id) {
-        if let Some((_, calls)) = self.runs.get_mut(&id) {
-            calls.refused += 1;
+        if let Some(run) = self.runs.get_mut(&id) {
+            run.calls.refused += 1;
         }
     }
 
     /// Returns the calls that a run has made so far.
     #[must_use]
     pub fn calls(&self, id: Id) -> Calls {
-        self.runs
-            .get(&id)
-            .map_or(Calls::default(), |(_, calls)| *calls)
+        self.runs.get(&id).map_or(Calls::default(), |run| run.calls)
     }
 
     /// Returns whether a call was recognized within `period`.
--- a/crates/node/src/guard/runs.rs
+++ b/crates/node/src/guard/runs.rs
@@ -10,6 +10,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::Request;
@@ -183,12 +184,13 @@
 impl Guard {
     /// Records that the request with this slot is handed over to the upstream.
     pub(super) fn begin_run(self: &Arc<Self>, id: Id, head: &Head, digest: Digest) -> Run {
-        self.context.calls.lock().begin(Parent {
+        let parent = Parent {
             id,
             deadline: head.deadline,
             rank: head.priority,
             route: Arc::clone(&head.route),
-        });
+        };
+        self.context.calls.lock().begin(Instant::now(), parent);
         self.state.lock().runs.in_progress.insert(id, digest);
         Run {
             guard: Arc::clone(self),
