fix(node): ask the upstream which instance runs before an announcement starts another

Cause: a node that has just started knows no predecessors, so the first announcement of any instance counted as a start, however late. It aborted the requests in progress at the running upstream, opened the gate to a leaving one, or left the running one behind as an ended predecessor. Change: where the upstream names its instance in responses, an announcement of another incarnation is held (instance::Verdict::Unconfirmed) until a health check names it (Register::record_answer). A check that names the current instance ends the sender of the announcement; without an answer a later announcement at least 1 s after the first confirms it. A check answered with 503 is read too: its leaving header closes the gate before anything announces the upstream. An instance that is denied or replaced without a response of its own comes back once the current one is silent or was never named.

--- a/crates/core/tests/instance.rs
+++ b/crates/core/tests/instance.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use mintridge_core::instance::{Message, Register, Verdict};
+use mintridge_core::instance::{Answer, Decision, Message, Register, Verdict};
 use rstest::rstest;
 
 /// An incarnation that has sent nothing for this long no longer takes precedence over another.
@@ -27,6 +27,29 @@
         }
     }
 
+    /// A register that awaits the upstream's response before a start counts.
+    fn asking_upstream() -> Self {
+        let fixture = Self::new();
+        Self {
+            register: fixture.register.asking_upstream(),
+            ..fixture
+        }
+    }
+
+    /// Records the response to a health check that is sent now.
+    fn record_answer(&mut self, instance: &str, ready: bool, leaving: bool) -> Decision {
+        let answer = Answer {
+            instance: &name(instance),
+            ready,
+            leaving,
+        };
+        self.register.record_answer(self.now, self.now, &answer)
+    }
+
+    fn is_current(&self, instance: &str) -> bool {
+        self.register.current() == Some(&name(instance))
+    }
+
     fn record_message(&mut self, instance: &str, born: Option<u64>, sequence: u64) -> Verdict {
         let instance = name(instance);
         let message = Message {
@@ -203,3 +226,139 @@
     assert_eq!(fixture.record_message("new", None, 6), Verdict::Current);
     assert_eq!(fixture.record_message("old", None, 10), Verdict::Outdated);
 }
+
+/// A late message of an ended incarnation counts as a start at a node that does not know that it has
+/// ended, or its sender is not remembered as ended, or the sound upstream is.
+#[test]
+fn record_answer_denies_the_sender_of_a_late_message() {
+    let mut fixture = Fixture::asking_upstream();
+    assert_eq!(
+        fixture.record_answer("new", true, false),
+        Decision::Unannounced
+    );
+    assert_eq!(fixture.record_message("old", None, 9), Verdict::Unconfirmed);
+    assert!(fixture.register.awaits_answer(fixture.now));
+    assert_eq!(
+        fixture.record_answer("new", false, false),
+        Decision::Current
+    );
+    assert!(!fixture.register.awaits_answer(fixture.now));
+    assert_eq!(fixture.record_message("old", None, 10), Verdict::Outdated);
+    assert_eq!(fixture.record_message("new", None, 1), Verdict::Current);
+}
+
+/// A started upstream waits for its next announcement, or a response that was sent before it
+/// announced itself counts as the one that follows.
+#[test]
+fn record_answer_confirms_a_start() {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("old", true, false);
+    let sent_at = fixture.now;
+    fixture.advance(Duration::from_millis(1));
+    fixture.record_message("new", None, 1);
+    let answer = Answer {
+        instance: &name("old"),
+        ready: true,
+        leaving: false,
+    };
+    let register = &mut fixture.register;
+    register.record_answer(sent_at, fixture.now, &answer);
+    assert!(register.awaits_answer(fixture.now));
+    assert_eq!(fixture.record_answer("new", true, false), Decision::Started);
+    assert_eq!(fixture.record_message("new", None, 2), Verdict::Current);
+    assert_eq!(fixture.record_message("old", None, 9), Verdict::Outdated);
+}
+
+/// One message of an upstream that cannot be asked, or whose health check fails, counts as a start;
+/// or the upstream is shut out for good. Messages of the current incarnation in between show that
+/// both are not late.
+#[rstest]
+#[case::later(8, 1_000, false, Verdict::Started)]
+#[case::too_soon(8, 900, false, Verdict::Unconfirmed)]
+#[case::repeated(7, 1_000, false, Verdict::Unconfirmed)]
+#[case::current_in_between(8, 1_000, true, Verdict::Unconfirmed)]
+fn record_message_without_an_answer_needs_a_later_one(
+    #[case] sequence: u64,
+    #[case] after_ms: u64,
+    #[case] in_between: bool,
+    #[case] expected: Verdict,
+) {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("current", true, false);
+    fixture.record_message("other", None, 7);
+    fixture.advance(Duration::from_millis(after_ms / 2));
+    assert_eq!(
+        fixture.record_answer("other", false, false),
+        Decision::Undecided
+    );
+    if in_between {
+        fixture.record_message("current", None, 1);
+    }
+    fixture.advance(Duration::from_millis(after_ms / 2));
+    assert_eq!(fixture.record_message("other", None, sequence), expected);
+    assert_eq!(fixture.is_current("other"), expected == Verdict::Started);
+}
+
+/// Two late messages replaced an upstream that could not be asked, and its own are then ignored as
+/// those of a predecessor for good.
+#[test]
+fn record_message_restores_an_upstream_that_was_replaced_by_mistake() {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_message("own", None, 1);
+    fixture.record_answer("own", true, false);
+    fixture.record_message("late", None, 7);
+    fixture.advance(Duration::from_secs(1));
+    fixture.record_message("late", None, 8);
+    assert!(fixture.is_current("late"));
+    assert_eq!(fixture.record_message("own", None, 2), Verdict::Unconfirmed);
+    assert_eq!(fixture.record_answer("own", true, false), Decision::Started);
+    assert_eq!(fixture.record_message("late", None, 9), Verdict::Outdated);
+}
+
+/// A restarted upstream that still answers for its predecessor at first is remembered as ended for
+/// good.
+#[test]
+fn record_message_after_a_denial_counts_once_the_current_one_is_silent() {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("old", true, false);
+    fixture.record_message("new", None, 1);
+    fixture.record_answer("old", true, false);
+    assert_eq!(fixture.record_message("new", None, 2), Verdict::Outdated);
+    fixture.advance(SILENCE_TIMEOUT);
+    assert_eq!(fixture.record_message("new", None, 3), Verdict::Unconfirmed);
+    assert_eq!(fixture.record_answer("new", true, false), Decision::Started);
+}
+
+/// The first message that a restarted node gets is a late one of the previous incarnation under the
+/// same id. The first one of the running incarnation counts as a restart, and requests in progress
+/// are aborted. Once two messages have shown the start time, another one is a restart.
+#[test]
+fn record_message_corrects_a_start_time_of_one_message() {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("a", true, false);
+    fixture.record_message("a", Some(100), 40);
+    assert_eq!(fixture.record_message("a", Some(200), 1), Verdict::Current);
+    assert_eq!(
+        fixture.record_message("a", Some(100), 41),
+        Verdict::Outdated
+    );
+    fixture.advance(Duration::from_secs(1));
+    assert_eq!(fixture.record_message("a", Some(200), 2), Verdict::Current);
+    assert_eq!(
+        fixture.record_message("a", Some(300), 1),
+        Verdict::Unconfirmed
+    );
+    assert_eq!(fixture.record_answer("a", true, false), Decision::Started);
+}
+
+/// An upstream that announced its end answers health checks as before, and a late message of another
+/// incarnation has it asked: it becomes current again.
+#[test]
+fn record_answer_restores_no_instance_that_announced_its_end() {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("a", true, false);
+    fixture.record_end("a", None);
+    fixture.record_message("b", None, 9);
+    assert_eq!(fixture.record_answer("a", true, false), Decision::Undecided);
+    assert_eq!(fixture.register.current(), None);
+}
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -58,6 +58,7 @@
 use crate::headers::{self, Head};
 use crate::link::{CHECK_PATH, SLOT_PATH};
 use crate::request_log::{RequestLog, limit_text};
+use crate::settings::Settings;
 use crate::traces;
 use crate::upstream::Upstream;
 
@@ -99,7 +100,13 @@
     /// upstream.
     pace_budget: probe::Budget,
     announcement: Option<Announcement>,
+    /// Announcements of incarnations that the upstream has not confirmed.
+    held: Vec<Announcement>,
     instance: instance::Register,
+    /// Whether the current instance stated in a health check that it is leaving.
+    leaving_checked: bool,
+    /// Whether to ask the upstream if it is still leaving.
+    leaving_recheck: bool,
     /// Statements of the current incarnation that another node heard before this process.
     adopted: Option<Known>,
     waiters: HashMap<Id, oneshot::Sender<Result<(), Refusal>>>,
@@ -213,7 +220,10 @@
                 probe_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 pace_budget: probe::Budget::new(settings.probe.clone(), share, now),
                 announcement: None,
-                instance: instance::Register::new(settings.gate.announcement_lapses),
+                held: Vec::new(),
+                instance: register(settings),
+                leaving_checked: false,
+                leaving_recheck: false,
                 adopted: None,
                 waiters: HashMap::new(),
                 next_id: 0,
@@ -390,6 +400,17 @@
     }
 }
 
+/// Creates the register of the upstream's incarnations, which awaits the upstream's confirmation if
+/// its responses name the instance.
+fn register(settings: &Settings) -> instance::Register {
+    let register = instance::Register::new(settings.gate.announcement_lapses);
+    if settings.upstream.instance_header.is_some() {
+        register.asking_upstream()
+    } else {
+        register
+    }
+}
+
 impl State {
     /// Returns the reason to refuse a new request for `service`, if there is one.
     fn refusal_reason(&mut self, now: Instant, service: &str) -> Option<Reason> {
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -57,30 +57,36 @@
             born: announcement.born,
             sequence: announcement.sequence,
         };
-        let same_id = state.instance.current() == Some(&announcement.instance);
+        let previous = state.instance.current().cloned();
         match state.instance.record_message(now, message) {
             instance::Verdict::Outdated => {
-                log::info!(
-                    instance = &*announcement.instance,
-                    born:? = announcement.born,
-                    sequence = announcement.sequence;
-                    "ignored an outdated announcement"
-                );
+                self.log_ignored(&state, &announcement);
+                return;
+            }
+            instance::Verdict::Unconfirmed => {
+                self.hold(&mut state, announcement);
                 return;
             }
             instance::Verdict::Started => {
                 self.reset_after_restart(&mut state);
-                log::info!(
-                    instance = &*announcement.instance,
-                    born:? = announcement.born,
-                    same_id = same_id,
-                    service = &*announcement.service,
-                    slots = announcement.slots;
-                    "upstream announced itself"
-                );
+                self.log_start(previous.as_ref(), &announcement);
+                self.drop_ignored(&mut state);
+            }
+            instance::Verdict::Current => {
+                Self::check_adopted(&mut state, now);
+                self.recheck_leaving(&mut state, &announcement);
             }
-            instance::Verdict::Current => Self::check_adopted(&mut state, now),
         }
+        self.apply_contents(&mut state, now, announcement);
+    }
+
+    /// Applies what an announcement of the current incarnation says.
+    pub(super) fn apply_contents(
+        &self,
+        state: &mut State,
+        now: Instant,
+        announcement: Announcement,
+    ) {
         state
             .gate
             .record_announcement(now, announcement.state == UpstreamState::Draining);
@@ -95,6 +101,89 @@
         state.announcement = Some(announcement);
     }
 
+    /// Keeps an announcement until the upstream has been asked which instance runs.
+    fn hold(&self, state: &mut State, announcement: Announcement) {
+        self.context.metrics.announcement("held");
+        if self.log.try_acquire(1) {
+            log::info!(
+                instance = &*announcement.instance,
+                born:? = announcement.born,
+                sequence = announcement.sequence,
+                current:? = state.instance.current();
+                "announcement of another instance; asking the upstream"
+            );
+        }
+        let is_same = |held: &Announcement| {
+            held.instance == announcement.instance && held.born == announcement.born
+        };
+        state.held.retain(|held| !is_same(held));
+        state.held.push(announcement);
+        self.drop_ignored(state);
+        self.discovery_due.notify_one();
+    }
+
+    /// Applies the announcement of the incarnation that a response of the upstream confirmed.
+    pub(super) fn apply_confirmed(&self, state: &mut State, now: Instant) {
+        self.reset_after_restart(state);
+        let State { held, instance, .. } = state;
+        let is_current = |held: &Announcement| {
+            Some(&held.instance) == instance.current() && held.born == instance.current_born()
+        };
+        if let Some(found) = held.iter().rposition(is_current) {
+            let announcement = held.remove(found);
+            self.log_start(None, &announcement);
+            self.apply_contents(state, now, announcement);
+        }
+    }
+
+    /// Drops held announcements of incarnations that are not awaiting confirmation any more.
+    pub(super) fn drop_ignored(&self, state: &mut State) {
+        let held = std::mem::take(&mut state.held);
+        let (kept, ignored) = held
+            .into_iter()
+            .partition(|held| state.instance.is_unconfirmed(&held.instance, held.born));
+        state.held = kept;
+        for announcement in &ignored {
+            self.log_ignored(state, announcement);
+        }
+    }
+
+    fn log_start(&self, previous: Option<&Arc<str>>, announcement: &Announcement) {
+        self.context.metrics.announcement("started");
+        log::info!(
+            instance = &*announcement.instance,
+            born:? = announcement.born,
+            sequence = announcement.sequence,
+            previous:? = previous,
+            service = &*announcement.service,
+            slots = announcement.slots;
+            "upstream announced itself"
+        );
+    }
+
+    fn log_ignored(&self, state: &State, announcement: &Announcement) {
+        self.context.metrics.announcement("ignored");
+        if self.log.try_acquire(1) {
+            log::info!(
+                instance = &*announcement.instance,
+                born:? = announcement.born,
+                sequence = announcement.sequence,
+                current:? = state.instance.current();
+                "ignored an outdated announcement"
+            );
+        }
+    }
+
+    /// Asks an upstream that stated in a health check that it is leaving, and announces that it is
+    /// ready, whether it still states it.
+    fn recheck_leaving(&self, state: &mut State, announcement: &Announcement) {
+        let is_ready = announcement.state == UpstreamState::Ready;
+        if is_ready && state.leaving_checked && state.gate.states_leaving() {
+            state.leaving_recheck = true;
+            self.discovery_due.notify_one();
+        }
+    }
+
     /// Resets the state after a restart of the upstream: measurements of its previous incarnation
     /// no longer apply, and the requests in progress are lost.
     pub(super) fn reset_after_restart(&self, state: &mut State) {
@@ -103,6 +192,8 @@
         state.admission.reset_after_restart(now);
         state.gate.reset_after_restart(now);
         state.adopted = None;
+        state.leaving_checked = false;
+        state.leaving_recheck = false;
         state.health.reset_after_restart();
         self.upstream.reset_after_restart();
     }
@@ -128,6 +219,7 @@
         let now = Instant::now();
         let mut state = self.state.lock();
         let verdict = state.instance.record_end(now, instance, born);
+        self.drop_ignored(&mut state);
         log::info!(
             instance = &**instance,
             born:? = born,
--- a/crates/node/src/guard/notices.rs
+++ b/crates/node/src/guard/notices.rs
@@ -77,6 +77,7 @@
         }
         let now = Instant::now();
         let mut state = self.state.lock();
+        state.leaving_checked |= notice.leaving && matches!(origin, Origin::Check);
         let leaves = notice.leaving && state.gate.record_leaving_response(statement.sent_at, now);
         let has_changed = state.admission.request_limit_mut().record(&Observation {
             origin,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,7 @@
     notices: Family<NoticeLabels, Counter>,
     rings_full: Family<KindLabels, Counter>,
     bad_input: Family<KindLabels, Counter>,
+    announcements: Family<KindLabels, Counter>,
     exchanges: Family<KindLabels, Counter>,
     exchange_bytes: Counter,
     catch_ups: Family<KindLabels, Counter>,
@@ -114,6 +115,7 @@
             notices: Family::default(),
             rings_full: Family::default(),
             bad_input: Family::default(),
+            announcements: Family::default(),
             exchanges: Family::default(),
             exchange_bytes: Counter::default(),
             catch_ups: Family::default(),
@@ -184,6 +186,8 @@
             "Malformed input by kind",
             self.bad_input.clone(),
         );
+        let help = "Announcements of other incarnations of the upstream, by outcome";
+        registry.register("announcements", help, self.announcements.clone());
         registry.register("exchanges", "Exchanges with peers", self.exchanges.clone());
         let help = "Bytes of exchange messages, both ways";
         registry.register("exchange_bytes", help, self.exchange_bytes.clone());
@@ -322,6 +326,11 @@
         count(&self.bad_input, kind);
     }
 
+    /// Counts an announcement of another incarnation of the upstream than the current one.
+    pub fn announcement(&self, kind: &'static str) {
+        count(&self.announcements, kind);
+    }
+
     /// Counts a finished exchange with a peer and the bytes of its messages in both directions.
     pub fn exchange(&self, kind: &'static str, bytes: u64) {
         count(&self.exchanges, kind);
--- a/crates/node/tests/late_announcement.rs
+++ b/crates/node/tests/late_announcement.rs
@@ -5,11 +5,12 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use common::serve_connections;
 use mintridge_bench::caller::{Call, Caller, Reply};
+use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_node::adapter::Adapter;
 use mintridge_node::announcement::{Announcement, PATH, State};
 use mintridge_node::node::{self, Node};
@@ -19,9 +20,13 @@
 
 const INSTANCE: &str = "i-2";
 const FORMER: &str = "i-1";
+const SUCCESSOR: &str = "i-3";
 /// Time in which a gate that should stay closed would have been opened.
 const OBSERVED: Duration = Duration::from_millis(500);
 
+/// Interval at which upstreams announce themselves.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(1_500);
+
 /// How the upstream answers health checks. All other requests it answers with status 200.
 #[derive(Clone, Copy)]
 struct Health {
@@ -53,22 +58,32 @@
     delay: Duration::from_millis(400),
 };
 
+/// State of the upstream.
+#[derive(Default)]
+struct Upstream {
+    /// Whether its process has been replaced by [`SUCCESSOR`].
+    restarted: AtomicBool,
+    /// Whether health checks are answered as [`READY`] whatever the test gave.
+    is_ready: AtomicBool,
+    /// Number of requests received, health checks excluded.
+    received: AtomicUsize,
+}
+
 /// An upstream with a node beside it that has just started.
 struct Pair {
     node: Node,
-    upstream: SocketAddr,
-    /// Number of requests that the upstream received, health checks excluded.
-    received: Arc<AtomicUsize>,
+    address: SocketAddr,
+    upstream: Arc<Upstream>,
 }
 
 impl Pair {
     fn start(health: Health, work: Duration) -> Self {
-        let received = Arc::new(AtomicUsize::new(0));
-        let counter = Arc::clone(&received);
-        let upstream = serve_connections(move |stream| serve(stream, health, work, &counter));
+        let upstream = Arc::new(Upstream::default());
+        let served = Arc::clone(&upstream);
+        let address = serve_connections(move |stream| serve(stream, health, work, &served));
         let mut settings = Settings::default();
         settings.callers.origin = String::from("service");
-        settings.upstream.address = Some(upstream);
+        settings.upstream.address = Some(address);
         settings.upstream.expected_instance_header = Some("x-expected".to_owned());
         settings.upstream.instance_header = Some("x-instance".to_owned());
         settings.upstream.load_header = Some("x-load".to_owned());
@@ -77,15 +92,15 @@
         let node = node::start(settings, Adapter::default()).expect("it starts");
         Self {
             node,
+            address,
             upstream,
-            received,
         }
     }
 
     fn announce(&self, instance: &str, sequence: u64, state: State) {
         let announcement = Announcement {
             service: Arc::from("service"),
-            address: self.upstream,
+            address: self.address,
             slots: 4,
             instance: Arc::from(instance),
             sequence,
@@ -128,7 +143,7 @@
 }
 
 /// Answers requests without a body until the connection is closed.
-fn serve(mut stream: TcpStream, health: Health, work: Duration, received: &AtomicUsize) {
+fn serve(mut stream: TcpStream, health: Health, work: Duration, upstream: &Upstream) {
     let mut buffer = [0; 4096];
     while let Ok(read) = stream.read(&mut buffer) {
         if read == 0 {
@@ -136,14 +151,17 @@
         }
         let head = if buffer.starts_with(b"GET /health ") {
             std::thread::sleep(health.delay);
-            health.head
+            let is_ready = upstream.is_ready.load(Ordering::SeqCst);
+            if is_ready { READY.head } else { health.head }
         } else {
-            received.fetch_add(1, Ordering::SeqCst);
+            upstream.received.fetch_add(1, Ordering::SeqCst);
             std::thread::sleep(work);
             READY.head
         };
+        let restarted = upstream.restarted.load(Ordering::SeqCst);
+        let instance = if restarted { SUCCESSOR } else { INSTANCE };
         let answer = format!(
-            "{head}x-instance: {INSTANCE}\r\nx-load: {{\"slots\":4}}\r\ncontent-length: 0\r\n\r\n"
+            "{head}x-instance: {instance}\r\nx-load: {{\"slots\":4}}\r\ncontent-length: 0\r\n\r\n"
         );
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
@@ -163,7 +181,7 @@
     pair.wait_until_open().await;
     let running = tokio::spawn(pair.call());
     wait_for("the request runs", || {
-        pair.received.load(Ordering::SeqCst) == 1
+        pair.upstream.received.load(Ordering::SeqCst) == 1
     })
     .await;
     pair.announce(FORMER, 40, state);
@@ -191,7 +209,7 @@
             assert!(result.is_not_run(), "{result:?}");
         }
     }
-    assert_eq!(pair.received.load(Ordering::SeqCst), 0);
+    assert_eq!(pair.upstream.received.load(Ordering::SeqCst), 0);
     pair.node.terminate();
 }
 
@@ -204,10 +222,53 @@
 async fn upstream_that_cannot_be_asked_needs_two_announcements(#[case] health: Health) {
     let pair = Pair::start(health, Duration::ZERO);
     pair.announce(INSTANCE, 7, State::Ready);
-    tokio::time::sleep(OBSERVED * 2).await;
+    tokio::time::sleep(ANNOUNCEMENT_INTERVAL).await;
     assert!(!pair.is_open());
     pair.announce(INSTANCE, 8, State::Ready);
     pair.wait_until_open().await;
     assert!(pair.call().await.is_success());
     pair.node.terminate();
 }
+
+/// Guards against a restarted upstream that waits for its second announcement, and against requests
+/// to its former process that wait for their deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn restart_is_confirmed_after_one_announcement() {
+    let pair = Pair::start(READY, Duration::from_secs(3));
+    pair.announce(INSTANCE, 1, State::Ready);
+    pair.wait_until_open().await;
+    let running = tokio::spawn(pair.call());
+    wait_for("the request runs", || {
+        pair.upstream.received.load(Ordering::SeqCst) == 1
+    })
+    .await;
+    pair.upstream.restarted.store(true, Ordering::SeqCst);
+    let announced_at = Instant::now();
+    pair.announce(SUCCESSOR, 1, State::Ready);
+    let result = running.await.expect("the call ends");
+    let took = announced_at.elapsed();
+    assert!(
+        matches!(&result, Reply::Refused { outcome, .. } if *outcome == Outcome::Unknown),
+        "{result:?}"
+    );
+    println!("confirmed after {took:?}");
+    assert!(took < OBSERVED, "ended after {took:?}");
+    pair.wait_until_open().await;
+    pair.node.terminate();
+}
+
+/// Guards against an upstream that is shut out for good once it has restarted under the id under
+/// which it was leaving, without a start time by which to tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_ends_with_a_restart_under_the_same_id() {
+    let pair = Pair::start(LEAVING, Duration::ZERO);
+    wait_for("the node learns that it leaves", || {
+        let closed = pair.node.context().latest.guarded.borrow().closed;
+        closed == Some(Reason::Leaving)
+    })
+    .await;
+    pair.upstream.is_ready.store(true, Ordering::SeqCst);
+    pair.announce(INSTANCE, 1, State::Ready);
+    pair.wait_until_open().await;
+    pair.node.terminate();
+}
