fix(node): log instances and numbers of each decision on an announcement

Cause: the log lines named the announced instance alone, and not the one that it was weighed against. Change: lines on held, ignored and confirmed announcements have the current or previous instance with its last number, and what confirmed a start; the register ignores a response that was sent before the current instance became current (tested). The page of settings and the comment on polls say what decides.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -75,8 +75,8 @@
     /// It names an instance that did not announce itself and is now the current one.
     Unannounced,
     /// It is too old, or its instance is not the current one and is neither ready nor leaving, or
-    /// announced its end.
-    /// The previous knowledge stands, since the health check of a running upstream may fail.
+    /// announced its end. The previous knowledge stands, since the health check of a running
+    /// upstream may fail.
     Undecided,
 }
 
@@ -399,6 +399,12 @@
             .map(|active| &active.incarnation.instance)
     }
 
+    /// Sequence number of the last message of the current incarnation; zero if it has sent none.
+    #[must_use]
+    pub fn current_sequence(&self) -> u64 {
+        self.current.as_ref().map_or(0, |active| active.sequence)
+    }
+
     /// Start time of the current incarnation, if it reported one.
     #[must_use]
     pub fn current_born(&self) -> Option<u64> {
--- a/crates/core/tests/instance.rs
+++ b/crates/core/tests/instance.rs
@@ -265,6 +265,10 @@
     register.record_answer(sent_at, fixture.now, &answer);
     assert!(register.awaits_answer(fixture.now));
     assert_eq!(fixture.record_answer("new", true, false), Decision::Started);
+    let decision = fixture
+        .register
+        .record_answer(sent_at, fixture.now, &answer);
+    assert_eq!(decision, Decision::Undecided);
     assert_eq!(fixture.record_message("new", None, 2), Verdict::Current);
     assert_eq!(fixture.record_message("old", None, 9), Verdict::Outdated);
 }
--- a/crates/node/src/configs/upstream.rs
+++ b/crates/node/src/configs/upstream.rs
@@ -14,7 +14,9 @@
     pub address: Option<SocketAddr>,
     /// Header that names the intended instance; any other instance refuses the request.
     pub expected_instance_header: Option<String>,
-    /// Header that names the instance that answered a health check or refused a request.
+    /// Header that names the instance that answered a health check or refused a request, as in its
+    /// announcements. If set, an announcement of another instance than the current one counts once
+    /// a health check names it.
     pub instance_header: Option<String>,
     /// Header that marks the response to a request that was not executed.
     pub not_run_header: Option<String>,
--- a/crates/node/src/guard/discovery.rs
+++ b/crates/node/src/guard/discovery.rs
@@ -17,6 +17,7 @@
 use parking_lot::MutexGuard;
 use tokio::task::JoinSet;
 
+use super::follow::Previous;
 use super::{Guard, State};
 use crate::announcement::Announcement;
 
@@ -183,6 +184,7 @@
             leaving: self.upstream.notice(&checked.headers).leaving,
         };
         let mut state = self.state.lock();
+        let previous = Previous::of(&state);
         let decision = state.instance.record_answer(checked.sent_at, now, &answer);
         log_answer(checked, &answer, decision);
         match decision {
@@ -192,7 +194,7 @@
                 self.reset_after_restart(&mut state);
                 state.announcement = None;
             }
-            Decision::Started => self.apply_confirmed(&mut state, now),
+            Decision::Started => self.apply_confirmed(&mut state, now, &previous),
         }
         // The check was sent before the previous instance was known to be gone.
         let is_start = matches!(decision, Decision::Unannounced | Decision::Started);
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -24,6 +24,21 @@
     tokio::spawn(tick(Arc::clone(guard)));
 }
 
+/// The current incarnation before a start, for the log.
+pub(super) struct Previous {
+    instance: Option<Arc<str>>,
+    sequence: u64,
+}
+
+impl Previous {
+    pub(super) fn of(state: &State) -> Self {
+        Self {
+            instance: state.instance.current().cloned(),
+            sequence: state.instance.current_sequence(),
+        }
+    }
+}
+
 async fn apply_messages(guard: Arc<Guard>, mut messages: mpsc::Receiver<Message>) {
     while let Some(message) = messages.recv().await {
         match message {
@@ -57,7 +72,7 @@
             born: announcement.born,
             sequence: announcement.sequence,
         };
-        let previous = state.instance.current().cloned();
+        let previous = Previous::of(&state);
         match state.instance.record_message(now, message) {
             instance::Verdict::Outdated => {
                 self.log_ignored(&state, &announcement);
@@ -69,7 +84,7 @@
             }
             instance::Verdict::Started => {
                 self.reset_after_restart(&mut state);
-                self.log_start(previous.as_ref(), &announcement);
+                self.log_start(&previous, &announcement, "announcement");
                 self.drop_ignored(&mut state);
             }
             instance::Verdict::Current => {
@@ -109,7 +124,8 @@
                 instance = &*announcement.instance,
                 born:? = announcement.born,
                 sequence = announcement.sequence,
-                current:? = state.instance.current();
+                current:? = state.instance.current(),
+                current_sequence = state.instance.current_sequence();
                 "announcement of another instance; asking the upstream"
             );
         }
@@ -123,7 +139,7 @@
     }
 
     /// Applies the announcement of the incarnation that a response of the upstream confirmed.
-    pub(super) fn apply_confirmed(&self, state: &mut State, now: Instant) {
+    pub(super) fn apply_confirmed(&self, state: &mut State, now: Instant, previous: &Previous) {
         self.reset_after_restart(state);
         let State { held, instance, .. } = state;
         let is_current = |held: &Announcement| {
@@ -131,7 +147,7 @@
         };
         if let Some(found) = held.iter().rposition(is_current) {
             let announcement = held.remove(found);
-            self.log_start(None, &announcement);
+            self.log_start(previous, &announcement, "check");
             self.apply_contents(state, now, announcement);
         }
     }
@@ -148,13 +164,20 @@
         }
     }
 
-    fn log_start(&self, previous: Option<&Arc<str>>, announcement: &Announcement) {
+    fn log_start(
+        &self,
+        previous: &Previous,
+        announcement: &Announcement,
+        confirmed_by: &'static str,
+    ) {
         self.context.metrics.announcement("started");
         log::info!(
             instance = &*announcement.instance,
             born:? = announcement.born,
             sequence = announcement.sequence,
-            previous:? = previous,
+            previous:? = previous.instance,
+            previous_sequence = previous.sequence,
+            confirmed_by = confirmed_by,
             service = &*announcement.service,
             slots = announcement.slots;
             "upstream announced itself"
@@ -168,7 +191,8 @@
                 instance = &*announcement.instance,
                 born:? = announcement.born,
                 sequence = announcement.sequence,
-                current:? = state.instance.current();
+                current:? = state.instance.current(),
+                current_sequence = state.instance.current_sequence();
                 "ignored an outdated announcement"
             );
         }
--- a/crates/node/src/guard/pace.rs
+++ b/crates/node/src/guard/pace.rs
@@ -5,6 +5,9 @@
 //! response carries a report. With little traffic, the guard polls the upstream before it starts a
 //! request, over a connection that is already open and within the budget for pace polls. Without
 //! budget, it uses the last report.
+//!
+//! A poll that is lost or slow permits nothing: whether requests may start at all is for the gate,
+//! which opens only to an instance that the upstream or a second announcement confirmed.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
