--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -99,6 +99,7 @@
     rings_full: Family<KindLabels, Counter>,
     bad_input: Family<KindLabels, Counter>,
     keys: Family<KindLabels, Counter>,
+    announcements: Family<KindLabels, Counter>,
     exchanges: Family<KindLabels, Counter>,
     exchange_bytes: Counter,
     catch_ups: Family<KindLabels, Counter>,
@@ -145,6 +146,7 @@
             rings_full: Family::default(),
             bad_input: Family::default(),
             keys: Family::default(),
+            announcements: Family::default(),
             exchanges: Family::default(),
             exchange_bytes: Counter::default(),
             catch_ups: Family::default(),
@@ -229,6 +231,8 @@
         );
         let help = "Keys of client accounts in requests by outcome";
         registry.register("keys", help, self.keys.clone());
+        let help = "Announcements of other incarnations of the upstream, by outcome";
+        registry.register("announcements", help, self.announcements.clone());
         registry.register("exchanges", "Exchanges with peers", self.exchanges.clone());
         let help = "Bytes of exchange messages, both ways";
         registry.register("exchange_bytes", help, self.exchange_bytes.clone());
@@ -410,6 +414,11 @@
         count(&self.keys, outcome);
     }
 
+    /// Counts an announcement of another incarnation of the upstream than the current one.
+    pub fn announcement(&self, kind: &'static str) {
+        count(&self.announcements, kind);
+    }
+
     /// Counts a finished exchange with a peer and the bytes of its messages in both directions.
     pub fn exchange(&self, kind: &'static str, bytes: u64) {
         count(&self.exchanges, kind);
