--- a/crates/core/src/account/limiter/client.rs
+++ b/crates/core/src/account/limiter/client.rs
@@ -332,6 +332,11 @@
         if shard.receive(now, owner, &answer.from, answer.id) {
             self.statistics.owner_changes += 1;
         }
+        // The share counts from the moment at which it may.
+        let settled_at = self.fleet.joined_at().map(|at| at + SETTLED_AFTER);
+        if let Some(settled_at) = settled_at.filter(|at| now < *at) {
+            shard.ask_at = shard.ask_at.min(settled_at);
+        }
         for key in pending.keys {
             let grant = answer.grants.iter().find(|grant| grant.key == key);
             if let Some(holding) = self.holdings.get_mut(&key) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 //! | step | module |
 //! |---|---|
 //! | which service gets it? | [`route`] |
+//! | may its client account send it now? | [`account`] |
 //! | which host gets it? | [`placement`], from each host's [`load`] |
 //! | may it be retried on another host? | [`attempts`], [`retry`] |
 //! | does it run now or wait, and in which order? | [`admission`] with [`queue`], [`shares`], [`work`], [`pace`], [`limit`], [`warm_up`] and [`request_limit`]; [`gate`] and [`health`] can refuse it |
--- a/crates/node/src/accounts/permit.rs
+++ b/crates/node/src/accounts/permit.rs
@@ -131,11 +131,12 @@
         Some(clock::to_monotonic(token.run_by()))
     }
 
-    /// Returns whether the request can no longer be sent to an upstream with this permit.
+    /// Returns whether the request may not be sent to an upstream with this permit: it has expired,
+    /// or an earlier attempt may have used it. Each run of a request takes a token.
     #[must_use]
-    pub fn is_expired(&self) -> bool {
+    pub fn is_used_up(&self) -> bool {
         let token = self.token.as_ref();
-        token.is_some_and(|token| clock::now() >= token.run_by())
+        self.may_have_run || token.is_some_and(|token| clock::now() >= token.run_by())
     }
 
     /// Records whether the request may have run by now. It is true from when an attempt starts,
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -329,9 +329,9 @@
         }
     }
 
-    /// Replaces a permit that has expired while earlier attempts were made.
+    /// Replaces a permit that earlier attempts have used up.
     async fn renew_permit(&self, outgoing: &mut Outgoing) -> Result<(), Refusal> {
-        if outgoing.permit.as_ref().is_some_and(Permit::is_expired) {
+        if outgoing.permit.as_ref().is_some_and(Permit::is_used_up) {
             let account = &outgoing.request.head.client_account;
             outgoing.permit = self.acquire_permit(account).await?;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! | step | module |
 //! |---|---|
 //! | parse the caller's request | [`arrival`] |
+//! | check the rate of its client account | [`accounts`] |
 //! | choose a host, send the request, retry on another host if needed | [`entry`] |
 //! | send the request to the node on the chosen host | [`link`], [`headers`], [`replay`] |
 //! | that node admits the request, claims its key and forwards it | [`guard`], [`claims`] |
