fix(core): accept lower numbers of a silent upstream under the same id

Cause: an upstream that restarts under its id, without a start time, numbers its messages from one; all of them looked late until it had sent as many as before, and it got no requests until then. Change: where the upstream names its instance, lower numbers of the current incarnation count again once it has been silent for the silence timeout. This ends no request.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -240,7 +240,9 @@
     ) -> Option<Verdict> {
         let active = self.current.as_mut()?;
         if active.incarnation.may_be_sender_of(message) {
-            if message.sequence < active.sequence {
+            // After a silence it has restarted under its id, without a start time by which to tell.
+            let may_have_restarted = self.asks_upstream && now >= active.expires_at;
+            if message.sequence < active.sequence && !may_have_restarted {
                 return Some(Verdict::Outdated);
             }
             if active.incarnation.born.is_none() && message.born.is_some() {
--- a/crates/core/tests/instance.rs
+++ b/crates/core/tests/instance.rs
@@ -366,3 +366,19 @@
     assert_eq!(fixture.record_answer("a", true, false), Decision::Undecided);
     assert_eq!(fixture.register.current(), None);
 }
+
+/// An upstream restarts under its id, without a start time, and numbers its messages from one: all
+/// of them look late until it has sent as many as before.
+#[rstest]
+#[case::late(Duration::ZERO, Verdict::Outdated)]
+#[case::after_a_silence(SILENCE_TIMEOUT, Verdict::Current)]
+fn record_message_accepts_lower_numbers_after_a_silence(
+    #[case] silence: Duration,
+    #[case] expected: Verdict,
+) {
+    let mut fixture = Fixture::asking_upstream();
+    fixture.record_answer("a", true, false);
+    fixture.record_message("a", None, 40);
+    fixture.advance(silence);
+    assert_eq!(fixture.record_message("a", None, 1), expected);
+}
