feat(retry): the reserve for calls and the limit of their parents are off unless set

Change: retry.reserved_share is 0 by default and admission.failed_runs_most 1; with a reserve of 0 no retry is withheld. The tests set both as they were.

--- a/crates/core/src/configs/admission.rs
+++ b/crates/core/src/configs/admission.rs
@@ -64,7 +64,7 @@
             limit_decrease: 0.8,
             limit_increase: 0.5,
             retry_after_least: Duration::from_secs(1),
-            failed_runs_most: 0.5,
+            failed_runs_most: 1.0,
         }
     }
 }
--- a/crates/core/src/configs/retry.rs
+++ b/crates/core/src/configs/retry.rs
@@ -15,7 +15,8 @@
     /// Size of the retry budget: retries that can be made at once after a time without any.
     pub burst: f64,
     /// Share of `burst` that is reserved for requests of the most urgent rank and for calls of
-    /// running requests, where such calls are observed.
+    /// running requests, where such calls are observed. Above 0, retries also stop while no other
+    /// host is likelier to run a request than to shed it.
     pub reserved_share: f64,
 }
 
@@ -26,7 +27,7 @@
             placements: 3,
             on_statuses: vec![502, 503],
             burst: 10.0,
-            reserved_share: 0.5,
+            reserved_share: 0.0,
         }
     }
 }
--- a/crates/core/tests/retry.rs
+++ b/crates/core/tests/retry.rs
@@ -120,6 +120,7 @@
     let now = Instant::now();
     let settings = Settings {
         burst: 4.0,
+        reserved_share: 0.5,
         ..Settings::default()
     };
     let mut budget = Budget::new(settings, 0.1);
@@ -178,6 +179,7 @@
     let deadline = now + Duration::from_secs(10);
     let settings = Settings {
         burst: 2.0,
+        reserved_share: 0.5,
         ..Settings::default()
     };
     let mut budgets: Vec<Budget> = (0..59 * 2)
--- a/crates/node/src/entry/retrying.rs
+++ b/crates/node/src/entry/retrying.rs
@@ -51,7 +51,8 @@
     /// Returns why a retry that the budget allows is not made, if so.
     pub(super) fn retry_withheld(&self, forwarding: &Forwarding) -> Option<Withheld> {
         let now = Instant::now();
-        if !self.context.calls.lock().has_recent_call(now, OBSERVED_FOR) {
+        let is_enabled = self.context.live().retry.reserved_share > 0.0;
+        if !is_enabled || !self.context.calls.lock().has_recent_call(now, OBSERVED_FOR) {
             return None;
         }
         let service = &forwarding.outgoing.request.head.service;
--- a/crates/node/tests/calls.rs
+++ b/crates/node/tests/calls.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{get, hosts, post_without_key, start_processes, with_timeout};
+use common::{Plan, get, hosts, post_without_key, start_processes, with_timeout};
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::scene::{Scene, wait_for};
@@ -31,7 +31,11 @@
 /// the refused calls.
 #[tokio::test]
 async fn requests_whose_calls_are_refused_are_limited() {
-    let scene = start_processes(hosts(1)).await;
+    let scene = start_processes(Plan {
+        adjust: |settings| settings.admission.failed_runs_most = 0.5,
+        ..hosts(1)
+    })
+    .await;
     scene.update_behaviour(0, |behaviour| {
         behaviour.service_micros = 1_200_000;
         behaviour.manner = Mode::FailSlowly;
