--- a/crates/node/src/accounts.rs
+++ b/crates/node/src/accounts.rs
@@ -1,7 +1,7 @@
 //! Limits the request rates of client accounts, together with the other nodes.
 //!
 //! This duty exchanges datagrams for `mintridge_core::account::limiter`, which decides, and runs only
-//! where `listeners.accounts` is set. The entry takes a [`Permit`] for each request.
+//! where the listeners give it an address. The entry takes a [`Permit`] for each request.
 
 pub mod clock;
 mod permit;
--- a/crates/node/src/configs/listeners.rs
+++ b/crates/node/src/configs/listeners.rs
@@ -26,6 +26,8 @@
     /// Address for the datagrams by which nodes limit the request rates of client accounts; its port
     /// is the same on all hosts. If unset, rates are not limited.
     pub accounts: Option<SocketAddr>,
+    /// Whether these datagrams use the port after that of `peers` if `accounts` is unset.
+    pub accounts_next_to_peers: bool,
     /// Maximum number of connections waiting to be accepted, per listener.
     pub backlog: i32,
 }
@@ -42,7 +44,22 @@
             operators: any_port,
             metrics: None,
             accounts: None,
+            accounts_next_to_peers: false,
             backlog: 1024,
         }
     }
 }
+
+impl Settings {
+    /// Returns the address for datagrams that limit the request rates of client accounts; `None` if
+    /// rates are not limited.
+    #[must_use]
+    pub fn accounts_address(&self) -> Option<SocketAddr> {
+        let next_to_peers = || {
+            let port = self.peers.port().checked_add(1)?;
+            Some(SocketAddr::new(self.peers.ip(), port))
+        };
+        let next_to_peers = self.accounts_next_to_peers.then(next_to_peers).flatten();
+        self.accounts.or(next_to_peers)
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -65,7 +65,7 @@
         Some(address) => Some(listen(address, "metrics")?.0),
         None => None,
     };
-    let accounts = match listeners.accounts {
+    let accounts = match listeners.accounts_address() {
         Some(address) => Some(bind_datagrams(address, "accounts")?),
         None => None,
     };
