--- a/crates/core/src/configs/account.rs
+++ b/crates/core/src/configs/account.rs
@@ -31,7 +31,7 @@
             rate_window: Duration::from_secs(5),
             rate_overshoot: 0.1,
             rate_slack: 20.0,
-            shards: 16,
+            shards: 8,
         }
     }
 }
