--- a/crates/core/src/account/limiter.rs
+++ b/crates/core/src/account/limiter.rs
@@ -39,14 +39,14 @@
 
 /// How long a delegation counts after the owner sent the answer that it repeats. Two asks in a row
 /// may be lost before it lapses.
-pub const DELEGATION_LIFE: Duration = Duration::from_secs(2);
+pub const DELEGATION_LIFE: Duration = Duration::from_millis(1_500);
 /// Time that a node waits in addition before it takes its share back, for clocks that run at
 /// different speeds.
 pub const DELEGATION_MARGIN: Duration = Duration::from_millis(250);
 /// How long a node has been a member before its share counts: a delegation of its former process
 /// lapses by then, and the other nodes know it and have repeated their delegations with shares that
 /// leave room for its own.
-pub const SETTLED_AFTER: Duration = Duration::from_secs(3);
+pub const SETTLED_AFTER: Duration = Duration::from_secs(2);
 /// Maximum number of accounts in one message, so that it fits into 1,024 bytes.
 pub const MAX_ENTRIES: usize = 14;
 
--- a/crates/core/src/account/limiter/shard.rs
+++ b/crates/core/src/account/limiter/shard.rs
@@ -11,7 +11,7 @@
 use super::{AnswerId, DELEGATION_LIFE, DELEGATION_MARGIN};
 
 /// Interval of asks without other cause; a delegation lasts for two of them and some retries.
-const ASK_INTERVAL: Duration = Duration::from_millis(700);
+const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which an unanswered ask is repeated.
 const REPEAT_AFTER: Duration = Duration::from_millis(250);
 /// Time without any answer after which an owner is presumed to be unavailable: three asks.
