--- a/crates/node/src/accounts/clock.rs
+++ b/crates/node/src/accounts/clock.rs
@@ -6,16 +6,16 @@
 use std::sync::OnceLock;
 use std::time::{Duration, Instant};
 
-use rustix::time::{ClockId, clock_gettime};
+use crate::clock;
 
 /// Returns the current time of the clock. Its instants are ahead of [`Instant::now`] by the time for
 /// which the host was suspended since the first call.
 #[must_use]
 pub fn now() -> Instant {
     static FIRST: OnceLock<Duration> = OnceLock::new();
-    let suspended = suspended();
-    let first = FIRST.get_or_init(|| suspended);
-    Instant::now() + suspended.saturating_sub(*first)
+    let moment = clock::end();
+    let first = FIRST.get_or_init(|| moment.suspended);
+    moment.at + moment.suspended.saturating_sub(*first)
 }
 
 /// Returns the instant of [`Instant::now`] that corresponds to one of this clock.
@@ -23,18 +23,3 @@
 pub fn to_monotonic(at: Instant) -> Instant {
     Instant::now() + at.saturating_duration_since(now())
 }
-
-/// Returns the time for which the host was suspended since it started. The clocks are read one after
-/// the other, so that it may come out some microseconds too small.
-fn suspended() -> Duration {
-    let boot = since_start(ClockId::Boottime);
-    let monotonic = since_start(ClockId::Monotonic);
-    boot.saturating_sub(monotonic)
-}
-
-fn since_start(clock: ClockId) -> Duration {
-    let time = clock_gettime(clock);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
-    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
-    Duration::new(seconds, nanos)
-}
