--- a/crates/core/src/account.rs
+++ b/crates/core/src/account.rs
@@ -2,7 +2,7 @@
 //! many requests the account may send.
 //!
 //! Failure: any process that reaches a node can send requests under any account's name. Symptom:
-//! it takes that account's share of the queue, and the upstream acts on a name that nobody checked.
+//! it takes that account's share of the queue, and the upstream acts on an unverified name.
 //! A request therefore carries a key, and the node derives the account from it.
 
 use std::sync::Arc;
--- a/crates/core/src/account/authorization.rs
+++ b/crates/core/src/account/authorization.rs
@@ -1,7 +1,7 @@
 //! Decides on whose behalf a request runs, from the `Authorization` field that it carries.
 //!
 //! Failure: a key was added to the routing table, and a node has not received that table yet.
-//! Symptom: the caller is told that its key is wrong, and does not come back. A key is therefore
+//! Symptom: the caller gets 401 for a valid key, and does not retry. A key is therefore
 //! refused as unauthorized only where no newer table may be in force.
 
 use std::sync::Arc;
--- a/crates/core/src/account/currency.rs
+++ b/crates/core/src/account/currency.rs
@@ -24,12 +24,12 @@
 /// Share of the bound from which on a node asks several others at once, and then the store.
 const URGENT_FROM: f64 = 0.5;
 /// Share of the bound between two questions while they are answered.
-const ASK_EVERY: f64 = 0.15;
+const ASK_INTERVAL: f64 = 0.15;
 /// Share of the bound after which a question that brought no proof is followed by the next.
-const ASK_AGAIN_AFTER: f64 = 0.05;
+const RETRY_INTERVAL: f64 = 0.05;
 /// The same for an urgent node whose keys are still in use. With 0.05, a proof that only one of 300
 /// nodes can get did not reach the others in time.
-const ASK_URGENTLY_AGAIN_AFTER: f64 = 0.02;
+const URGENT_RETRY_INTERVAL: f64 = 0.02;
 /// Number of random nodes that an urgent node asks at once, besides the next one in turn. The number
 /// of nodes with a proof then more than doubles with each round.
 const RANDOM_TARGETS: usize = 2;
@@ -311,7 +311,7 @@
         };
         let times = [Some(self.ask_at(now)), self.query_at(peers), urgent_at];
         // A suspension of the host is noticed in this time as well.
-        let at_most = now.at + self.share(ASK_AGAIN_AFTER);
+        let at_most = now.at + self.share(RETRY_INTERVAL);
         times.into_iter().flatten().fold(at_most, Instant::min)
     }
 
@@ -337,7 +337,7 @@
             return false;
         }
         let age = proved.age(now);
-        self.is_answered |= age < self.share(ASK_EVERY) * 2;
+        self.is_answered |= age < self.share(ASK_INTERVAL) * 2;
         let is_newer = self.confirmed.is_none_or(|before| age < before.age(now));
         if is_newer {
             self.confirmed = Some(proved);
@@ -349,7 +349,7 @@
         self.asked_at = Some(now.at);
         let polls_store = self
             .queried
-            .is_some_and(|queried| queried.age(now) < self.share(ASK_EVERY) * 2);
+            .is_some_and(|queried| queried.age(now) < self.share(ASK_INTERVAL) * 2);
         if peers.hosts.is_empty() || polls_store {
             return Vec::new();
         }
@@ -402,9 +402,9 @@
 
     fn ask_at(&self, now: Moment) -> Instant {
         let interval = match (self.is_urgent(now), self.is_answered) {
-            (true, _) if self.age(now).is_some() => ASK_URGENTLY_AGAIN_AFTER,
-            (false, true) => ASK_EVERY,
-            _ => ASK_AGAIN_AFTER,
+            (true, _) if self.age(now).is_some() => URGENT_RETRY_INTERVAL,
+            (false, true) => ASK_INTERVAL,
+            _ => RETRY_INTERVAL,
         };
         let asked_at = self.asked_at;
         asked_at.map_or(now.at, |at| at + self.share(interval))
--- a/crates/core/src/account/directory.rs
+++ b/crates/core/src/account/directory.rs
@@ -26,7 +26,7 @@
 /// up the rank, which has eight bits.
 const MAX_PRIORITY: u8 = 15;
 
-/// The fixed seed of the hasher is safe here, because nobody can choose digests that collide in it.
+/// The fixed seed of the hasher is safe here, because digests cannot be chosen to collide in it.
 type Map<K, V> = HashMap<K, V, BuildHasherDefault<DefaultHasher>>;
 
 /// The client accounts of a routing table.
--- a/crates/core/src/account/limiter/client.rs
+++ b/crates/core/src/account/limiter/client.rs
@@ -14,9 +14,9 @@
 use crate::configs::account::Settings;
 
 /// Longest time for which a request waits for a token.
-const WAIT_MOST: Duration = Duration::from_millis(150);
+const MAX_WAIT: Duration = Duration::from_millis(150);
 /// Time after which an ask is no longer expected to be answered.
-const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A token that a request has taken.
 #[derive(Clone, Debug)]
@@ -165,7 +165,7 @@
             holding.terms = Terms::new(settings, limit);
         }
         holding.record_demand(now);
-        self.decide(now, key, now + WAIT_MOST)
+        self.decide(now, key, now + MAX_WAIT)
     }
 
     /// Decides again on a request that waits until then.
@@ -241,7 +241,7 @@
             return Vec::new();
         }
         self.pending
-            .retain(|_, pending| now < pending.sent_at + ANSWER_WITHIN);
+            .retain(|_, pending| now < pending.sent_at + ANSWER_TIMEOUT);
         let mut asks = Vec::new();
         for ((shard, target), entries) in self.review(now) {
             for entries in entries.chunks(MAX_ENTRIES) {
@@ -319,7 +319,7 @@
         let Some(pending) = self.pending.remove(&answer.sequence) else {
             return;
         };
-        if pending.to != answer.from || now >= pending.sent_at + ANSWER_WITHIN {
+        if pending.to != answer.from || now >= pending.sent_at + ANSWER_TIMEOUT {
             return;
         }
         self.fleet.record_report(now, answer.hosts);
--- a/crates/core/src/account/limiter/pool.rs
+++ b/crates/core/src/account/limiter/pool.rs
@@ -13,7 +13,7 @@
 use super::{Answer, AnswerId, Ask, DELEGATION_LIFE, Entry, Grant, Key, Limits, Returned};
 use crate::configs::account::Settings;
 
-/// Longest time that a node is told to wait for tokens.
+/// Longest wait for tokens that an answer states.
 const MAX_WAIT: Duration = Duration::from_secs(30);
 /// Spare tokens are granted only from what exceeds this part of the capacity, so that requests that
 /// wait are not refused because other nodes keep tokens in reserve.
