--- a/crates/node/src/entry/retrying.rs
+++ b/crates/node/src/entry/retrying.rs
@@ -28,8 +28,16 @@
 }
 
 impl Entry {
+    /// Returns whether the settings reserve part of the budget.
+    fn ranks_retries(&self) -> bool {
+        self.context.live().retry.reserved_share > 0.0
+    }
+
     /// Records whether a host ran a request that was sent to it.
     pub(super) fn record_chance(&self, service: &Arc<str>, host: &Arc<str>, attempted: &Attempt) {
+        if !self.ranks_retries() {
+            return;
+        }
         let is_run = match attempted {
             Attempt::Answered(_) => true,
             Attempt::Refused { refusal, .. } => refusal.outcome == Outcome::Unknown,
@@ -42,6 +50,9 @@
     /// Records the rank of a request; returns whether a retry of it may use the reserved part of
     /// the budget.
     pub(super) fn may_use_reserve(&self, request: &arrival::Request) -> bool {
+        if !self.ranks_retries() {
+            return false;
+        }
         let mut services = self.retrying.lock();
         let service = services.entry(Arc::clone(&request.head.service));
         let ranks = &mut service.or_default().ranks;
@@ -51,8 +62,7 @@
     /// Returns why a retry that the budget allows is not made, if so.
     pub(super) fn retry_withheld(&self, forwarding: &Forwarding) -> Option<Withheld> {
         let now = Instant::now();
-        let is_enabled = self.context.live().retry.reserved_share > 0.0;
-        if !is_enabled || !self.context.calls.lock().has_recent_call(now, OBSERVED_FOR) {
+        if !self.ranks_retries() || !self.context.calls.lock().has_recent_call(now, OBSERVED_FOR) {
             return None;
         }
         let service = &forwarding.outgoing.request.head.service;
