fix(instance): an instance that a health check made current is not started once more

Cause: two overlapping health checks. The first was sent before the first announcement of an upstream and makes its instance current; the second one's response started the same instance again, which retired it as its own predecessor. Change: a held announcement of the current incarnation is adopted and applied.

--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -305,6 +305,10 @@
         }
         let is_certain = is_current || answer.ready || answer.leaving;
         match confirmed {
+            Some(confirmed) if self.is_current(&confirmed.incarnation) => {
+                self.adopt(now, confirmed);
+                Decision::Current
+            }
             Some(confirmed) if is_certain => {
                 self.start(now, confirmed, true);
                 Decision::Started
@@ -325,6 +329,28 @@
         }
     }
 
+    /// Whether this incarnation may be the current one.
+    fn is_current(&self, incarnation: &Incarnation) -> bool {
+        self.may_be_current(&incarnation.instance, incarnation.born)
+    }
+
+    /// Records the announcements of the current incarnation that arrived before a response made it
+    /// the current one.
+    ///
+    /// Failure: two health checks overlap the first announcement of an instance, and the response to
+    /// the first one makes it current. Symptom: the second response starts it once more, it counts as
+    /// its own predecessor, and all its later announcements are ignored, also that it is draining.
+    fn adopt(&mut self, now: Instant, held: Held) {
+        let expires_at = now + self.silence_timeout;
+        if let Some(active) = &mut self.current {
+            active.incarnation.born = active.incarnation.born.or(held.incarnation.born);
+            active.sequence = active.sequence.max(held.sequence);
+            active.announced = Some(held.announced);
+            active.expires_at = expires_at;
+            active.named = true;
+        }
+    }
+
     /// Whether an incarnation of this instance announced its end, and none announced itself since.
     fn has_announced_end(&self, instance: &Arc<str>) -> bool {
         self.predecessors.iter().any(|predecessor| {
--- a/crates/core/tests/instance.rs
+++ b/crates/core/tests/instance.rs
@@ -382,3 +382,24 @@
     fixture.advance(silence);
     assert_eq!(fixture.record_message("a", None, 1), expected);
 }
+
+/// Guards against an instance that counts as its own predecessor: two health checks overlap its first
+/// announcement, and the response to the earlier one already makes it current.
+#[test]
+fn record_answer_starts_an_instance_once() {
+    let mut fixture = Fixture::asking_upstream();
+    let sent_at = fixture.now;
+    fixture.advance(Duration::from_millis(1));
+    assert_eq!(fixture.record_message("own", None, 1), Verdict::Unconfirmed);
+    let answer = Answer {
+        instance: &name("own"),
+        ready: true,
+        leaving: false,
+    };
+    let first = fixture
+        .register
+        .record_answer(sent_at, fixture.now, &answer);
+    assert_eq!(first, Decision::Unannounced);
+    assert_eq!(fixture.record_answer("own", true, false), Decision::Current);
+    assert_eq!(fixture.record_message("own", None, 2), Verdict::Current);
+}
--- a/crates/node/src/guard/discovery.rs
+++ b/crates/node/src/guard/discovery.rs
@@ -189,7 +189,10 @@
         log_answer(checked, &answer, decision);
         match decision {
             Decision::Undecided => {}
-            Decision::Current => self.apply_leaving_check(&mut state, checked, &answer),
+            Decision::Current => {
+                self.apply_held(&mut state, now, &previous);
+                self.apply_leaving_check(&mut state, checked, &answer);
+            }
             Decision::Unannounced => {
                 self.reset_after_restart(&mut state);
                 state.announcement = None;
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -141,6 +141,11 @@
     /// Applies the announcement of the incarnation that a response of the upstream confirmed.
     pub(super) fn apply_confirmed(&self, state: &mut State, now: Instant, previous: &Previous) {
         self.reset_after_restart(state);
+        self.apply_held(state, now, previous);
+    }
+
+    /// Applies the held announcement of the current incarnation, if there is one.
+    pub(super) fn apply_held(&self, state: &mut State, now: Instant, previous: &Previous) {
         let State { held, instance, .. } = state;
         let is_current = |held: &Announcement| {
             Some(&held.instance) == instance.current() && held.born == instance.current_born()
