--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -306,7 +306,7 @@
         let is_certain = is_current || answer.ready || answer.leaving;
         match confirmed {
             Some(confirmed) if self.is_current(&confirmed.incarnation) => {
-                self.adopt(now, confirmed);
+                self.adopt(now, &confirmed);
                 Decision::Current
             }
             Some(confirmed) if is_certain => {
@@ -340,7 +340,7 @@
     /// Failure: two health checks overlap the first announcement of an instance, and the response to
     /// the first one makes it current. Symptom: the second response starts it once more, it counts as
     /// its own predecessor, and all its later announcements are ignored, also that it is draining.
-    fn adopt(&mut self, now: Instant, held: Held) {
+    fn adopt(&mut self, now: Instant, held: &Held) {
         let expires_at = now + self.silence_timeout;
         if let Some(active) = &mut self.current {
             active.incarnation.born = active.incarnation.born.or(held.incarnation.born);
