style: usual terms in comments, and the name of the header constant

Cause: some added comments used phrases in place of the field's terms. Change: comments and one constant's name; the header on the wire stays mintridge-run-within-us.

--- a/crates/core/src/account/limiter/holding.rs
+++ b/crates/core/src/account/limiter/holding.rs
@@ -11,7 +11,7 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(60);
 /// Time until tokens ahead of demand are asked for again when the owner has not granted them all.
 const SPARE_PAUSE: Duration = Duration::from_millis(100);
-/// Time constant of the measured demand.
+/// Time constant of the demand estimate.
 const DEMAND_SECONDS: f64 = 2.0;
 /// Demand, in requests per second at this node, from which tokens are asked for ahead. Below it a
 /// token would expire unused more often than not.
--- a/crates/core/src/account/limiter/shard.rs
+++ b/crates/core/src/account/limiter/shard.rs
@@ -1,7 +1,7 @@
 //! Node's side of one shard: which owner may count this node's share, and until when.
 //!
 //! Failure: a delegation is lost, delayed or unanswered, or the owner changes. Symptom: a share that
-//! is used twice, or by nobody. A share moves only when its former delegation must have lapsed,
+//! is used twice, or not at all. A share moves only when its former delegation must have lapsed,
 //! which depends on the answer that was repeated last and not on whether a later one arrived. An
 //! owner that does not answer is replaced by this node itself, for its own share only.
 
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -1,6 +1,6 @@
 //! Whether a request can end before the process of a stopping node does.
 //!
-//! Failure: a node that was told to stop goes on serving its upstream for seconds, so that its
+//! Failure: a node that has received a stop signal goes on serving its upstream for seconds, so that its
 //! capacity is not lost, and ends at a fixed time. Symptom: it admits requests that may run for
 //! longer than that and aborts them, although other hosts could have run them. From the signal on, a
 //! request is therefore admitted only if it can end in time.
--- a/crates/node/src/accounts.rs
+++ b/crates/node/src/accounts.rs
@@ -166,7 +166,7 @@
             let address = SocketAddr::new(member.control_address.ip(), port);
             self.addresses.insert(Arc::clone(&member.host), address);
         }
-        // A node that was told of no others may be the only one.
+        // A node whose settings name no others may be the only one.
         let joined = present.len() > 1 || self.context.settings.peers.is_empty();
         let mut client = self.limiter.client.lock();
         client.set_hosts(clock::now(), &present, &view.left, joined);
--- a/crates/node/src/control/failover.rs
+++ b/crates/node/src/control/failover.rs
@@ -107,7 +107,7 @@
     routes: Version,
 }
 
-/// Any datagram to the address of control. The kinds are told apart by their fields.
+/// Any datagram to the address of control. The kinds differ in their fields.
 #[derive(Debug, Deserialize)]
 #[serde(untagged)]
 enum Message {
--- a/crates/node/src/headers.rs
+++ b/crates/node/src/headers.rs
@@ -28,7 +28,7 @@
 const TARGET: HeaderName = HeaderName::from_static("mintridge-target-us");
 /// Time left in which the request may be sent to an upstream, in microseconds; present if its client
 /// account has a limited rate.
-const RUN_WITHIN: HeaderName = HeaderName::from_static("mintridge-run-within-us");
+const RUN_TIME_LEFT: HeaderName = HeaderName::from_static("mintridge-run-within-us");
 /// Address at which the entry node receives load reports.
 const REPORT_TO: HeaderName = HeaderName::from_static("mintridge-report-to");
 /// Present on a request that the node must refuse if it would miss its target latency there.
@@ -118,7 +118,7 @@
     insert(headers, TARGET, &target.as_micros().to_string());
     if let Some(run_by) = head.run_by {
         let left = run_by.saturating_duration_since(now);
-        insert(headers, RUN_WITHIN, &left.as_micros().to_string());
+        insert(headers, RUN_TIME_LEFT, &left.as_micros().to_string());
     }
     if let Some(address) = head.report_to {
         insert(headers, REPORT_TO, &address.to_string());
@@ -167,8 +167,8 @@
             .map_err(|_| Malformed { name: PRIORITY })?,
         route: Arc::from(required(headers, ROUTE)?),
         target: instant(now, headers, TARGET)?,
-        run_by: if headers.contains_key(&RUN_WITHIN) {
-            Some(instant(now, headers, RUN_WITHIN)?)
+        run_by: if headers.contains_key(&RUN_TIME_LEFT) {
+            Some(instant(now, headers, RUN_TIME_LEFT)?)
         } else {
             None
         },
