fix(stop): a stopping entry answers requests that outlast it

What callers saw: a request with a deadline of 10 s, sent to a node 0.2 s after its SIGTERM, ran beside another host, and its connection closed without an answer when the node ended.

Cause: the entry passed the caller's deadline on unchanged, so the queue and the upstream worked for an answer that the ending process could not deliver. Ruled out: a close before the end of the process; it closes at node.stop_within.

Change: from the signal on, the deadline of a request that the entry forwards is 200 ms before the end of the process at the latest (core::stop). Why this is enough: all that follows plans by that deadline, and ends or refuses in time for the answer to be delivered.

--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -1,4 +1,4 @@
-//! Whether a request ends before the process of a stopping node does.
+//! How much time a stopping node leaves to requests.
 //!
 //! Failure: a node that has received a stop signal goes on serving its upstream for seconds, so that its
 //! capacity is not lost, and ends at a fixed time. Symptom: it admits requests that may run for
@@ -8,7 +8,10 @@
 //! The usual service time of the route is no substitute for the deadline. A request that runs for
 //! longer than usual is aborted after it has used up the time that a retry would need.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Time before the end of the process in which the last answers are delivered to callers.
+const DELIVERY_TIME: Duration = Duration::from_millis(200);
 
 /// Time at which the process ends, once it is known.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,4 +40,16 @@
     pub fn can_end(&self, deadline: Instant) -> bool {
         self.ends_at.is_none_or(|ends_at| deadline <= ends_at)
     }
+
+    /// Returns the deadline of a request that this node forwards for a caller: that of the caller,
+    /// or an earlier one, so that the answer is delivered before the process ends.
+    ///
+    /// Failure: a stopping entry forwards a request with more time than it has left itself. Symptom:
+    /// the upstream works on after the caller's connection has closed without an answer.
+    #[must_use]
+    pub fn forwarding_deadline(&self, deadline: Instant) -> Instant {
+        let last_answer_at = |ends_at: Instant| ends_at.checked_sub(DELIVERY_TIME);
+        let last_answer_at = self.ends_at.and_then(last_answer_at);
+        last_answer_at.map_or(deadline, |last_answer_at| deadline.min(last_answer_at))
+    }
 }
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -25,6 +25,22 @@
     assert!(Stop::default().can_end(deadline));
 }
 
+/// Failure: a stopping entry forwards a request with a deadline at which it has ended itself.
+#[rstest]
+#[case::ends_before(4_000, 4_000)]
+#[case::no_time_for_delivery(4_900, 4_800)]
+#[case::outlasts(6_000, 4_800)]
+fn forwarding_deadline_leaves_time_to_answer(#[case] deadline_ms: u32, #[case] expected_ms: u32) {
+    let now = Instant::now();
+    let deadline = now + MILLI * deadline_ms;
+    let stop = Stop::at(now + MILLI * 5_000);
+    assert_eq!(
+        stop.forwarding_deadline(deadline),
+        now + MILLI * expected_ms
+    );
+    assert_eq!(Stop::default().forwarding_deadline(deadline), deadline);
+}
+
 /// Failure: a request was queued before the signal and starts too late. It is refused at once.
 #[test]
 fn set_end_refuses_queued_requests_that_outlast_it() {
--- a/crates/node/src/arrival.rs
+++ b/crates/node/src/arrival.rs
@@ -15,6 +15,7 @@
 use mintridge_core::fingerprint;
 use mintridge_core::outcome::Reason;
 use mintridge_core::route::{Kind, Table};
+use mintridge_core::stop::Stop;
 
 use crate::configs::callers::Settings;
 use crate::headers::Head;
@@ -35,6 +36,15 @@
     pub parent: Option<Parent>,
 }
 
+impl Request {
+    /// Limits the deadline to what a stopping node can forward.
+    pub fn limit_deadline(&mut self, stop: Stop) {
+        let head = &mut self.head;
+        head.deadline = stop.forwarding_deadline(head.deadline);
+        head.target = head.target.min(head.deadline);
+    }
+}
+
 /// How the service of a request is determined.
 #[derive(Clone, Copy, Debug)]
 pub enum Routing<'a> {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,6 +14,7 @@
 use mintridge_core::quarantine::Event;
 use mintridge_core::route::Document;
 use mintridge_core::screen::Screen;
+use mintridge_core::stop::Stop;
 use mintridge_http::server::Phase;
 use mintridge_store::epoch::Epochs;
 use parking_lot::Mutex;
@@ -243,6 +244,18 @@
         *self.latest.stage.borrow() != Stage::Serving
     }
 
+    /// Returns when the process ends, if a stop has been requested.
+    #[must_use]
+    pub fn stop(&self) -> Stop {
+        match *self.latest.stage.borrow() {
+            Stage::Serving => Stop::default(),
+            Stage::Leaving { give_up_at }
+            | Stage::ClosingCallers { give_up_at }
+            | Stage::ClosingPeers { give_up_at } => Stop::at(give_up_at),
+            Stage::Ending => Stop::at(Instant::now()),
+        }
+    }
+
     /// Returns whether callers may send requests to this node: any required routing table is known,
     /// and no stop has been requested.
     #[must_use]
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -234,6 +234,7 @@
         Ok(parsed) => parsed,
         Err(error) => return entry.refuse_malformed(now, error, &request_id, &parts, version),
     };
+    parsed.limit_deadline(entry.context.stop());
     if !has_key {
         entry.recognize_call(now, &mut parsed, has_accounts);
     }
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -10,7 +10,8 @@
     Plan, Replies, get, hosts, mixed_load, post_without_key, start_processes,
     start_processes_with_entry, with_timeout,
 };
-use mintridge_bench::caller::Call;
+use mintridge_bench::caller::{Call, Reply};
+use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_core::preset::Preset;
 use mintridge_node::announcement::State;
 use mintridge_node::operators::Status;
@@ -136,6 +137,41 @@
     }
 }
 
+/// Failure: a stopping entry forwards a request with more time than it has left itself. Symptom: the
+/// connection closes without an answer while the upstream works on.
+#[tokio::test]
+async fn stop_of_the_entry_node_answers_what_outlasts_it() {
+    let plan = Plan {
+        adjust: |settings| {
+            settings.node.linger = Duration::from_millis(800);
+            settings.node.stop_within = Duration::from_millis(1500);
+        },
+        ..hosts(2)
+    };
+    let scene = start_processes(plan).await;
+    for index in 0..2 {
+        scene.update_behaviour(index, |behaviour| behaviour.service_micros = 6_000_000);
+    }
+    let term = scene.process(0).signal(Signal::TERM);
+    term.expect("the signal is sent");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let reply = scene
+        .call(0, &with_timeout(10_000, post_without_key("long")))
+        .await;
+    assert!(
+        matches!(
+            reply,
+            Reply::Refused {
+                outcome: Outcome::Unknown,
+                reason: Reason::Deadline,
+                ..
+            }
+        ),
+        "{reply:?}"
+    );
+    assert_eq!(scene.runs("long"), 1);
+}
+
 /// An entry node gets SIGTERM while a caller's request runs: the caller must get the whole
 /// response.
 #[tokio::test]
