--- a/review/mesh.py
+++ b/review/mesh.py
@@ -553,6 +553,9 @@
 
 def main(folder, case, seconds=115):
     """Runs `case(mesh)`, which returns whether the rule held, and exits as a case has to."""
+    # A script that is stopped from outside ends its nodes as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+
     async def run():
         mesh = Mesh(folder)
         try:
