fix(entry): a run that ended with 503 is not answered as not run

What callers saw: an upstream ended 45 in 100 of its bookings, after it had begun to run them, with status 503.

Cause: Entry::pass_on forwarded every response of an upstream with its status, and some statuses are a promise to callers by themselves. Ruled out: a response taken for the upstream's "not run" header, or a refusal by a node (the responses bore the upstream's signature and no outcome, and each booking ran once).

Change: callers.not_run_statuses names the statuses that callers take for the promise; where an upstream ends the run of an unrepeatable request with one, the entry refuses it itself: 502, unknown, run-failed, without signature or Retry-After. core::response decides, by status and kind of the request alone, before the response passes. Why this is enough: every response of an upstream reaches its caller through pass_on, streamed ones too.

The line "attempt" of the log now has the upstream's status; explain names the reason.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 //! | does it run now or wait, and in which order? | [`admission`] with [`queue`], [`shares`], [`work`], [`pace`], [`limit`], [`warm_up`] and [`request_limit`]; [`gate`], [`health`], [`stop`] and [`dependency`] can refuse it |
 //! | was its idempotency key used before? | [`claim`] |
 //! | did upstreams crash while they ran it? | [`screen`], from the decisions of [`quarantine`] by [`fingerprint`] and by which requests were [`answered`] |
+//! | did the upstream run it, and may its response be passed on? | [`response`] |
 //! | what does the caller receive if no upstream answers? | [`outcome`] |
 //!
 //! Modules outside the request path: [`membership`] (which hosts are present), [`preset`] (the
@@ -66,6 +67,7 @@
 pub mod recipients;
 pub mod request;
 pub mod request_limit;
+pub mod response;
 pub mod retry;
 pub mod route;
 pub mod screen;
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -79,11 +79,13 @@
     RateLimited,
     /// Most calls that the upstream makes for such requests fail.
     DependencyFailing,
+    /// The upstream ran the request and ended it with a status that callers take for "not run".
+    RunFailed,
 }
 
 impl Reason {
     /// All reasons, for metrics with a bounded label set.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::Busy,
         Self::Deadline,
         Self::Late,
@@ -108,6 +110,7 @@
         Self::Unauthorized,
         Self::RateLimited,
         Self::DependencyFailing,
+        Self::RunFailed,
     ];
 
     /// Returns the form used in headers, problem details and metrics.
@@ -138,6 +141,7 @@
             Self::Unauthorized => "unauthorized",
             Self::RateLimited => "rate-limited",
             Self::DependencyFailing => "dependency-failing",
+            Self::RunFailed => "run-failed",
         }
     }
 
--- /dev/null
+++ b/crates/core/src/response.rs
@@ -0,0 +1,13 @@
+//! What the status of an upstream's response says about the run of its request.
+//!
+//! Failure: an upstream runs a booking and ends it with status 503. Symptom: the caller, for whom 503
+//! means that nothing ran, books again. A status of the upstream is no statement that a request was
+//! not run: only its header for that is one, and the refusals of the nodes.
+
+/// Returns whether the status of a response to a request that ran would tell the caller of a request
+/// that may not run twice that it did not run. `not_run_statuses` are those that callers take for
+/// that.
+#[must_use]
+pub fn denies_run(not_run_statuses: &[u16], status: u16, repeatable: bool) -> bool {
+    !repeatable && not_run_statuses.contains(&status)
+}
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -215,6 +215,9 @@
         Reason::Unauthorized => "it lacked a key of a client account, or no account had its key",
         Reason::RateLimited => "its client account had sent more requests than its limit allows",
         Reason::DependencyFailing => "most calls that the upstream makes for such requests failed",
+        Reason::RunFailed => {
+            "the upstream ran it and failed it with a status that callers take for 'not run'"
+        }
     }
 }
 
--- a/crates/http/src/problem.rs
+++ b/crates/http/src/problem.rs
@@ -123,7 +123,7 @@
         Reason::Deadline => "connection_timeout",
         Reason::Unreachable => "connection_refused",
         Reason::LinkLost => "connection_terminated",
-        Reason::ForeignAnswer => "http_protocol_error",
+        Reason::ForeignAnswer | Reason::RunFailed => "http_protocol_error",
         Reason::BadRequest => "http_request_error",
         Reason::NoUpstream | Reason::NoRoute => "destination_not_found",
         Reason::Duplicate | Reason::Quarantined | Reason::Unauthorized | Reason::RateLimited => {
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -31,6 +31,10 @@
     /// Whether `Retry-After` is sent with fractions of a second; standard HTTP allows whole
     /// seconds only.
     pub retry_after_fractions: bool,
+    /// Statuses that callers take as a promise that the request has not run and never will. If an
+    /// upstream ends the run of a non-idempotent request with one of them, the node sends an unknown
+    /// outcome in its place.
+    pub not_run_statuses: Vec<u16>,
     /// Timeout for receiving the head of a request, counted from the end of the previous request.
     #[serde(with = "humantime_serde")]
     pub header_within: Duration,
@@ -67,6 +71,7 @@
             origin_header: None,
             origin: String::new(),
             retry_after_fractions: false,
+            not_run_statuses: Vec::new(),
             header_within: Duration::from_secs(5),
             timeout_default: Duration::from_secs(10),
             timeout_most: Duration::from_mins(1),
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -6,7 +6,7 @@
 
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
-use hyper::{Request, Response, Uri};
+use hyper::{Request, Response, StatusCode, Uri};
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::placement::Ending;
 use mintridge_core::retry::{self, Progress};
@@ -55,6 +55,14 @@
             Self::Refused { refusal, .. } => refusal.reason.as_str(),
         }
     }
+
+    /// Returns the status of the upstream's response, if there is one.
+    pub fn upstream_status(&self) -> Option<StatusCode> {
+        match self {
+            Self::Answered(response) => Some(response.status()),
+            Self::Refused { .. } => None,
+        }
+    }
 }
 
 /// Sends the request to one host and waits for the head of the response.
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -9,6 +9,7 @@
 use mintridge_core::attempts::{Attempts, Due};
 use mintridge_core::outcome::{Outcome, Reason, Refusal};
 use mintridge_core::placement::Ending;
+use mintridge_core::response::denies_run;
 use mintridge_core::retry::{self, Progress};
 use mintridge_http::{Body, reply};
 
@@ -80,7 +81,7 @@
         forwarding.set_may_have_run(true);
         let attempted = attempt(&forwarding.outgoing, &mut placed).await;
         entry.record_chance(&placed.service, &placed.host, &attempted);
-        history.record_attempt(placed.log_record(attempted.outcome()));
+        history.record_attempt(placed.log_record(&attempted));
         match entry.next_step(&mut forwarding, attempted, placed) {
             NextStep::PassOn(answered) => {
                 let (response, placed) = *answered;
@@ -249,13 +250,24 @@
         operation(budget)
     }
 
-    /// Passes the upstream's response on to the caller as it arrives.
+    /// Passes the upstream's response on to the caller as it arrives, or replaces it if its status
+    /// would deny the run.
     fn pass_on(
         &self,
         response: Response<Incoming>,
         placed: Placed,
         outgoing: Outgoing,
     ) -> Response<Body> {
+        let head = &outgoing.request.head;
+        let not_run_statuses = &self.context.settings.callers.not_run_statuses;
+        if denies_run(
+            not_run_statuses,
+            response.status().as_u16(),
+            head.repeatable,
+        ) {
+            let refusal = Refusal::unknown(Reason::RunFailed, Instant::now());
+            return self.refuse_finally(&refusal, &head.request_id);
+        }
         if placed.ending == Ending::Answered {
             self.with_budget(&outgoing.request.head.service, retry::Budget::deposit);
         }
@@ -297,4 +309,11 @@
         }
         self.refuse(&refusal, &head.request_id)
     }
+
+    /// Refuses a request that must not be repeated, without a time to come back.
+    fn refuse_finally(&self, refusal: &Refusal, request_id: &str) -> Response<Body> {
+        let mut response = self.refuse(refusal, request_id);
+        response.headers_mut().remove(RETRY_AFTER);
+        response
+    }
 }
--- a/crates/node/src/entry/placed.rs
+++ b/crates/node/src/entry/placed.rs
@@ -8,6 +8,7 @@
 use mintridge_core::placement::Ending;
 
 use super::Entry;
+use super::attempt::Attempt;
 use crate::request_log;
 
 /// A request placed on a host; counted among the host's requests in flight until dropped.
@@ -32,7 +33,7 @@
 
 impl Placed {
     /// Returns the attempt as the request log records it.
-    pub fn log_record(&self, outcome: &'static str) -> request_log::Attempt {
+    pub fn log_record(&self, attempted: &Attempt) -> request_log::Attempt {
         let (report, reported_at) = self.last_report;
         request_log::Attempt {
             host: Arc::clone(&self.host),
@@ -40,7 +41,8 @@
             known: self.known.clone(),
             report_age: self.started_at.duration_since(reported_at),
             only_in_time: self.only_in_time,
-            outcome,
+            outcome: attempted.outcome(),
+            upstream_status: attempted.upstream_status(),
             started_at: self.started_at,
             took: self.started_at.elapsed(),
         }
--- a/crates/node/src/request_log.rs
+++ b/crates/node/src/request_log.rs
@@ -79,6 +79,8 @@
     pub only_in_time: bool,
     /// Outcome of the attempt.
     pub outcome: &'static str,
+    /// Status of the upstream's response, if there is one.
+    pub upstream_status: Option<StatusCode>,
     /// When the attempt started.
     pub started_at: Instant,
     /// Duration of the attempt.
@@ -196,6 +198,7 @@
             known_named_limit = limit_text(known.and_then(|known| known.requests_per_second)),
             known_leaving = known.is_some_and(|known| known.leaving),
             only_in_time = attempt.only_in_time,
+            upstream_status = attempt.upstream_status.as_ref().map_or("", StatusCode::as_str),
             outcome = attempt.outcome;
             "attempt"
         );
--- a/crates/node/tests/at_most_once.rs
+++ b/crates/node/tests/at_most_once.rs
@@ -5,14 +5,15 @@
 use std::time::Duration;
 
 use common::{
-    hosts, post, post_without_key, start_processes, start_processes_with_entry, total_runs,
-    with_timeout,
+    Plan, get, hosts, post, post_without_key, start_processes, start_processes_with_entry,
+    total_runs, with_timeout,
 };
+use hyper::StatusCode;
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::{Outcome, Reason};
 use mintridge_standin::scene::{Scene, wait_for};
 use mintridge_standin::store::Faults;
-use mintridge_standin::upstream::Mode;
+use mintridge_standin::upstream::{Mode, STATUS};
 use mintridge_store::keys::{CLAIMS, SEEDS};
 use rstest::rstest;
 use rustix::process::Signal;
@@ -327,3 +328,82 @@
     }
     assert!(ran > 0, "some ran");
 }
+
+/// Plan of one host whose callers take these statuses as a promise that a request has not run.
+fn promises_by_status() -> Plan {
+    Plan {
+        adjust: |settings| settings.callers.not_run_statuses = vec![408, 421, 429, 503],
+        ..hosts(1)
+    }
+}
+
+/// An upstream runs a non-idempotent request and ends it with a status that promises that it has not
+/// run. Guards against a caller that repeats the request because it got that status.
+#[rstest]
+#[case::unavailable(post_without_key("run"), 503, 100)]
+#[case::unavailable_streamed(post_without_key("run"), 503, 200_000)]
+#[case::with_a_key(post("run", "key"), 503, 100)]
+#[case::too_many_requests(post_without_key("run"), 429, 100)]
+#[case::timeout(post_without_key("run"), 408, 100)]
+#[case::misdirected(post_without_key("run"), 421, 100)]
+#[tokio::test]
+async fn run_that_ends_with_a_promise_is_refused_as_unknown(
+    #[case] call: Call,
+    #[case] status: u16,
+    #[case] body_bytes: usize,
+) {
+    let scene = start_processes(promises_by_status()).await;
+    let call = Call {
+        path: format!("{STATUS}{status}/{body_bytes}"),
+        ..call
+    };
+    let reply = scene.call(0, &call).await;
+    assert_eq!(
+        reply,
+        Reply::Refused {
+            status: StatusCode::BAD_GATEWAY,
+            outcome: Outcome::Unknown,
+            reason: Reason::RunFailed,
+            retry_after: None,
+        }
+    );
+    assert_eq!(scene.runs("run"), 1);
+    let repeat = scene
+        .call(
+            0,
+            &Call {
+                id: "repeat".to_owned(),
+                ..call.clone()
+            },
+        )
+        .await;
+    assert!(repeat.is_unknown(), "{repeat:?}");
+    let repeats_run = u32::from(call.key.is_none());
+    assert_eq!(scene.runs("repeat"), repeats_run);
+}
+
+/// Guards against hiding a status that promises nothing, or that a repeatable request may get, since
+/// its caller may repeat it in any case.
+#[rstest]
+#[case::repeatable(get("run"), 503)]
+#[case::server_error(post_without_key("run"), 500)]
+#[case::not_found(post_without_key("run"), 404)]
+#[tokio::test]
+async fn run_that_ends_with_another_status_keeps_it(#[case] call: Call, #[case] status: u16) {
+    let scene = start_processes(promises_by_status()).await;
+    let call = Call {
+        path: format!("{STATUS}{status}/100"),
+        ..call
+    };
+    let reply = scene.call(0, &call).await;
+    let Reply::Answer {
+        status: found,
+        body,
+        ..
+    } = &reply
+    else {
+        panic!("{reply:?}");
+    };
+    assert_eq!((found.as_u16(), body.len()), (status, 100));
+    assert_eq!(scene.runs("run"), 1);
+}
--- a/crates/node/tests/explain.rs
+++ b/crates/node/tests/explain.rs
@@ -13,7 +13,7 @@
 use mintridge_ctl::commands::explain::{self, History};
 use mintridge_node::operators::Status;
 use mintridge_node::settings::Settings;
-use mintridge_standin::upstream::Behaviour;
+use mintridge_standin::upstream::{Behaviour, Mode};
 
 const LOG_TIMEOUT: Duration = Duration::from_secs(30);
 /// Index of a node apart from the only host of the service.
@@ -132,6 +132,28 @@
     assert!(history.events.iter().any(names_the_link), "{history:?}");
 }
 
+/// An upstream runs an unrepeatable request and ends it with status 503, which its caller gets as an
+/// unknown outcome. The logs must show the status that the upstream sent.
+#[tokio::test]
+async fn history_of_a_failed_run() {
+    let adjust = |settings: &mut Settings| {
+        use_caller_ids(settings);
+        settings.callers.not_run_statuses = vec![503];
+    };
+    let scene = start_processes(Plan { adjust, ..hosts(1) }).await;
+    scene.update_behaviour(0, |behaviour| behaviour.manner = Mode::FailSlowly);
+    let reply = scene.call(0, &post_without_key("failed")).await;
+    assert!(reply.is_unknown(), "{reply:?}");
+    let history = wait_for_history(&scene, "failed").await;
+    assert!(
+        history.cause.contains("run-failed (502)") && history.cause.contains("it may have run"),
+        "{}",
+        history.cause
+    );
+    let has_the_status = |event: &explain::Event| event.details.contains("upstream_status=503");
+    assert!(history.events.iter().any(has_the_status), "{history:?}");
+}
+
 /// Operators remove a route, and a caller that still requests it gets a 404. The logs must show the
 /// request and the version of the routing table that it was matched against.
 #[tokio::test]
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -51,6 +51,9 @@
 pub const HEALTH: &str = "/health";
 /// Prefix of paths whose response body has the given number of bytes, as in `/bytes/1000`.
 pub const BYTES: &str = "/bytes/";
+/// Prefix of paths whose response has the given status after the run, and a body of the given number
+/// of bytes, as in `/status/503/1000`.
+pub const STATUS: &str = "/status/";
 /// End of paths whose response is a JSON list of the names and values of the header fields received.
 pub const FIELDS: &str = "/fields";
 /// Path that tests of crashes set as [`Behaviour::crashes_on`]; otherwise it is an ordinary path.
@@ -410,7 +413,11 @@
 async fn handle(upstream: Arc<Upstream>, request: Request<Body>) -> Response<Body> {
     let is_probe = request.uri().path() == HEALTH;
     let origin = (!is_probe).then(|| header(&request, ORIGIN));
+    let id = request.headers().get(REQUEST_ID).cloned();
     let mut response = respond(Arc::clone(&upstream), request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
     let mut state = upstream.state.lock();
     if !(is_probe && state.notice.silent_probes) {
         state.notice.write(Instant::now(), origin, &mut response);
@@ -479,6 +486,9 @@
     if request.uri().path() == NESTED_REFUSAL {
         return nested_refusal();
     }
+    if let Some(response) = status_response(request.uri().path()) {
+        return response;
+    }
     if request.uri().path().ends_with(FIELDS) {
         return reply::json(StatusCode::OK, &fields(&request));
     }
@@ -552,6 +562,18 @@
     response
 }
 
+/// Returns the response to a path of [`STATUS`], with a time to come back.
+fn status_response(path: &str) -> Option<Response<Body>> {
+    let (status, length) = path.strip_prefix(STATUS)?.split_once('/')?;
+    let mut response = bytes_response(length.parse().ok()?, false);
+    *response.status_mut() = status.parse().ok()?;
+    let retry_after = HeaderValue::from_static("1");
+    response
+        .headers_mut()
+        .insert(hyper::header::RETRY_AFTER, retry_after);
+    Some(response)
+}
+
 /// Returns a response with a body of `length` bytes. A broken body ends with an error after half of
 /// them.
 fn bytes_response(length: usize, is_broken: bool) -> Response<Body> {
