fix(guard): a failed run does not lower the upstream's limit

What callers saw: an upstream with a header for requests that it does not run ended some runs with status 503 or 429. Its limit fell with each, and requests that it would have served were refused as busy or late.

Cause: record_response took the status for a statement that the upstream shed the request, as for an upstream without such a header. Ruled out: shed requests, which take the path of the header (record_shed).

Change: core::response::is_shed takes 429 and 503 for that only where upstreams have no header for it. The health of the upstream goes by the time of such a response as before.

--- a/crates/core/tests/response.rs
+++ b/crates/core/tests/response.rs
@@ -1,6 +1,6 @@
 //! What the status of an upstream's response says about the run of its request.
 
-use mintridge_core::response::denies_run;
+use mintridge_core::response::{denies_run, is_shed};
 use rstest::rstest;
 
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -23,3 +23,14 @@
 fn denies_run_of_no_status_where_callers_take_none_for_a_promise() {
     assert!(!denies_run(&[], 503, false));
 }
+
+/// Guards against a limit that is lowered because the runs of an upstream fail, although it states
+/// which requests it sheds.
+#[rstest]
+#[case::unavailable(503, false, true)]
+#[case::too_many_requests(429, false, true)]
+#[case::stated(503, true, false)]
+#[case::server_error(500, false, false)]
+fn is_shed_by_status(#[case] status: u16, #[case] states_not_run: bool, #[case] expected: bool) {
+    assert_eq!(is_shed(status, states_not_run), expected);
+}
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -15,6 +15,7 @@
 use mintridge_core::outcome::{Reason, Refusal};
 use mintridge_core::request::Id;
 use mintridge_core::request_limit::Origin;
+use mintridge_core::response::is_shed;
 use mintridge_http::Body;
 
 use super::notices::Statement;
@@ -258,15 +259,18 @@
 
     /// Records the upstream's response, whose head arrived after `took`.
     ///
-    /// Of all statuses only 503 and 429 mean that the upstream shed the request, so only they lower
-    /// the limit. A 502 is recorded as served, but a fast one also counts as a failure, so that an
-    /// upstream that fails fast becomes doubtful.
+    /// Any response that does not say that the upstream shed the request is recorded as served, but
+    /// a fast 502, 503 or 429 also counts as a failure, so that an upstream that fails fast becomes
+    /// doubtful.
     fn record_response(&self, now: Instant, id: Id, status: StatusCode, took: Duration) {
-        let shed = matches!(
+        let states_not_run = self.context.settings.upstream.not_run_header.is_some();
+        let shed = is_shed(status.as_u16(), states_not_run);
+        let refused = matches!(
             status,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            StatusCode::BAD_GATEWAY
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
         );
-        let refused = shed || status == StatusCode::BAD_GATEWAY;
         let verdict = {
             let mut state = self.state.lock();
             let mean = state.admission.service_time();
--- a/crates/node/tests/measuring.rs
+++ b/crates/node/tests/measuring.rs
@@ -5,16 +5,21 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Replies, get, hosts, mixed_load, post_without_key, set_all_modes, start_processes, with_timeout,
+    Plan, Replies, get, hosts, mixed_load, post_without_key, set_all_modes, start_processes,
+    with_timeout,
 };
+use mintridge_bench::caller::Call;
 use mintridge_core::preset::Preset;
 use mintridge_standin::scene::Scene;
-use mintridge_standin::upstream::Mode;
+use mintridge_standin::upstream::{Mode, STATUS};
 use rstest::rstest;
 
 /// Upstream time of a node's first probe, for which its budget has enough from the start.
 const FIRST_PROBE_COST: Duration = Duration::from_millis(25);
 
+/// Time after which a node has published a change of its upstream's load.
+const PUBLISHED_WITHIN: Duration = Duration::from_secs(1);
+
 fn probes(scene: &Scene) -> u64 {
     let counts = scene.hosts.iter().map(|host| host.upstream.counts());
     counts.map(|host_counts| host_counts.probes).sum()
@@ -85,6 +90,39 @@
     );
 }
 
+/// An upstream that states which requests it sheds ends runs with status 503 or 429. Guards against
+/// taking these for shed requests, which lowers the limit until the upstream is almost unused.
+#[rstest]
+#[case::unavailable(503)]
+#[case::too_many_requests(429)]
+#[tokio::test]
+async fn failed_runs_lower_no_limit(#[case] status: u16) {
+    let scene = start_processes(Plan {
+        adjust: |settings| settings.upstream.not_run_header = Some("x-not-run".to_owned()),
+        ..hosts(1)
+    })
+    .await;
+    let limit = || async {
+        scene
+            .status(0)
+            .await
+            .expect("it answers")
+            .guarded
+            .load
+            .limit
+    };
+    let before = limit().await;
+    for n in 0..20 {
+        let call = Call {
+            path: format!("{STATUS}{status}/100"),
+            ..post_without_key(&format!("failing-{n}"))
+        };
+        scene.call(0, &call).await;
+    }
+    tokio::time::sleep(PUBLISHED_WITHIN).await;
+    assert_eq!(limit().await, before);
+}
+
 /// Failed upstreams recover: probes within the budget must detect it, so that callers are served
 /// again without a restart.
 #[tokio::test]
