fix(stop): a stopping node ends shortly before the platform kills it

What callers saw: six bookings of 7 s with a deadline of 9 s ran when their node got SIGTERM from a platform that kills after 10 s.

Cause: the settings template set node.stop_within to 5.5 s for every deployment, although the platform names the time in the values that the template is filled from. Ruled out: a listener that closes too early (the log has "shutdown interrupted callers' requests" 5.5 s after "stopping"; with 6 s, work of 4.2 s is answered).

Why this is enough: nothing else decides about the end, and each time is a part of the time until the kill. For 6 s the times are those of before.

In core/stop, set_end became set_stop with a plan; its checks are unchanged.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -181,10 +181,10 @@
         }
     }
 
-    /// Records that the process ends at `ends_at`; call [`Self::poll`] afterwards. Queued requests
-    /// that may not end before are refused.
-    pub const fn set_end(&mut self, ends_at: Instant) {
-        self.stop = Stop::at(ends_at);
+    /// Records that the node is stopping; call [`Self::poll`] afterwards. Queued requests that may
+    /// not end before the process does are refused.
+    pub const fn set_stop(&mut self, stop: Stop) {
+        self.stop = stop;
     }
 
     /// Returns whether a request with this deadline ends before the process does.
--- a/crates/core/src/configs.rs
+++ b/crates/core/src/configs.rs
@@ -14,4 +14,5 @@
 pub mod probe;
 pub mod quarantine;
 pub mod retry;
+pub mod stop;
 pub mod warm_up;
--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -7,38 +7,101 @@
 //!
 //! The usual service time of the route is no substitute for the deadline. A request that runs for
 //! longer than usual is aborted after it has used up the time that a retry would need.
+//!
+//! Failure: a node ends long before the platform kills it, or is killed before its own end. Symptom:
+//! requests in progress are aborted that would have ended in time, or end without an answer. All
+//! times of a [`Plan`] therefore follow from when the process is killed.
 
 use std::time::{Duration, Instant};
 
-/// Time before the end of the process in which the last answers are delivered to callers.
-const DELIVERY_TIME: Duration = Duration::from_millis(200);
+use crate::configs::stop::Settings;
 
-/// Time at which the process ends, once it is known.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Stop {
-    ends_at: Option<Instant>,
+/// Longest time between the end of the last connections and the kill, in which the process exits.
+const MAX_EXIT_TIME: Duration = Duration::from_millis(500);
+/// The time until the kill divided by this is the exit time where that is shorter.
+const EXIT_DIVISOR: u32 = 12;
+/// Longest time before the end in which the last answers are delivered to callers.
+const MAX_DELIVERY_TIME: Duration = Duration::from_millis(200);
+/// The time until the kill divided by this is the delivery time where that is shorter.
+const DELIVERY_DIVISOR: u32 = 24;
+/// Largest share of the time until the kill in which new requests are taken. The rest is left for
+/// them to end.
+const MAX_LINGER_SHARE: f64 = 0.4;
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// When the listener for callers closes.
+    pub closes_at: Instant,
+    /// When requests in progress are answered with what is known of them.
+    pub last_answer_at: Instant,
+    /// When the process ends with whatever is still in progress.
+    pub ends_at: Instant,
 }
 
-impl Stop {
-    /// Creates the state of a node that ends at `ends_at`.
+impl Plan {
+    /// Plans a stop that is requested at `now`.
     #[must_use]
-    pub const fn at(ends_at: Instant) -> Self {
+    pub fn new(now: Instant, settings: &Settings) -> Self {
+        let Some(killed_after) = settings.killed_after else {
+            let delivery_time = MAX_DELIVERY_TIME.min(settings.stop_within);
+            return Self {
+                closes_at: now + settings.linger.min(settings.stop_within),
+                last_answer_at: now + (settings.stop_within - delivery_time),
+                ends_at: now + settings.stop_within,
+            };
+        };
+        let exit_time = MAX_EXIT_TIME.min(killed_after / EXIT_DIVISOR);
+        let delivery_time = MAX_DELIVERY_TIME.min(killed_after / DELIVERY_DIVISOR);
+        let ends_after = killed_after - exit_time;
         Self {
-            ends_at: Some(ends_at),
+            closes_at: now + settings.linger.min(killed_after.mul_f64(MAX_LINGER_SHARE)),
+            last_answer_at: now + (ends_after - delivery_time),
+            ends_at: now + ends_after,
         }
     }
 
+    /// Returns the plan of a stop that aborts all requests at once.
+    #[must_use]
+    pub const fn immediate(now: Instant) -> Self {
+        Self {
+            closes_at: now,
+            last_answer_at: now,
+            ends_at: now,
+        }
+    }
+}
+
+/// The plan of a node's stop, once one is requested.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Stop {
+    plan: Option<Plan>,
+}
+
+impl From<Plan> for Stop {
+    fn from(plan: Plan) -> Self {
+        Self { plan: Some(plan) }
+    }
+}
+
+impl Stop {
     /// Returns whether the node is stopping.
     #[must_use]
     pub const fn is_known(&self) -> bool {
-        self.ends_at.is_some()
+        self.plan.is_some()
+    }
+
+    /// Returns when requests in progress are answered, if the node is stopping.
+    #[must_use]
+    pub fn last_answer_at(&self) -> Option<Instant> {
+        self.plan.map(|plan| plan.last_answer_at)
     }
 
     /// Returns whether a request with this deadline ends before the process does, however long it
     /// runs.
     #[must_use]
     pub fn can_end(&self, deadline: Instant) -> bool {
-        self.ends_at.is_none_or(|ends_at| deadline <= ends_at)
+        self.plan.is_none_or(|plan| deadline <= plan.ends_at)
     }
 
     /// Returns the deadline of a request that this node forwards for a caller: that of the caller,
@@ -48,8 +111,7 @@
     /// the upstream works on after the caller's connection has closed without an answer.
     #[must_use]
     pub fn forwarding_deadline(&self, deadline: Instant) -> Instant {
-        let last_answer_at = |ends_at: Instant| ends_at.checked_sub(DELIVERY_TIME);
-        let last_answer_at = self.ends_at.and_then(last_answer_at);
+        let last_answer_at = self.last_answer_at();
         last_answer_at.map_or(deadline, |last_answer_at| deadline.min(last_answer_at))
     }
 }
--- a/crates/core/tests/stop.rs
+++ b/crates/core/tests/stop.rs
@@ -4,14 +4,23 @@
 use std::time::{Duration, Instant};
 
 use mintridge_core::admission::{Action, Admission, Answer, Decision};
-use mintridge_core::configs::admission::Settings;
+use mintridge_core::configs::{admission, stop};
 use mintridge_core::outcome::Reason;
 use mintridge_core::request::{Arrival, Id};
-use mintridge_core::stop::Stop;
+use mintridge_core::stop::{Plan, Stop};
 use rstest::rstest;
 
 const MILLI: Duration = Duration::from_millis(1);
 
+/// Returns the plan of a stop at `now` with this setting.
+fn stop_within(now: Instant, millis: u32) -> Stop {
+    let settings = stop::Settings {
+        stop_within: MILLI * millis,
+        ..stop::Settings::default()
+    };
+    Plan::new(now, &settings).into()
+}
+
 /// Failure: a request that has to end in time is refused, or one that may not is admitted.
 #[rstest]
 #[case::ends_before(4_999, true)]
@@ -21,7 +30,7 @@
 fn can_end_until_the_process_does(#[case] deadline_ms: u32, #[case] expected: bool) {
     let now = Instant::now();
     let deadline = now + MILLI * deadline_ms;
-    assert_eq!(Stop::at(now + MILLI * 5_000).can_end(deadline), expected);
+    assert_eq!(stop_within(now, 5_000).can_end(deadline), expected);
     assert!(Stop::default().can_end(deadline));
 }
 
@@ -33,7 +42,7 @@
 fn forwarding_deadline_leaves_time_to_answer(#[case] deadline_ms: u32, #[case] expected_ms: u32) {
     let now = Instant::now();
     let deadline = now + MILLI * deadline_ms;
-    let stop = Stop::at(now + MILLI * 5_000);
+    let stop = stop_within(now, 5_000);
     assert_eq!(
         stop.forwarding_deadline(deadline),
         now + MILLI * expected_ms
@@ -41,15 +50,61 @@
     assert_eq!(Stop::default().forwarding_deadline(deadline), deadline);
 }
 
+/// Failure: a stopping node aborts requests while the platform still leaves them time, or is killed
+/// before it has answered them. Work that goes on in the last sixth of that time may be cut.
+#[rstest]
+#[case::very_short(300)]
+#[case::short(1_000)]
+#[case::under_the_linger(2_000)]
+#[case::usual(6_000)]
+#[case::long(10_000)]
+#[case::very_long(300_000)]
+fn plan_ends_in_the_last_sixth_before_the_kill(#[case] killed_after_ms: u32) {
+    let now = Instant::now();
+    let killed_after = MILLI * killed_after_ms;
+    let settings = stop::Settings {
+        linger: MILLI * 2_200,
+        killed_after: Some(killed_after),
+        ..stop::Settings::default()
+    };
+    let plan = Plan::new(now, &settings);
+    assert!(
+        plan.last_answer_at >= now + killed_after * 5 / 6,
+        "{plan:?}"
+    );
+    assert!(plan.last_answer_at < plan.ends_at, "{plan:?}");
+    assert!(plan.ends_at < now + killed_after, "{plan:?}");
+    // Requests that are taken last still have half of the time to end.
+    assert!(plan.closes_at <= now + killed_after / 2, "{plan:?}");
+    assert!(plan.closes_at <= now + settings.linger, "{plan:?}");
+}
+
+/// Guards against a change of the usual stop of six seconds.
+#[test]
+fn plan_of_six_seconds_keeps_its_times() {
+    let now = Instant::now();
+    let settings = stop::Settings {
+        linger: MILLI * 2_200,
+        killed_after: Some(MILLI * 6_000),
+        ..stop::Settings::default()
+    };
+    let expected = Plan {
+        closes_at: now + MILLI * 2_200,
+        last_answer_at: now + MILLI * 5_300,
+        ends_at: now + MILLI * 5_500,
+    };
+    assert_eq!(Plan::new(now, &settings), expected);
+}
+
 /// Failure: a request was queued before the signal and starts too late. It is refused at once.
 #[test]
-fn set_end_refuses_queued_requests_that_outlast_it() {
+fn set_stop_refuses_queued_requests_that_outlast_it() {
     let now = Instant::now();
-    let mut admission = Admission::new(Settings::default(), 1);
+    let mut admission = Admission::new(admission::Settings::default(), 1);
     for (id, deadline) in [(0, 9_000), (1, 9_000), (2, 4_000)] {
         admission.arrive(now, arrival(id, KINDS[0], now, deadline), 1.0);
     }
-    admission.set_end(now + MILLI * 5_000);
+    admission.set_stop(stop_within(now, 5_000));
     let action = admission.poll(now);
     assert!(
         matches!(action, Some(Action::Refuse(Id(1), refusal)) if refusal.reason == Reason::Leaving),
@@ -129,14 +184,14 @@
 fn replay(knows_end: bool) -> Counts {
     const SIGNAL: u32 = 8_000;
     let (start, mut counts) = (Instant::now(), Counts::default());
-    let mut admission = Admission::new(Settings::default(), 24);
+    let mut admission = Admission::new(admission::Settings::default(), 24);
     let mut running: Vec<(u32, Id, usize, bool)> = Vec::new();
     let mut next_id = 0;
     for millis in 0..SIGNAL + 5_500 {
         let now = start + MILLI * millis;
         let stopping = millis >= SIGNAL;
         if knows_end && millis == SIGNAL {
-            admission.set_end(now + MILLI * 5_500);
+            admission.set_stop(stop_within(now, 5_500));
         }
         running.retain(|&(ends, id, kind, counted)| {
             if ends > millis {
--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -7,7 +7,6 @@
 pub mod link;
 pub mod listeners;
 pub mod logs;
-pub mod node;
 pub mod routes;
 pub mod store;
 pub mod traces;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,7 +14,7 @@
 use mintridge_core::quarantine::Event;
 use mintridge_core::route::Document;
 use mintridge_core::screen::Screen;
-use mintridge_core::stop::Stop;
+use mintridge_core::stop::{Plan, Stop};
 use mintridge_http::server::Phase;
 use mintridge_store::epoch::Epochs;
 use parking_lot::Mutex;
@@ -68,25 +68,28 @@
     /// A stop has been requested. Callers are still served, but their connections are closed after
     /// the last pending response so that they reconnect to another node. The upstream gets only
     /// requests that can end in time.
-    Leaving {
-        /// Deadline after which requests in progress are aborted.
-        give_up_at: Instant,
-    },
+    Leaving(Plan),
     /// No new requests are forwarded to the upstream, and peers are informed. The listener for
     /// callers is closed; requests in progress are finished.
-    ClosingCallers {
-        /// Deadline after which requests in progress are aborted.
-        give_up_at: Instant,
-    },
+    ClosingCallers(Plan),
     /// The listener for peers is closed as well.
-    ClosingPeers {
-        /// Deadline after which requests in progress are aborted.
-        give_up_at: Instant,
-    },
+    ClosingPeers(Plan),
     /// The remaining listeners and duties end, and the node leaves the cluster.
     Ending,
 }
 
+impl Stage {
+    fn stop(&self) -> Stop {
+        match *self {
+            Self::Serving => Stop::default(),
+            Self::Leaving(plan) | Self::ClosingCallers(plan) | Self::ClosingPeers(plan) => {
+                plan.into()
+            }
+            Self::Ending => Plan::immediate(Instant::now()).into(),
+        }
+    }
+}
+
 /// Addresses on which the node listens, with the ports that were bound.
 #[derive(Clone, Copy, Debug)]
 pub struct Addresses {
@@ -244,15 +247,19 @@
         *self.latest.stage.borrow() != Stage::Serving
     }
 
-    /// Returns when the process ends, if a stop has been requested.
+    /// Returns the plan of the stop, if one has been requested.
     #[must_use]
     pub fn stop(&self) -> Stop {
-        match *self.latest.stage.borrow() {
-            Stage::Serving => Stop::default(),
-            Stage::Leaving { give_up_at }
-            | Stage::ClosingCallers { give_up_at }
-            | Stage::ClosingPeers { give_up_at } => Stop::at(give_up_at),
-            Stage::Ending => Stop::at(Instant::now()),
+        self.latest.stage.borrow().stop()
+    }
+
+    /// Waits until a stop has been requested and its time for the last answers has come.
+    pub async fn last_answer_due(&self) {
+        let mut stage = self.latest.stage.subscribe();
+        let stop = stage.wait_for(|stage| stage.stop().is_known()).await;
+        let last_answer_at = stop.ok().and_then(|stage| stage.stop().last_answer_at());
+        if let Some(last_answer_at) = last_answer_at {
+            tokio::time::sleep_until(last_answer_at.into()).await;
         }
     }
 
@@ -270,10 +277,8 @@
     pub fn callers_phase(&self) -> watch::Receiver<Phase> {
         self.map_stage(|stage| match stage {
             Stage::Serving => Phase::Open,
-            Stage::Leaving { .. } => Phase::Leaving,
-            Stage::ClosingCallers { give_up_at } | Stage::ClosingPeers { give_up_at } => {
-                Phase::Closing { give_up_at }
-            }
+            Stage::Leaving(_) => Phase::Leaving,
+            Stage::ClosingCallers(plan) | Stage::ClosingPeers(plan) => close_by(plan),
             Stage::Ending => close_immediately(),
         })
     }
@@ -282,9 +287,9 @@
     #[must_use]
     pub fn peers_phase(&self) -> watch::Receiver<Phase> {
         self.map_stage(|stage| match stage {
-            Stage::ClosingPeers { give_up_at } => Phase::Closing { give_up_at },
+            Stage::ClosingPeers(plan) => close_by(plan),
             Stage::Ending => close_immediately(),
-            Stage::Serving | Stage::Leaving { .. } | Stage::ClosingCallers { .. } => Phase::Open,
+            Stage::Serving | Stage::Leaving(_) | Stage::ClosingCallers(_) => Phase::Open,
         })
     }
 
@@ -317,6 +322,12 @@
     }
 }
 
+const fn close_by(plan: Plan) -> Phase {
+    Phase::Closing {
+        give_up_at: plan.ends_at,
+    }
+}
+
 fn close_immediately() -> Phase {
     Phase::Closing {
         give_up_at: Instant::now(),
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -290,11 +290,11 @@
     loop {
         match *stage.borrow_and_update() {
             Stage::Serving => {}
-            Stage::Leaving { give_up_at } => {
-                guard.state.lock().admission.set_end(give_up_at);
+            Stage::Leaving(plan) => {
+                guard.state.lock().admission.set_stop(plan.into());
                 guard.pump();
             }
-            Stage::ClosingCallers { .. } | Stage::ClosingPeers { .. } | Stage::Ending => break,
+            Stage::ClosingCallers(_) | Stage::ClosingPeers(_) | Stage::Ending => break,
         }
         if stage.changed().await.is_err() {
             return;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use error_stack::{Report, ResultExt};
+use mintridge_core::stop::Plan;
 use mintridge_store::epoch::Epochs;
 use parking_lot::Mutex;
 use socket2::{Domain, Type};
@@ -17,6 +18,7 @@
 use crate::context::{Addresses, Context, GuardState, Latest, Rings, Stage, View, unix_millis};
 use crate::duties::{self, Duty, Inputs, Socket};
 use crate::metrics::Metrics;
+use crate::request_log::millis;
 use crate::settings::Settings;
 use crate::traces;
 
@@ -188,6 +190,10 @@
     bound().change_context(Error::Listen { address, purpose })
 }
 
+fn sleep_until(instant: Instant) {
+    thread::sleep(instant.saturating_duration_since(Instant::now()));
+}
+
 impl Node {
     /// State shared by the duties.
     #[must_use]
@@ -195,7 +201,8 @@
         &self.context
     }
 
-    /// Stops gracefully: no request in progress is aborted before `node.stop_within` has passed.
+    /// Stops gracefully: no request in progress is aborted before the end that the settings in force
+    /// allow.
     ///
     /// 1. Callers are still served, but their connections are closed after the last pending
     ///    response so that they reconnect to another node. The upstream still gets new requests:
@@ -206,15 +213,21 @@
     /// 3. The listener for peers closes once their requests in progress are finished.
     /// 4. The node leaves the cluster and ends.
     pub fn stop(self) {
-        let settings = &self.context.settings.node;
-        let give_up_at = Instant::now() + settings.stop_within;
-        log::info!("stopping");
-        self.set_stage(Stage::Leaving { give_up_at });
-        thread::sleep(settings.linger);
-        self.set_stage(Stage::ClosingCallers { give_up_at });
-        thread::sleep(PEER_UPDATE_DELAY);
+        let now = Instant::now();
+        let settings = &self.context.live().node;
+        let plan = Plan::new(now, settings);
+        log::info!(
+            killed_after_ms:? = settings.killed_after.map(millis),
+            closes_after_ms = millis(plan.closes_at - now),
+            ends_after_ms = millis(plan.ends_at - now);
+            "stopping"
+        );
+        self.set_stage(Stage::Leaving(plan));
+        sleep_until(plan.closes_at);
+        self.set_stage(Stage::ClosingCallers(plan));
+        sleep_until(plan.ends_at.min(plan.closes_at + PEER_UPDATE_DELAY));
         self.wait_for_duty("entry");
-        self.set_stage(Stage::ClosingPeers { give_up_at });
+        self.set_stage(Stage::ClosingPeers(plan));
         self.wait_for_duty("guard");
         self.terminate();
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -34,7 +34,7 @@
     pub store: configs::store::Settings,
     /// Startup and shutdown of the node.
     #[serde(default)]
-    pub node: configs::node::Settings,
+    pub node: core::stop::Settings,
     /// Connections and requests of callers.
     #[serde(default)]
     pub callers: configs::callers::Settings,
@@ -112,7 +112,7 @@
             peers: Vec::new(),
             peers_port: None,
             store: configs::store::Settings::default(),
-            node: configs::node::Settings::default(),
+            node: core::stop::Settings::default(),
             callers: configs::callers::Settings::default(),
             link: configs::link::Settings::default(),
             guard: configs::guard::Settings::default(),
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -172,6 +172,36 @@
     assert_eq!(scene.runs("long"), 1);
 }
 
+/// Failure: a stopping node does not use the time that the platform leaves it, or plans for more than
+/// that. Symptom: a request that ends in time is aborted, or its connection closes without an answer.
+/// The node gets SIGKILL at the end of that time, as from the platform.
+#[rstest]
+#[case::short(1_500, 800)]
+#[case::long(7_000, 5_000)]
+#[tokio::test]
+async fn stop_uses_the_time_until_the_kill(#[case] killed_after_ms: u64, #[case] work_ms: u64) {
+    let mut scene = start_processes(hosts(1)).await;
+    let killed_after = Duration::from_millis(killed_after_ms);
+    let stopping = |settings: &mut Settings| {
+        settings.node.killed_after = Some(killed_after);
+        settings.node.stop_within = Duration::from_secs(3);
+    };
+    let added = scene.add_with("entry-1", "other", "zone-a", <_>::default(), stopping);
+    added.await.expect("it starts");
+    scene.wait_until_joined().await;
+    scene.update_behaviour(0, |behaviour| behaviour.service_micros = work_ms * 1_000);
+    let (entry, caller) = (scene.addresses(1).callers, scene.caller.clone());
+    let call = with_timeout(60_000, post_without_key("long"));
+    let long = tokio::spawn(async move { caller.call(entry, &call).await.reply });
+    wait_for("the request runs", || scene.runs("long") == 1).await;
+    let term = scene.process(1).signal(Signal::TERM);
+    term.expect("the signal is sent");
+    tokio::time::sleep(killed_after).await;
+    scene.kill(1).await;
+    let reply = long.await.expect("the caller lives");
+    assert!(reply.is_success(), "{reply:?}");
+}
+
 /// An entry node gets SIGTERM while a caller's request runs: the caller must get the whole
 /// response.
 #[tokio::test]
