fix(reload): a stop goes by the settings of its time

What callers saw: the time that the platform leaves a stopping process grew in the settings file while the node ran, with or without a signal. The next stop went by the time of the start and aborted requests that would have ended.

Cause: the section "node" took effect at the next start alone. Ruled out: a file that was not read; it was, and the log named the section under "at_next_start".

Change: the section takes effect at once, and the file is read once more when a stop begins, as a change without a signal is otherwise seen within five seconds. Why this is enough: the section holds the times of a stop and nothing else, and they are read when it begins.

Evidence: node/reload stop_uses_the_settings_of_its_time, "Broken { begun: false }" before, an answer now.

--- a/crates/core/src/stop.rs
+++ b/crates/core/src/stop.rs
@@ -47,16 +47,16 @@
             let delivery_time = MAX_DELIVERY_TIME.min(settings.stop_within);
             return Self {
                 closes_at: now + settings.linger.min(settings.stop_within),
-                last_answer_at: now + (settings.stop_within - delivery_time),
+                last_answer_at: now + settings.stop_within.saturating_sub(delivery_time),
                 ends_at: now + settings.stop_within,
             };
         };
         let exit_time = MAX_EXIT_TIME.min(killed_after / EXIT_DIVISOR);
         let delivery_time = MAX_DELIVERY_TIME.min(killed_after / DELIVERY_DIVISOR);
-        let ends_after = killed_after - exit_time;
+        let ends_after = killed_after.saturating_sub(exit_time);
         Self {
             closes_at: now + settings.linger.min(killed_after.mul_f64(MAX_LINGER_SHARE)),
-            last_answer_at: now + (ends_after - delivery_time),
+            last_answer_at: now + ends_after.saturating_sub(delivery_time),
             ends_at: now + ends_after,
         }
     }
--- a/crates/node/src/program.rs
+++ b/crates/node/src/program.rs
@@ -85,8 +85,10 @@
         hangup,
     } = signals;
     let context = Arc::clone(node.context());
-    tokio::spawn(reload::run(Arc::clone(&context), settings_path, hangup));
+    let reloading = reload::run(Arc::clone(&context), settings_path.clone(), hangup);
+    tokio::spawn(reloading);
     wait_for_signal(&mut terminate, &mut interrupt).await;
+    reload::refresh(&context, &settings_path);
     let stopping = tokio::task::spawn_blocking(move || node.stop());
     tokio::select! {
         _ = stopping => ExitCode::SUCCESS,
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -17,7 +17,7 @@
 use crate::settings::{self, Settings};
 
 /// Sections that take effect while the node runs, except `logs.level`.
-pub const LIVE_SECTIONS: [&str; 4] = ["admission", "logs", "placement", "retry"];
+pub const LIVE_SECTIONS: [&str; 5] = ["admission", "logs", "node", "placement", "retry"];
 /// Interval at which the file is read without a signal. A change takes effect within seconds, and
 /// the cost is negligible because the file is in the page cache.
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
@@ -85,6 +85,14 @@
     }
 }
 
+/// Applies a change of the file that has not been read yet.
+///
+/// Failure: the time until the kill changes in the file, and a stop is requested before the next
+/// poll. Symptom: the stop goes by the former time.
+pub fn refresh(context: &Context, path: &Path) {
+    poll_file(context, path, &mut None);
+}
+
 /// Reads the file once and returns whether new settings were applied or rejected. As long as the
 /// problem stays the same, a rejection is logged once, and again after a signal.
 fn poll_file(context: &Context, path: &Path, rejected: &mut Option<String>) -> bool {
--- a/crates/node/tests/reload.rs
+++ b/crates/node/tests/reload.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{Scene, get, hosts, start_processes};
+use common::{Plan, Scene, get, hosts, post_without_key, start_processes, with_timeout};
 use mintridge_node::reload::Changes;
 use mintridge_node::settings::Settings;
+use mintridge_standin::scene::wait_for;
 use rstest::rstest;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -54,6 +55,28 @@
     assert!(scene.call(0, &get("after")).await.is_success());
 }
 
+/// Failure: the time until the kill changes in the settings file while the node runs. Symptom: the next
+/// stop goes by the time of the start, and aborts requests that would end in time. The node need not
+/// have read the file since.
+#[tokio::test]
+async fn stop_uses_the_settings_of_its_time() {
+    let scene = start_processes(Plan {
+        adjust: |settings| settings.node.stop_within = Duration::from_millis(1_500),
+        ..hosts(1)
+    })
+    .await;
+    scene.update_behaviour(0, |behaviour| behaviour.service_micros = 3_000_000);
+    let (entry, caller) = (scene.addresses(0).callers, scene.caller.clone());
+    let call = with_timeout(60_000, post_without_key("long"));
+    let long = tokio::spawn(async move { caller.call(entry, &call).await.reply });
+    wait_for("the request runs", || scene.runs("long") == 1).await;
+    rewrite(&scene, "\"killed_after\":null", "\"killed_after\":\"5s\"");
+    let term = scene.process(0).signal(Signal::TERM);
+    term.expect("the signal is sent");
+    let reply = long.await.expect("the caller lives");
+    assert!(reply.is_success(), "{reply:?}");
+}
+
 /// An operator enters an invalid value: the node rejects the file, keeps the settings in force and
 /// keeps serving callers. The corrected file is applied.
 #[tokio::test]
