fix(stop): requests from before the signal get an answer before the end

What callers saw: a request was accepted before SIGTERM and ran for longer than the process. Its connection closed without an answer.

Cause: the deadline that a stopping entry shortens is that of requests that arrive after the signal; earlier ones waited until the process ended. Ruled out: an answer that is lost on the way; none was written.

Change: when the time for the last answers has come (core::stop, Plan), the entry gives up each attempt in progress and refuses its request as unknown, reason "leaving"; from the signal on no retry has more time than that.

--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -188,7 +188,9 @@
         Reason::Busy => "all slots were in use and the queue was full",
         Reason::Deadline => "the deadline passed, or could not have been met",
         Reason::Late => "no host could have met the target latency",
-        Reason::Leaving => "the hosts asked were draining",
+        Reason::Leaving => {
+            "the hosts asked were draining, or the node stopped before an answer arrived"
+        }
         Reason::Evacuated => "the hosts asked were in an evacuated availability zone",
         Reason::Doubtful => "the upstreams had failed repeatedly and were being probed",
         Reason::Unannounced => {
--- a/crates/node/src/entry/attempt.rs
+++ b/crates/node/src/entry/attempt.rs
@@ -103,10 +103,16 @@
             None => pending().await,
         }
     };
+    // Refusals that are due by then may still be in transit.
+    let stopping = async {
+        entry.context.last_answer_due().await;
+        tokio::time::sleep(entry.context.settings.callers.grace).await;
+    };
     let response = tokio::select! {
         biased;
         response = sending => response,
         never = opening => match never {},
+        () = stopping => return may_have_run(Instant::now(), Reason::Leaving),
     };
     let now = Instant::now();
     match response {
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -82,6 +82,9 @@
         let attempted = attempt(&forwarding.outgoing, &mut placed).await;
         entry.record_chance(&placed.service, &placed.host, &attempted);
         history.record_attempt(placed.log_record(&attempted));
+        // A stop that has begun leaves less time for a retry than the caller does.
+        let request = &mut forwarding.outgoing.request;
+        request.limit_deadline(entry.context.stop());
         match entry.next_step(&mut forwarding, attempted, placed) {
             NextStep::PassOn(answered) => {
                 let (response, placed) = *answered;
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -172,6 +172,42 @@
     assert_eq!(scene.runs("long"), 1);
 }
 
+/// Failure: a request was accepted before the signal and runs for longer than the node. Symptom: its
+/// connection closes without an answer. It must be told that it may have run, and must not run again.
+#[rstest]
+#[case::unrepeatable(post_without_key)]
+#[case::repeatable(get)]
+#[tokio::test]
+async fn stop_answers_requests_in_progress_before_it_ends(#[case] call: fn(&str) -> Call) {
+    let plan = Plan {
+        adjust: |settings| settings.node.killed_after = Some(Duration::from_secs(3)),
+        ..hosts(2)
+    };
+    let scene = start_processes(plan).await;
+    for index in 0..2 {
+        scene.update_behaviour(index, |behaviour| behaviour.service_micros = 10_000_000);
+    }
+    let (entry, caller) = (scene.addresses(0).callers, scene.caller.clone());
+    let call = with_timeout(30_000, call("long"));
+    let long = tokio::spawn(async move { caller.call(entry, &call).await.reply });
+    wait_for("the request runs", || scene.runs("long") == 1).await;
+    let term = scene.process(0).signal(Signal::TERM);
+    term.expect("the signal is sent");
+    let reply = long.await.expect("the caller lives");
+    assert!(
+        matches!(
+            reply,
+            Reply::Refused {
+                outcome: Outcome::Unknown,
+                reason: Reason::Leaving,
+                ..
+            }
+        ),
+        "{reply:?}"
+    );
+    assert_eq!(scene.runs("long"), 1);
+}
+
 /// Failure: a stopping node does not use the time that the platform leaves it, or plans for more than
 /// that. Symptom: a request that ends in time is aborted, or its connection closes without an answer.
 /// The node gets SIGKILL at the end of that time, as from the platform.
