fix(deploy): drains, announcements and 404s go by the platform's bounds

What callers would see where the platform's bounds differ from those of the sheets so far: a request that reaches an upstream after its drain must have ended (drainMs under 1 s), an upstream that gets no requests between two of its heartbeats (heartbeatMs over 12 s), and 404 for a route that is in force (configMs under 2 s).

Change: the template names the bounds (gate.drained_within, gate.announced_every, routes.doubted_after), and the settings of the gate derive their times: at most half of a drain, at least eight announcements.

--- a/crates/core/src/gate.rs
+++ b/crates/core/src/gate.rs
@@ -60,10 +60,15 @@
         }
     }
 
+    /// Replaces the settings; times that have begun keep their end.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Records an announcement of the upstream; `draining` is whether it reports that it is
     /// draining.
     pub fn record_announcement(&mut self, now: Instant, draining: bool) {
-        self.announced_until = Some(now + self.settings.announcement_lapses);
+        self.announced_until = Some(now + self.settings.announcement_validity());
         self.set_drain(now, Cause::Upstream, draining);
     }
 
@@ -193,7 +198,7 @@
         if self.drain_causes.is_empty() {
             self.drain_deadline = None;
         } else if self.drain_deadline.is_none() {
-            self.drain_deadline = Some(now + self.settings.leaving_grace);
+            self.drain_deadline = Some(now + self.settings.hand_over_time());
         }
     }
 
--- a/crates/core/src/instance.rs
+++ b/crates/core/src/instance.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Replaces the time for which a silent incarnation takes precedence.
+    pub const fn set_silence_timeout(&mut self, silence_timeout: Duration) {
+        self.silence_timeout = silence_timeout;
+    }
+
     /// Requires that the upstream confirms a start by [`Self::record_answer`]. Messages without an
     /// instance id are accepted as without this, since no response can name their sender.
     #[must_use]
--- a/crates/core/tests/gate.rs
+++ b/crates/core/tests/gate.rs
@@ -121,3 +121,47 @@
     assert!(!gate.record_leaving_response(at(45), at(70)));
     assert_eq!(gate.check(at(80)), None);
 }
+
+/// Guards against an upstream that lapses between two of its announcements.
+#[rstest]
+#[case::unknown(None, 3_000)]
+#[case::frequent(Some(100), 3_000)]
+#[case::rare(Some(5_000), 40_000)]
+fn announcement_is_valid_until_several_are_missed(
+    #[case] announced_every_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    let now = Instant::now();
+    let settings = Settings {
+        announced_every: announced_every_ms.map(Duration::from_millis),
+        ..Settings::default()
+    };
+    let mut gate = Gate::new(settings, now);
+    gate.record_announcement(now, false);
+    let before = run(&mut gate, now, expected_ms - 100);
+    assert_eq!(gate.check(before), None);
+    let later = run(&mut gate, before, 100);
+    assert_eq!(gate.check(later), Some(Reason::Unannounced));
+}
+
+/// Guards against a request that is sent to an upstream later than a drain may take.
+#[rstest]
+#[case::unknown(None, 1_500)]
+#[case::long(Some(10_000), 1_500)]
+#[case::short(Some(800), 400)]
+fn hand_over_ends_long_before_a_drain_must(
+    #[case] drained_within_ms: Option<u64>,
+    #[case] expected_ms: u64,
+) {
+    let now = Instant::now();
+    let settings = Settings {
+        drained_within: drained_within_ms.map(Duration::from_millis),
+        ..Settings::default()
+    };
+    let mut gate = Gate::new(settings, now);
+    gate.record_announcement(now, true);
+    let before = run(&mut gate, now, expected_ms - 100);
+    assert_eq!(gate.check_hand_over(before), None);
+    let later = run(&mut gate, before, 100);
+    assert_eq!(gate.check_hand_over(later), Some(Reason::Leaving));
+}
--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -411,7 +411,7 @@
 /// Creates the register of the upstream's incarnations, which awaits the upstream's confirmation if
 /// its responses name the instance.
 fn register(settings: &Settings) -> instance::Register {
-    let register = instance::Register::new(settings.gate.announcement_lapses);
+    let register = instance::Register::new(settings.gate.announcement_validity());
     if settings.upstream.instance_header.is_some() {
         register.asking_upstream()
     } else {
--- a/crates/node/src/guard/follow.rs
+++ b/crates/node/src/guard/follow.rs
@@ -278,8 +278,12 @@
     let mut settings = guard.context.latest.settings.subscribe();
     while settings.changed().await.is_ok() {
         let current = Arc::clone(&settings.borrow_and_update());
-        let admission = current.admission.clone();
-        guard.state.lock().admission.set_settings(admission);
+        let mut state = guard.state.lock();
+        state.admission.set_settings(current.admission.clone());
+        state.gate.set_settings(current.gate.clone());
+        let validity = current.gate.announcement_validity();
+        state.instance.set_silence_timeout(validity);
+        drop(state);
         guard.log.set_settings(&current.logs);
         guard.pump();
     }
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -17,7 +17,7 @@
 use crate::settings::{self, Settings};
 
 /// Sections that take effect while the node runs, except `logs.level`.
-pub const LIVE_SECTIONS: [&str; 5] = ["admission", "logs", "node", "placement", "retry"];
+pub const LIVE_SECTIONS: [&str; 6] = ["admission", "gate", "logs", "node", "placement", "retry"];
 /// Interval at which the file is read without a signal. A change takes effect within seconds, and
 /// the cost is negligible because the file is in the page cache.
 const POLL_INTERVAL: Duration = Duration::from_secs(5);
