fix(http): a stop does not wait for links that are silent

What callers saw: nothing; machines stayed in use. A link between two nodes fell silent for good, and the stop of the node at its end lasted until it was aborted or killed, the longer the more time the platform leaves.

Cause: the end of an HTTP/2 connection waits for the peer's answer to a ping, without a bound of its own. Ruled out: a request in progress; there was none in the test.

Change: a closing listener between nodes counts the requests whose responses have not been passed on, and ends when there was none for three seconds. Why this is enough: a peer that lives answers within a round trip, and a request in progress keeps all connections open as before.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use crate::counted::CountGuard;
+use crate::counted::{CountGuard, CountedBody};
 use crate::{Body, pipeline};
 
 /// Protocol spoken on a listener.
@@ -71,6 +71,12 @@
     }
 }
 
+/// A closing listener aborts connections between nodes if none has carried a request for this long.
+/// A peer that lives confirms the close within a round trip.
+const UNCONFIRMED_CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Interval at which a closing listener checks whether requests are in progress.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Lifecycle phases of a listener, set by its owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -113,6 +119,7 @@
         phase: phase.clone(),
         graceful: GracefulShutdown::new(),
         open: Arc::default(),
+        in_progress: Arc::default(),
         connection_guard,
     };
     let give_up_at = loop {
@@ -131,6 +138,7 @@
     let Acceptor {
         graceful,
         open,
+        in_progress,
         connection_guard,
         ..
     } = acceptor;
@@ -139,6 +147,15 @@
         graceful.shutdown().await;
         all_ended.recv().await;
     };
+    let all_finished = async {
+        tokio::select! {
+            () = wait_until_unused(&in_progress), if protocol == Protocol::Http2 => {
+                let connections = open.load(Ordering::Relaxed);
+                log::info!(connections = connections; "peers did not confirm the close of unused connections");
+            }
+            () = all_finished => {}
+        }
+    };
     let shutdown = tokio::time::timeout_at(give_up_at.into(), all_finished).await;
     let aborted_connections = if shutdown.is_ok() {
         0
@@ -150,6 +167,21 @@
     }
 }
 
+/// Waits until no request has been in progress for [`UNCONFIRMED_CLOSE_TIMEOUT`].
+///
+/// Failure: a connection falls silent for good while its listener closes. Symptom: the end of an
+/// HTTP/2 connection waits for the peer's answer to a ping, so the stop lasts until the process is
+/// killed.
+async fn wait_until_unused(in_progress: &AtomicUsize) {
+    let mut unused_since = Instant::now();
+    while unused_since.elapsed() < UNCONFIRMED_CLOSE_TIMEOUT {
+        tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        if in_progress.load(Ordering::Relaxed) > 0 {
+            unused_since = Instant::now();
+        }
+    }
+}
+
 /// Serves the connections that a listener accepts.
 struct Acceptor<H> {
     handler: Arc<H>,
@@ -158,6 +190,8 @@
     phase: watch::Receiver<Phase>,
     graceful: GracefulShutdown,
     open: Arc<AtomicUsize>,
+    /// Number of requests whose responses have not been passed on, but for pipelined connections.
+    in_progress: Arc<AtomicUsize>,
     /// Cloned by each pipelined connection and dropped when it has ended, so that the receiver
     /// closes after the last one.
     connection_guard: mpsc::Sender<Infallible>,
@@ -176,13 +210,7 @@
         };
         let handler = Arc::clone(&self.handler);
         let Protocol::Pipelined(max_in_progress) = self.protocol else {
-            spawn(
-                connection,
-                handler,
-                self.protocol,
-                &self.limits,
-                &self.graceful,
-            );
+            self.spawn(connection, handler);
             return;
         };
         let connection_guard = self.connection_guard.clone();
@@ -194,6 +222,46 @@
         });
     }
 
+    /// Serves a connection whose requests are not pipelined.
+    fn spawn(&self, connection: Connection, handler: Arc<H>) {
+        let Connection {
+            stream,
+            peer,
+            open_guard,
+        } = connection;
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(error:% = error; "failed to set TCP_NODELAY");
+        }
+        let in_progress = Arc::clone(&self.in_progress);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let guard = CountGuard::new(Arc::clone(&in_progress));
+            let response = handle(Arc::clone(&handler), request, peer);
+            async move {
+                let response = response.await;
+                Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
+            }
+        });
+        let io = TokioIo::new(stream);
+        match self.protocol {
+            Protocol::Http1 | Protocol::Pipelined(_) => {
+                let connection = http1(&self.limits).serve_connection(io, service);
+                let graceful_connection = self.graceful.watch(connection);
+                tokio::spawn(async move {
+                    log_failure(graceful_connection.await, peer);
+                    drop(open_guard);
+                });
+            }
+            Protocol::Http2 => {
+                let connection = http2(&self.limits).serve_connection(io, service);
+                let graceful_connection = self.graceful.watch(connection);
+                tokio::spawn(async move {
+                    log_failure(graceful_connection.await, peer);
+                    drop(open_guard);
+                });
+            }
+        }
+    }
+
     /// Accepts the connections in the listener's accept queue, and closes the listener.
     ///
     /// Failure: the thread is busy while callers connect, and the listener closes next. Symptom:
@@ -270,48 +338,6 @@
     drop(connection.open_guard);
 }
 
-fn spawn<H>(
-    connection: Connection,
-    handler: Arc<H>,
-    protocol: Protocol,
-    limits: &Limits,
-    graceful: &GracefulShutdown,
-) where
-    H: NewHandler + 'static,
-{
-    let Connection {
-        stream,
-        peer,
-        open_guard,
-    } = connection;
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:% = error; "failed to set TCP_NODELAY");
-    }
-    let service = service_fn(move |request: Request<Incoming>| {
-        let response = handle(Arc::clone(&handler), request, peer);
-        async move { Ok::<_, Infallible>(response.await) }
-    });
-    let io = TokioIo::new(stream);
-    match protocol {
-        Protocol::Http1 | Protocol::Pipelined(_) => {
-            let connection = http1(limits).serve_connection(io, service);
-            let graceful_connection = graceful.watch(connection);
-            tokio::spawn(async move {
-                log_failure(graceful_connection.await, peer);
-                drop(open_guard);
-            });
-        }
-        Protocol::Http2 => {
-            let connection = http2(limits).serve_connection(io, service);
-            let graceful_connection = graceful.watch(connection);
-            tokio::spawn(async move {
-                log_failure(graceful_connection.await, peer);
-                drop(open_guard);
-            });
-        }
-    }
-}
-
 fn http1(limits: &Limits) -> hyper::server::conn::http1::Builder {
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    Plan, Replies, get, hosts, mixed_load, post_without_key, start_processes,
-    start_processes_with_entry, with_timeout,
+    ENTRY, Plan, RELAYED, Replies, get, hosts, mixed_load, post_without_key, relayed,
+    start_processes, start_processes_with_entry, with_timeout,
 };
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_core::outcome::{Outcome, Reason};
@@ -474,3 +474,30 @@
     }
     assert_eq!(requests(&scene, 0), before);
 }
+
+/// Failure: a link from another node falls silent for good while the node beside it stops. Symptom:
+/// without any request in progress the stop lasts until the process is aborted or killed.
+#[tokio::test]
+async fn stop_does_not_wait_for_a_silent_link() {
+    let (mut scene, relay) = relayed().await;
+    assert!(scene.call(ENTRY, &get("before")).await.is_success());
+    relay.stall_open_connections();
+    let started_at = Instant::now();
+    scene.stop(RELAYED).await;
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(20), "{took:?}");
+}
+
+/// Guards against a stop that takes the link of a long request for an unused one.
+#[tokio::test]
+async fn stop_waits_for_a_long_request_of_a_peer() {
+    let mut scene = start_processes_with_entry(1).await;
+    scene.update_behaviour(0, |behaviour| behaviour.service_micros = 7_000_000);
+    let (entry, caller) = (scene.addresses(1).callers, scene.caller.clone());
+    let call = with_timeout(60_000, post_without_key("long"));
+    let long = tokio::spawn(async move { caller.call(entry, &call).await.reply });
+    wait_for("the request runs", || scene.runs("long") == 1).await;
+    scene.stop(0).await;
+    let reply = long.await.expect("the caller lives");
+    assert!(reply.is_success(), "{reply:?}");
+}
