fix(http): a broken response ends for its caller at once

What callers saw: a response that broke off on its way ended for them 0.5 s later, and up to 30 s later if they were still sending on the connection.

Cause: after its last response a connection is read on for a while, so that unread bytes don't reset it, and the side that writes stayed open meanwhile. Ruled out: the response was aborted late; the log of the node beside the upstream has the abort 0.5 s before the caller saw its end.

Change: after an incomplete response the sending side is shut down first. Why this is enough: the caller sees the end of the stream in the middle of a response with a length or in chunks, and responses before it still arrive whole.

Evidence: http/unread serve_ends_a_broken_response_before_it_lingers, 30.06 s before, under a second now. By reading, open: a response without a length and without chunks, for a caller of HTTP/1.0, ends like a complete one.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -32,7 +32,7 @@
 use self::side::{ReadSide, WriteSide};
 use crate::quiet_timer::Timer;
 use crate::server::Phase;
-use crate::socket::has_unread;
+use crate::socket::{self, has_unread};
 use crate::{Body, reply};
 
 /// Maximum pause of the caller while a closed connection is still read.
@@ -142,7 +142,11 @@
     let mut unread = 0;
     tokio::select! {
         () = reading => {}
-        () = writing => {
+        complete = writing => {
+            // The caller of a broken response must not wait for the rest of it while this lingers.
+            if !complete && let Err(error) = socket::shutdown(&stream) {
+                log::debug!(error:% = error; "failed to end a broken response");
+            }
             let lingering = linger(&stream, &mut unread);
             let _ = tokio::time::timeout(LINGER_TIMEOUT, lingering).await;
         }
@@ -247,13 +251,13 @@
     discard_until_closed(stream, &mut 0).await;
 }
 
-/// Writes responses in order; returns once all pending ones are written.
+/// Writes responses in order. Returns whether all of them are complete.
 async fn write(
     stream: &Arc<TcpStream>,
     mut builder: http1::Builder,
     shared: Arc<Shared>,
     pending: mpsc::UnboundedReceiver<Pending>,
-) {
+) -> bool {
     let io = WriteSide {
         stream: Arc::clone(stream),
         pending,
@@ -280,9 +284,11 @@
     // The header timeout applies to the reading side alone: it sees the actual requests.
     builder.header_read_timeout(None).half_close(true);
     let connection = builder.serve_connection(io, service);
-    if let Err(error) = connection.await {
+    let result = connection.await;
+    if let Err(error) = &result {
         log::debug!(error:% = error; "failed to write a complete response");
     }
+    result.is_ok()
 }
 
 /// Error of a request that was dropped before its handler returned a response.
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -2,13 +2,16 @@
 
 #![allow(dead_code)]
 
-use std::io::Read;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
 use hyper::{Request, Response, StatusCode};
 use mintridge_http::handler::{Function, ResponseFuture};
 use mintridge_http::server::{Limits, Phase, Protocol, serve};
@@ -20,6 +23,8 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Path whose requests are refused before any of the body is read.
 pub const REFUSED: &str = "refused";
+/// Path whose response breaks off after its first bytes.
+pub const BROKEN: &str = "broken";
 /// Path prefix, followed by the number of milliseconds for which to block the server's only thread.
 pub const BUSY_PREFIX: &str = "busy-";
 
@@ -42,7 +47,7 @@
 }
 
 /// Sleeps for the number of milliseconds in the path, then responds with the path and the body.
-/// See [`REFUSED`] and [`BUSY_PREFIX`] for other paths.
+/// See [`REFUSED`], [`BROKEN`] and [`BUSY_PREFIX`] for other paths.
 async fn respond(counters: Arc<Counters>, request: Request<Body>) -> Response<Body> {
     let running = counters.running.fetch_add(1, Ordering::SeqCst) + 1;
     counters.max_running.fetch_max(running, Ordering::SeqCst);
@@ -52,6 +57,15 @@
         guard.1 = true;
         return reply::text(StatusCode::SERVICE_UNAVAILABLE, "<refused:>");
     }
+    if path == BROKEN {
+        guard.1 = true;
+        let begun = stream::iter([Ok(Frame::data(Bytes::from("<begun")))]);
+        let broken = stream::once(async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            Err(io::Error::other("broken off"))
+        });
+        return Response::new(Body::new(StreamBody::new(begun.chain(broken))));
+    }
     if let Some(millis) = path.strip_prefix(BUSY_PREFIX) {
         std::thread::sleep(Duration::from_millis(millis.parse().unwrap_or(0)));
     }
--- a/crates/http/tests/unread.rs
+++ b/crates/http/tests/unread.rs
@@ -4,10 +4,13 @@
 
 use std::io::Write;
 use std::net::TcpStream;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use common::{
-    REFUSED, bodies, connect, get, read_responses, read_to_close, start, start_with_header_timeout,
+    BROKEN, REFUSED, bodies, connect, get, read_responses, read_to_close, start,
+    start_with_header_timeout,
 };
 use rstest::rstest;
 
@@ -132,3 +135,27 @@
     assert_eq!(bodies(&text), ["200:"]);
     assert!(text.contains(CLOSE_HEADER), "{text}");
 }
+
+/// A response breaks off while its caller still sends. Guards against a caller that learns of it only
+/// once the node has read all that it sends.
+#[test]
+fn serve_ends_a_broken_response_before_it_lingers() {
+    let server = start();
+    let mut stream = connect(&server);
+    let mut sending = stream.try_clone().expect("a second handle");
+    stream.write_all(get(BROKEN).as_bytes()).expect("sent");
+    let ended = Arc::new(AtomicBool::new(false));
+    let has_ended = Arc::clone(&ended);
+    let sender = std::thread::spawn(move || {
+        while !has_ended.load(Ordering::Relaxed) && sending.write_all(b"GET").is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    let started_at = Instant::now();
+    let text = read_to_close(&mut stream);
+    let took = started_at.elapsed();
+    ended.store(true, Ordering::Relaxed);
+    sender.join().expect("the sender ends");
+    assert!(text.contains("<begun"), "{text}");
+    assert!(took < Duration::from_secs(10), "{took:?}");
+}
