fix(upstream): a body that is not needed is not read without end

What callers saw: an upstream stated that it had not run a request and sent a body without end. The caller got 504 at its deadline in place of the refusal, and the node's memory grew to 1.3 GB. The response to a health check was read in the same way.

Cause: such a body was read to its end, into memory, so that its connection could be used again. Ruled out: bodies that are passed on, which hold no memory.

Change: at most 64 KiB are read, for at most 50 ms; then the connection is closed. Why this is enough: a sound upstream sends such a body together with its head, and what matters stands in the head.

Evidence: node/upstream send_reports_a_refusal_whose_body_does_not_end and get_rejects_a_response_that_does_not_end; the code before ran out of 16 GB in the tests' own process.

--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -220,7 +220,9 @@
             upstream::Error::Broken(_) | upstream::Error::Restarted { sent: true } => {
                 self.unknown(now, Reason::LinkLost)
             }
-            upstream::Error::Foreign => self.unknown(now, Reason::ForeignAnswer),
+            upstream::Error::Foreign | upstream::Error::Endless => {
+                self.unknown(now, Reason::ForeignAnswer)
+            }
         }
     }
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -32,6 +32,12 @@
 /// header, because a request that is sent while the upstream closes the connection is lost.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Longest body that is read only to use its connection again. A new connection costs less than a
+/// longer one.
+const MAX_DISCARDED_BYTES: usize = 64 * 1024;
+/// Time for reading such a body, which a sound upstream sends together with the head.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Reason for which no response was received.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -58,6 +64,9 @@
     /// does not allow.
     #[error("the response received is not the upstream's response to this request")]
     Foreign,
+    /// The response to a request of the node's own is longer than any such response.
+    #[error("the response did not end within its limits")]
+    Endless,
 }
 
 /// Result of an attempt to open a new connection to the upstream.
@@ -228,7 +237,7 @@
         if self.instance(&parts.headers).is_none() {
             return Err(Error::Foreign);
         }
-        body.collect().await.map_err(Error::Broken)?;
+        discard(body).await?;
         checkout.check_in();
         Ok(parts)
     }
@@ -400,7 +409,7 @@
                 notice: self.notice(&parts.headers),
                 received_at: received_at(&parts),
             };
-            if body.collect().await.is_ok() {
+            if discard(body).await.is_ok() {
                 checkout.check_in();
             }
             return Ok(not_run);
@@ -451,6 +460,25 @@
     }
 }
 
+/// Reads the rest of a response whose body is not needed, so that its connection can be used again.
+///
+/// Failure: an upstream sends a body without end. Symptom: the node reads it until the deadline, and
+/// its memory grows until it is killed.
+async fn discard(mut body: Incoming) -> Result<(), Error> {
+    let reading = async {
+        let mut bytes = 0;
+        while let Some(frame) = body.frame().await {
+            bytes += frame?.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DISCARDED_BYTES {
+                return Err(Error::Endless);
+            }
+        }
+        Ok(())
+    };
+    let read = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
+    read.unwrap_or(Err(Error::Endless))
+}
+
 enum Next {
     Frame(Result<Frame<Bytes>, hyper::Error>),
     TooLong,
--- a/crates/node/tests/upstream.rs
+++ b/crates/node/tests/upstream.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use common::full_listener;
+use common::{full_listener, serve_connections};
 use http_body_util::BodyExt;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, StatusCode};
@@ -227,6 +227,66 @@
     assert_eq!(server.connections.load(Ordering::SeqCst), 1);
 }
 
+/// Serves each connection with this head and a body without end. Returns the address and the number of
+/// bytes written so far.
+fn serve_endless(head: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    const CHUNK: usize = 64 * 1024;
+    let written = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&written);
+    let address = serve_connections(move |mut stream| {
+        let id = read_id(&mut stream).unwrap_or_default();
+        let mut part = format!("{CHUNK:x}\r\n").into_bytes();
+        part.extend(std::iter::repeat_n(b'x', CHUNK));
+        part.extend(b"\r\n");
+        let mut next = head.replace("ID", &id).into_bytes();
+        while stream.write_all(&next).is_ok() {
+            counter.fetch_add(next.len(), Ordering::SeqCst);
+            next.clone_from(&part);
+        }
+    });
+    (address, written)
+}
+
+/// Far more than the buffers of a connection hold, far less than an upstream writes in the time of a
+/// test.
+const MAX_ENDLESS_BYTES: usize = 30_000_000;
+
+/// Guards against a refusal that waits until the deadline for the end of a body that has none, and
+/// against reading that body into memory.
+#[tokio::test]
+async fn send_reports_a_refusal_whose_body_does_not_end() {
+    let (address, written) = serve_endless(
+        "HTTP/1.1 503 Full\r\nx-id: ID\r\nx-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+    );
+    let server = Server {
+        address,
+        connections: Arc::default(),
+    };
+    let started_at = Instant::now();
+    let refused = send(&upstream(), &server, "1").await;
+    assert!(matches!(refused, Ok(Received::NotRun { .. })));
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let bytes = written.load(Ordering::SeqCst);
+    assert!(bytes < MAX_ENDLESS_BYTES, "{bytes} bytes");
+}
+
+/// Guards against reading the response to a health check into memory if it does not end.
+#[tokio::test]
+async fn get_rejects_a_response_that_does_not_end() {
+    let (address, written) =
+        serve_endless("HTTP/1.1 200 OK\r\nx-instance: i-1\r\ntransfer-encoding: chunked\r\n\r\n");
+    let started_at = Instant::now();
+    let checked = upstream().get(address, "/health").await;
+    assert!(matches!(checked, Err(Error::Endless)), "{checked:?}");
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let bytes = written.load(Ordering::SeqCst);
+    assert!(bytes < MAX_ENDLESS_BYTES, "{bytes} bytes");
+}
+
 /// The upstream's address now belongs to another instance, which rejects the request without
 /// running it.
 #[tokio::test]
