fix(body): a response without end is broken off after its deadline

What callers saw: an upstream sent a body without end. The caller got no end within the 4 s that it waited, 2.5 s past its deadline, and 0.7 GB; the upstream's slot stayed in use.

Cause: a body that streams had an idle time-out alone, which each frame renewed. Ruled out: bodies up to answer_held_most, which the deadline ends.

Change: core::late_body allows the rest of a body, after the deadline, 250 ms and a second for each MiB to arrive, and 64 MiB if it has no length; time in which the caller takes nothing doesn't count. Why this is enough: a sound upstream stops work at the deadline, so that what is left arrives as fast as it is taken, and ends.

Evidence: node/endless body_without_end_is_broken_off, no end within 8 s before, 0.9 and 1.1 s now, the deadline at 0.8 s; long_response_arrives_whole_after_the_deadline, 40 MB read over 2.4 s, passes before and after. core/late_body replays nine bodies.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 //! | was its idempotency key used before? | [`claim`] |
 //! | did upstreams crash while they ran it? | [`screen`], from the decisions of [`quarantine`] by [`fingerprint`] and by which requests were [`answered`] |
 //! | did the upstream run it, and may its response be passed on? | [`response`] |
+//! | how much of its body is passed on after the deadline? | [`late_body`] |
 //! | what does the caller receive if no upstream answers? | [`outcome`] |
 //!
 //! Modules outside the request path: [`membership`] (which hosts are present), [`preset`] (the
@@ -52,6 +53,7 @@
 pub mod gate;
 pub mod health;
 pub mod instance;
+pub mod late_body;
 pub mod limit;
 pub mod load;
 pub mod membership;
--- a/crates/node/src/configs/callers.rs
+++ b/crates/node/src/configs/callers.rs
@@ -52,6 +52,12 @@
     /// Idle timeout of a body transfer.
     #[serde(with = "humantime_serde")]
     pub body_idle: Duration,
+    /// Time for which the rest of a response may be waited for after the deadline of its request,
+    /// besides one second for each MiB of it.
+    #[serde(with = "humantime_serde")]
+    pub late_body_wait: Duration,
+    /// Maximum bytes of a response without a length that are passed on after the deadline.
+    pub late_body_most: u64,
     /// Maximum number of requests processed at once per connection; further ones wait in the
     /// socket.
     pub pipelined_most: usize,
@@ -78,6 +84,8 @@
             grace: Duration::from_millis(25),
             replay_most: 256 * 1024,
             body_idle: Duration::from_secs(30),
+            late_body_wait: Duration::from_millis(250),
+            late_body_most: 64 * 1024 * 1024,
             pipelined_most: 32,
             connections_most: 4096,
         }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -5,7 +5,7 @@
 
 use hyper::Response;
 use hyper::body::Incoming;
-use hyper::header::RETRY_AFTER;
+use hyper::header::{HeaderMap, RETRY_AFTER};
 use mintridge_core::attempts::{Attempts, Due};
 use mintridge_core::outcome::{Outcome, Reason, Refusal};
 use mintridge_core::placement::Ending;
@@ -16,9 +16,10 @@
 use super::attempt::{Attempt, Outgoing, attempt};
 use super::placed::Placed;
 use super::{Entry, NO_UPSTREAM_RETRY_DELAY};
-use crate::body::Guarded;
+use crate::body::{self, Guarded};
 use crate::claims::Job;
 use crate::headers;
+use crate::replay::Source;
 use crate::request_log::History;
 
 /// State of one request while it is forwarded.
@@ -96,6 +97,27 @@
     }
 }
 
+/// A response on its way to the caller, and what it keeps in use.
+struct PassedOn {
+    placed: Placed,
+    _source: Source,
+    request_id: Arc<str>,
+}
+
+impl PassedOn {
+    /// Logs that the rest of the response is not passed on.
+    fn log_abort(&self, error: body::Error) {
+        if self.placed.entry.log.try_acquire(1) {
+            log::info!(
+                request = &*self.request_id,
+                to = &*self.placed.host,
+                error:% = error;
+                "response aborted"
+            );
+        }
+    }
+}
+
 impl Entry {
     /// Decides what to do after an attempt has ended.
     fn next_step(
@@ -276,11 +298,26 @@
         }
         let (mut parts, body) = response.into_parts();
         headers::strip_hop_by_hop(&mut parts.headers);
-        let idle = self.context.settings.callers.body_idle;
-        let body = Guarded::new(reply::from_incoming(body), (placed, outgoing.source), idle);
+        let limits = self.body_limits(outgoing.request.head.deadline, &parts.headers);
+        let passed_on = PassedOn {
+            placed,
+            _source: outgoing.source,
+            request_id: Arc::clone(&outgoing.request.head.request_id),
+        };
+        let body = reply::from_incoming(body);
+        let body = Guarded::new(body, passed_on, limits, PassedOn::log_abort);
         Response::from_parts(parts, Body::new(body))
     }
 
+    /// Returns the limits of a response. The node beside the upstream decides about the upstream, so
+    /// this node allows for a link that stalls as well, until its pings show that.
+    fn body_limits(&self, deadline: Instant, headers: &HeaderMap) -> body::Limits {
+        let settings = &self.context.settings;
+        let link_stall = settings.link.ping_every + settings.link.ping_within;
+        let late_wait = settings.callers.late_body_wait + link_stall;
+        body::Limits::new(&settings.callers, deadline, late_wait, headers)
+    }
+
     /// Responds to the caller with a refusal, or with an earlier failed response of an upstream.
     ///
     /// The claim is released only if every host that was tried certainly refused the request, since
--- a/crates/node/src/guard/hand_over.rs
+++ b/crates/node/src/guard/hand_over.rs
@@ -19,11 +19,12 @@
 use mintridge_http::Body;
 
 use super::notices::Statement;
-use super::runs::Digest;
+use super::runs::{Digest, Run};
+use super::screening::Trial;
 use super::slot::Slot;
 use super::{Guard, screening};
 use crate::arrival::ANONYMOUS;
-use crate::body::Guarded;
+use crate::body::{self, Guarded};
 use crate::headers::{self, Head};
 use crate::traces;
 use crate::upstream;
@@ -92,11 +93,42 @@
     headers::strip_own(&mut parts.headers);
     headers::write_load(&guard.report(now), &mut parts.headers);
     guard.write_known(&mut parts.headers);
-    let idle = guard.context.settings.callers.body_idle;
-    let body = Guarded::new(body, (run, trial, slot), idle);
+    let callers = &guard.context.settings.callers;
+    let late_wait = callers.late_body_wait;
+    let limits = body::Limits::new(callers, head.deadline, late_wait, &parts.headers);
+    let used = Used {
+        _run: run,
+        _trial: trial,
+        slot,
+        request_id: Arc::clone(&head.request_id),
+    };
+    let body = Guarded::new(body, used, limits, Used::record_abort);
     Ok(Response::from_parts(parts, Body::new(body)))
 }
 
+/// What a request uses of the upstream until its response has been passed on.
+struct Used {
+    _run: Run,
+    _trial: Option<Trial>,
+    slot: Slot,
+    request_id: Arc<str>,
+}
+
+impl Used {
+    /// Records that the rest of the upstream's response is not passed on.
+    fn record_abort(&self, error: body::Error) {
+        let guard = self.slot.guard();
+        guard.record_verdict(Instant::now(), Some(Verdict::Failed));
+        if guard.log.try_acquire(1) {
+            log::info!(
+                request = &*self.request_id,
+                error:% = error;
+                "response of the upstream aborted"
+            );
+        }
+    }
+}
+
 impl Guard {
     /// Waits until the upstream takes the request, and checks once more that it may run. Returns
     /// when it may be sent, and where.
--- a/crates/node/src/guard/slot.rs
+++ b/crates/node/src/guard/slot.rs
@@ -19,6 +19,13 @@
     pub id: Id,
 }
 
+impl Slot {
+    /// Returns the guard of the upstream.
+    pub const fn guard(&self) -> &Arc<Guard> {
+        &self.guard
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         self.guard.state.lock().admission.finish(self.id);
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -51,6 +51,13 @@
 pub const HEALTH: &str = "/health";
 /// Prefix of paths whose response body has the given number of bytes, as in `/bytes/1000`.
 pub const BYTES: &str = "/bytes/";
+/// Prefix of paths whose response body has the given number of bytes and no length, as in
+/// `/chunks/1000`.
+pub const CHUNKS: &str = "/chunks/";
+/// Path whose response body has no length and no end, as fast as the caller takes it.
+pub const ENDLESS: &str = "/endless";
+/// Path whose response body has no length and no end, a few bytes at a time.
+pub const TRICKLE: &str = "/trickle";
 /// Prefix of paths whose response has the given status after the run, and a body of the given number
 /// of bytes, as in `/status/503/1000`.
 pub const STATUS: &str = "/status/";
@@ -62,6 +69,9 @@
 pub const NESTED_REFUSAL: &str = "/deeper";
 const MAX_BEHAVIOUR_BYTES: usize = 64 * 1024;
 const CHUNK_BYTES: usize = 64 * 1024;
+/// Size and interval of the parts of [`TRICKLE`].
+const TRICKLE_BYTES: usize = 100;
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
 /// Length of the sliding window in which requests to a cold upstream are counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -486,7 +496,8 @@
     if request.uri().path() == NESTED_REFUSAL {
         return nested_refusal();
     }
-    if let Some(response) = status_response(request.uri().path()) {
+    let path = request.uri().path();
+    if let Some(response) = status_response(path).or_else(|| unbounded_response(path)) {
         return response;
     }
     if request.uri().path().ends_with(FIELDS) {
@@ -562,6 +573,24 @@
     response
 }
 
+/// Returns the response to [`ENDLESS`], [`TRICKLE`] or a path of [`CHUNKS`].
+fn unbounded_response(path: &str) -> Option<Response<Body>> {
+    let (bytes, part, pause) = match path {
+        ENDLESS => (usize::MAX, CHUNK_BYTES, None),
+        TRICKLE => (usize::MAX, TRICKLE_BYTES, Some(TRICKLE_PAUSE)),
+        _ => (path.strip_prefix(CHUNKS)?.parse().ok()?, CHUNK_BYTES, None),
+    };
+    let chunks = stream::unfold(bytes, move |left| async move {
+        if let Some(pause) = pause {
+            tokio::time::sleep(pause).await;
+        }
+        let next = part.min(left);
+        let frame = Frame::data(Bytes::from(vec![b'x'; next]));
+        (next > 0).then(|| (Ok::<_, io::Error>(frame), left - next))
+    });
+    Some(Response::new(Body::new(StreamBody::new(chunks))))
+}
+
 /// Returns the response to a path of [`STATUS`], with a time to come back.
 fn status_response(path: &str) -> Option<Response<Body>> {
     let (status, length) = path.strip_prefix(STATUS)?.split_once('/')?;
