fix(upstream): interim responses without end do not occupy the node

What callers saw: an upstream sent 103 after 103. Its own requests ended with 504 at their deadline, and other requests of the node took up to 0.6 s where they take 0.05 s; with a health check that was answered so, up to 0.75 s, some of them 504.

Cause: the HTTP library reads and skips interim responses, however many, and the node's thread did nothing else. Ruled out: memory, which stays flat, and a single head without end, which the library rejects.

Change: a connection to the upstream reads at most 1 MiB from the request to the head of its response. Health checks, which had a client of their own, use such a connection too (Upstream::check), opened for each as before. Why this is enough: a head is at most 0.4 MB for the library, so that a sound one never meets the limit, and 1 MiB is read in milliseconds.

Evidence: node/upstream send_rejects_interim_responses_without_end, 30 s to the deadline before (33.7 s in all), 0.3 s for the whole file now; send_skips_interim_responses passes before and after. check_rejects_interim_responses_without_end is new with the function.

--- a/crates/node/src/guard.rs
+++ b/crates/node/src/guard.rs
@@ -19,13 +19,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
-use http_body_util::Empty;
 use hyper::body::Body as _;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use mintridge_core::admission::{Action, Admission};
 use mintridge_core::answered::Answered;
 use mintridge_core::claim::{Claim, Verdict as ClaimVerdict};
@@ -87,8 +82,6 @@
     discovery_due: Notify,
     upstream: Upstream,
     log: RequestLog,
-    /// Client for probes and health checks, which open a new connection each time.
-    prober: Client<HttpConnector, Empty<Bytes>>,
 }
 
 struct State {
@@ -210,12 +203,6 @@
         if settings.upstream.request_limit_header.is_some() {
             admission = admission.with_request_limit(RequestLimit::new());
         }
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(settings.guard.connect_within));
-        let prober = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(0)
-            .build(connector);
         Self {
             state: Mutex::new(State {
                 admission,
@@ -246,7 +233,6 @@
             discovery_due: Notify::new(),
             upstream: Upstream::new(settings, context.adapter),
             log: RequestLog::new(&settings.logs),
-            prober,
             context,
         }
     }
--- a/crates/node/src/guard/discovery.rs
+++ b/crates/node/src/guard/discovery.rs
@@ -10,9 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::Empty;
+use hyper::StatusCode;
 use hyper::header::HeaderMap;
-use hyper::{Method, Request, StatusCode};
 use mintridge_core::instance::{Answer, Decision};
 use parking_lot::MutexGuard;
 use tokio::task::JoinSet;
@@ -138,23 +137,15 @@
         (target(&guard, &state), rechecks_leaving)
     };
     let (address, path) = target?;
-    let request = Request::builder()
-        .method(Method::GET)
-        .uri(format!("http://{address}{path}"))
-        .body(Empty::new())
-        .ok()?;
     let sent_at = Instant::now();
-    let response = guard.prober.request(request);
-    match tokio::time::timeout(CHECK_TIMEOUT, response).await {
-        Ok(Ok(response)) => {
-            let (parts, _) = response.into_parts();
-            Some(Checked {
-                sent_at,
-                status: parts.status,
-                headers: parts.headers,
-                rechecks_leaving,
-            })
-        }
+    let check = guard.upstream.check(address, &path);
+    match tokio::time::timeout(CHECK_TIMEOUT, check).await {
+        Ok(Ok(parts)) => Some(Checked {
+            sent_at,
+            status: parts.status,
+            headers: parts.headers,
+            rechecks_leaving,
+        }),
         Ok(Err(error)) => {
             log::info!(
                 upstream:% = address, error:% = error;
--- a/crates/node/src/guard/probing.rs
+++ b/crates/node/src/guard/probing.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http_body_util::Empty;
-use hyper::{Method, Request};
 use mintridge_core::health::Verdict;
 use mintridge_core::probe::Reservation;
 
@@ -70,23 +68,15 @@
 }
 
 async fn probe(guard: &Guard, announcement: &Announcement) -> Verdict {
-    let uri = format!(
-        "http://{}{}",
-        announcement.address, announcement.health_path
-    );
-    let request = Request::builder()
-        .method(Method::GET)
-        .uri(uri)
-        .body(Empty::new());
-    let Ok(request) = request else {
-        return Verdict::Failed;
-    };
     let timeout = guard.context.settings.probe.timeout;
     let sent_at = Instant::now();
-    match tokio::time::timeout(timeout, guard.prober.request(request)).await {
+    let check = guard
+        .upstream
+        .check(announcement.address, &announcement.health_path);
+    match tokio::time::timeout(timeout, check).await {
         Ok(Ok(response)) => {
-            guard.record_check(sent_at, response.headers());
-            if response.status().is_success() {
+            guard.record_check(sent_at, &response.headers);
+            if response.status.is_success() {
                 Verdict::Answered
             } else {
                 Verdict::Failed
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,6 +3,8 @@
 //! A response is classified by what it proves: it is the response to this request, it states that
 //! the request did not run, or it proves nothing and is an error.
 
+mod head_limit;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -25,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use self::head_limit::HeadLimit;
 use crate::adapter::Adapter;
 use crate::configs;
 
@@ -123,9 +126,24 @@
 struct Connection {
     address: SocketAddr,
     sender: Sender,
+    head_limit: HeadLimit,
     expires_at: Instant,
 }
 
+impl Connection {
+    /// Sends a GET request of the node's own and waits for the head of the response.
+    async fn get(&mut self, path: &str) -> Result<Response<Incoming>, Error> {
+        let mut request = Request::new(reply::empty());
+        *request.uri_mut() = path.parse().map_err(|_| Error::NeverSent)?;
+        let host = HeaderValue::try_from(self.address.to_string()).map_err(|_| Error::NeverSent)?;
+        request.headers_mut().insert(HOST, host);
+        self.head_limit.begin();
+        let sent = self.sender.send_request(request).await;
+        self.head_limit.end();
+        sent.map_err(Error::Broken)
+    }
+}
+
 /// A connection in use, to be returned to the pool once its response is complete. Dropping it
 /// instead closes the connection.
 struct Checkout {
@@ -203,7 +221,9 @@
         request: Request<Body>,
     ) -> Result<Received, Error> {
         let expected = Expectation::of(self.request_header.as_deref(), request.headers());
+        connection.head_limit.begin();
         let sent = connection.sender.try_send_request(request).await;
+        connection.head_limit.end();
         let mut response = sent.map_err(|mut error| {
             if error.take_message().is_some() {
                 Error::NeverSent
@@ -225,13 +245,8 @@
     /// # Errors
     /// If no valid response was received.
     pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Parts, Error> {
-        let mut request = Request::new(reply::empty());
-        *request.uri_mut() = path.parse().map_err(|_| Error::NeverSent)?;
-        let host = HeaderValue::try_from(address.to_string()).map_err(|_| Error::NeverSent)?;
-        request.headers_mut().insert(HOST, host);
         let mut connection = self.acquire(address).await?;
-        let sent = connection.sender.send_request(request).await;
-        let response = sent.map_err(Error::Broken)?;
+        let response = connection.get(path).await?;
         let checkout = self.checkout(connection, response.headers());
         let (parts, body) = response.into_parts();
         if self.instance(&parts.headers).is_none() {
@@ -242,6 +257,17 @@
         Ok(parts)
     }
 
+    /// Sends a health check over a new connection, which shows whether the upstream accepts one, and
+    /// returns the head of the response.
+    ///
+    /// # Errors
+    /// If no response was received.
+    pub async fn check(&self, address: SocketAddr, path: &str) -> Result<Parts, Error> {
+        let mut connection = self.connect(address).await?;
+        let response = connection.get(path).await?;
+        Ok(response.into_parts().0)
+    }
+
     /// Tries to open a new connection; if it opens, it goes to the pool.
     pub async fn try_connect(&self, address: SocketAddr) -> Reachability {
         let connecting = tokio::time::timeout(self.connect_timeout, TcpStream::connect(address));
@@ -324,9 +350,13 @@
 
     /// Returns a pooled connection, or opens a new one.
     async fn acquire(&self, address: SocketAddr) -> Result<Connection, Error> {
-        if let Some(connection) = self.take_idle(address) {
-            return Ok(connection);
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => self.connect(address).await,
         }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection, Error> {
         let connecting = async {
             let stream = TcpStream::connect(address).await.ok()?;
             self.open_on(address, stream).await
@@ -338,6 +368,7 @@
     /// Starts HTTP/1 on an open stream.
     async fn open_on(&self, address: SocketAddr, stream: TcpStream) -> Option<Connection> {
         stream.set_nodelay(true).ok()?;
+        let (head_limit, stream) = HeadLimit::new(stream);
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
         tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -351,6 +382,7 @@
         Some(Connection {
             address,
             sender,
+            head_limit,
             expires_at: Instant::now() + self.idle_timeout,
         })
     }
--- a/crates/node/tests/upstream.rs
+++ b/crates/node/tests/upstream.rs
@@ -227,17 +227,23 @@
     assert_eq!(server.connections.load(Ordering::SeqCst), 1);
 }
 
-/// Serves each connection with this head and a body without end. Returns the address and the number of
-/// bytes written so far.
-fn serve_endless(head: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
-    const CHUNK: usize = 64 * 1024;
+const CHUNK: usize = 64 * 1024;
+
+/// Returns one chunk of a body.
+fn chunk() -> Vec<u8> {
+    let mut chunk = format!("{CHUNK:x}\r\n").into_bytes();
+    chunk.extend(std::iter::repeat_n(b'x', CHUNK));
+    chunk.extend(b"\r\n");
+    chunk
+}
+
+/// Serves each connection with this head, followed by `part` without end. Returns the address and the
+/// number of bytes written so far.
+fn serve_endless(head: &'static str, part: Vec<u8>) -> (SocketAddr, Arc<AtomicUsize>) {
     let written = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&written);
     let address = serve_connections(move |mut stream| {
         let id = read_id(&mut stream).unwrap_or_default();
-        let mut part = format!("{CHUNK:x}\r\n").into_bytes();
-        part.extend(std::iter::repeat_n(b'x', CHUNK));
-        part.extend(b"\r\n");
         let mut next = head.replace("ID", &id).into_bytes();
         while stream.write_all(&next).is_ok() {
             counter.fetch_add(next.len(), Ordering::SeqCst);
@@ -257,6 +263,7 @@
 async fn send_reports_a_refusal_whose_body_does_not_end() {
     let (address, written) = serve_endless(
         "HTTP/1.1 503 Full\r\nx-id: ID\r\nx-not-run: 1\r\ntransfer-encoding: chunked\r\n\r\n",
+        chunk(),
     );
     let server = Server {
         address,
@@ -275,8 +282,10 @@
 /// Guards against reading the response to a health check into memory if it does not end.
 #[tokio::test]
 async fn get_rejects_a_response_that_does_not_end() {
-    let (address, written) =
-        serve_endless("HTTP/1.1 200 OK\r\nx-instance: i-1\r\ntransfer-encoding: chunked\r\n\r\n");
+    let (address, written) = serve_endless(
+        "HTTP/1.1 200 OK\r\nx-instance: i-1\r\ntransfer-encoding: chunked\r\n\r\n",
+        chunk(),
+    );
     let started_at = Instant::now();
     let checked = upstream().get(address, "/health").await;
     assert!(matches!(checked, Err(Error::Endless)), "{checked:?}");
@@ -287,6 +296,60 @@
     assert!(bytes < MAX_ENDLESS_BYTES, "{bytes} bytes");
 }
 
+/// Guards against interim responses without end, which keep the node's thread busy until the deadline
+/// while all its other requests wait.
+#[tokio::test]
+async fn send_rejects_interim_responses_without_end() {
+    let (address, written) = serve_endless("", b"HTTP/1.1 103 Early\r\n\r\n".repeat(1_000));
+    let server = Server {
+        address,
+        connections: Arc::default(),
+    };
+    let started_at = Instant::now();
+    let received = send(&upstream(), &server, "1").await;
+    assert!(matches!(received, Err(Error::Broken(_))));
+    let took = started_at.elapsed();
+    assert!(took < Duration::from_secs(15), "{took:?}");
+    let bytes = written.load(Ordering::SeqCst);
+    assert!(bytes < MAX_ENDLESS_BYTES, "{bytes} bytes");
+}
+
+/// Guards against a health check that keeps the node's thread busy in the same way.
+#[tokio::test]
+async fn check_rejects_interim_responses_without_end() {
+    let (address, written) = serve_endless("", b"HTTP/1.1 103 Early\r\n\r\n".repeat(1_000));
+    let checked = upstream().check(address, "/health").await;
+    assert!(matches!(checked, Err(Error::Broken(_))), "{checked:?}");
+    let bytes = written.load(Ordering::SeqCst);
+    assert!(bytes < MAX_ENDLESS_BYTES, "{bytes} bytes");
+}
+
+/// A health check opens a connection of its own and needs the head of the response alone.
+#[tokio::test]
+async fn check_returns_the_head_on_a_new_connection() {
+    const HEALTH: &str = "HTTP/1.1 503 Leaving\r\nx-instance: i-1\r\ncontent-length: 9\r\n\r\nhalf";
+    let (address, _) = serve_endless(HEALTH, Vec::new());
+    for _ in 0..2 {
+        let parts = upstream().check(address, "/health").await.expect("a head");
+        assert_eq!(parts.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(parts.headers["x-instance"], "i-1");
+    }
+}
+
+/// Guards against rejecting a few interim responses before the actual one.
+#[tokio::test]
+async fn send_skips_interim_responses() {
+    const AFTER_INTERIM: &str = "HTTP/1.1 103 Early\r\nlink: a\r\n\r\n\
+        HTTP/1.1 100 Continue\r\n\r\n\
+        HTTP/1.1 200 OK\r\nx-id: ID\r\nx-sign: s\r\ncontent-length: 4\r\n\r\ngood";
+    let server = start(&[&[AFTER_INTERIM, AFTER_INTERIM]]);
+    let upstream = upstream();
+    for id in ["1", "2"] {
+        assert_eq!(body(send(&upstream, &server, id).await).await, "good");
+    }
+    assert_eq!(server.connections.load(Ordering::SeqCst), 1);
+}
+
 /// The upstream's address now belongs to another instance, which rejects the request without
 /// running it.
 #[tokio::test]
