fix(upstream): a response has no encoding that its request does not accept

Cause: the check asked whether the request has an Accept-Encoding field and not what it says. Ruled out: a missing check, as the same responses are refused where the field is absent.

Change: upstream::encoding allows the codings that the request names, or all if it names "*", but for those with a weight of zero. Why this is enough: every response of an upstream is checked there before any of it is passed on.

--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -3,6 +3,7 @@
 //! A response is classified by what it proves: it is the response to this request, it states that
 //! the request did not run, or it proves nothing and is an error.
 
+mod encoding;
 mod head_limit;
 
 use std::net::SocketAddr;
@@ -13,10 +14,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1;
-use hyper::header::{
-    ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_LENGTH, HOST, HeaderMap, HeaderValue,
-    TRANSFER_ENCODING,
-};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -27,6 +25,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+use self::encoding::Accepted;
 use self::head_limit::HeadLimit;
 use crate::adapter::Adapter;
 use crate::configs;
@@ -553,7 +552,7 @@
 struct Expectation {
     /// Name and value of the request id header, if the request has one.
     id: Option<(String, Bytes)>,
-    accepts_encoding: bool,
+    encodings: Accepted,
 }
 
 impl Expectation {
@@ -564,7 +563,7 @@
         });
         Self {
             id,
-            accepts_encoding: headers.contains_key(ACCEPT_ENCODING),
+            encodings: Accepted::of(headers),
         }
     }
 
@@ -580,7 +579,7 @@
     /// Returns whether the response may have its content encoding. If the request did not ask for
     /// an encoding, something other than the upstream has added it.
     fn allows_encoding(&self, headers: &HeaderMap) -> bool {
-        self.accepts_encoding || self.id.is_none() || !headers.contains_key(CONTENT_ENCODING)
+        self.id.is_none() || self.encodings.allows(headers)
     }
 }
 
--- a/crates/node/tests/upstream.rs
+++ b/crates/node/tests/upstream.rs
@@ -164,6 +164,39 @@
     assert!(matches!(received, Err(Error::Foreign)));
 }
 
+/// Guards against passing on a response with a content encoding that its request does not accept: it is
+/// not the upstream's response.
+#[rstest]
+#[case::identity("identity", false)]
+#[case::empty("", false)]
+#[case::another("br, deflate", false)]
+#[case::excluded("gzip;q=0, br", false)]
+#[case::excluded_from_any("*, gzip; Q=0.000", false)]
+#[case::named("br, GZIP;q=0.5", true)]
+#[case::former_name("x-gzip", true)]
+#[case::any("*", true)]
+#[case::any_other("identity;q=0.5, *;q=0", false)]
+#[tokio::test]
+async fn send_accepts_an_encoding_that_was_asked_for(
+    #[case] accept_encoding: &str,
+    #[case] expected: bool,
+) {
+    const ENCODED: &str = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-sign: s\r\ncontent-encoding: gzip\r\n\
+        content-length: 4\r\n\r\ngzip";
+    let server = start(&[&[ENCODED]]);
+    let request = Request::builder()
+        .uri("/")
+        .header("host", "a")
+        .header("x-id", "1")
+        .header("accept-encoding", accept_encoding)
+        .body(reply::empty())
+        .expect("a request");
+    let deadline = Instant::now() + Duration::from_secs(30);
+    let received = upstream().send(server.address, request, deadline).await;
+    assert_eq!(matches!(received, Ok(Received::Answer(..))), expected);
+    assert_eq!(matches!(received, Err(Error::Foreign)), !expected);
+}
+
 /// Guards against treating a truncated or malformed response as complete: fewer bytes than
 /// `Content-Length`, no final chunk, or no HTTP response at all.
 #[rstest]
