fix(http): nothing is written into a response by the side that reads requests

Cause: the reading view of a connection wrote interim responses at once, and rejections once the head of the last response had been passed on. Ruled out: a response that is written out of order; only what the library generates while it reads was in the body.

Change: http::pipeline::turn follows the writing view; an interim response waits for the end of the responses before its request, a rejection for the end of all. Why this is enough: the reading view writes nothing else, and the writing view turns to the next request only when the library has written the response before, and has passed its last byte on when it flushes.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod side;
+mod turn;
 
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -30,6 +31,7 @@
 
 use self::body::track;
 use self::side::{ReadSide, WriteSide};
+use self::turn::Turns;
 use crate::quiet_timer::Timer;
 use crate::server::Phase;
 use crate::socket::{self, has_unread};
@@ -72,12 +74,16 @@
     idle_since: Mutex<Option<Instant>>,
     /// Requests whose stub the writing side has read and whose response it does not await yet.
     awaiting_response: Mutex<VecDeque<Pending>>,
+    turns: Turns,
     phase: watch::Receiver<Phase>,
 }
 
 impl Shared {
     /// Records whether all requests read are answered.
     fn set_idle(&self, is_idle: bool) {
+        if is_idle {
+            self.turns.record_idle();
+        }
         let mut idle_since = self.idle_since.lock();
         if is_idle {
             idle_since.get_or_insert_with(Instant::now);
@@ -127,6 +133,7 @@
         stopped: AtomicBool::new(false),
         idle_since: Mutex::new(Some(Instant::now())),
         awaiting_response: Mutex::default(),
+        turns: Turns::default(),
         phase: phase.clone(),
     });
     let (sender, pending) = mpsc::unbounded_channel();
@@ -191,6 +198,7 @@
         let accepted = !shared.stopped.load(Ordering::Relaxed);
         if accepted {
             shared.unanswered.fetch_add(1, Ordering::Relaxed);
+            shared.turns.record_read();
             let pending = Pending {
                 stub,
                 response: response_receiver,
@@ -219,10 +227,7 @@
             Ok::<_, Infallible>(Response::new(reply::empty()))
         }
     });
-    let io = ReadSide {
-        stream: Arc::clone(stream),
-        shared: Arc::clone(&shared),
-    };
+    let io = ReadSide::new(Arc::clone(stream), Arc::clone(&shared));
     let mut builder = builder.clone();
     let timer_shared = Arc::clone(&shared);
     let not_before = move || timer_shared.header_timeout_not_before();
@@ -269,6 +274,7 @@
         async move {
             let pending = next.ok_or(Dropped)?;
             let mut response = pending.response.await.map_err(|_| Dropped)?;
+            shared.turns.record_response();
             let is_last = shared.unanswered.fetch_sub(1, Ordering::Relaxed) == 1;
             let ends_connection = pending.ends_connection.load(Ordering::Acquire);
             response.headers_mut().remove(CONNECTION);
--- a/crates/http/src/pipeline/side.rs
+++ b/crates/http/src/pipeline/side.rs
@@ -15,13 +15,43 @@
 
 /// The socket of the reading side, which discards the empty responses written to it.
 ///
-/// Responses that hyper generates itself are sent: `100 Continue`, and the rejection of a request
-/// that it can't parse.
+/// Responses that hyper generates itself are sent in between the actual ones: `100 Continue`, and
+/// the rejection of a request that it can't parse.
 pub(super) struct ReadSide {
-    pub(super) stream: Arc<TcpStream>,
-    pub(super) shared: Arc<Shared>,
+    stream: Arc<TcpStream>,
+    shared: Arc<Shared>,
+    /// Number of bytes left of a response that was sent in part.
+    unsent: usize,
+}
+
+impl ReadSide {
+    pub(super) const fn new(stream: Arc<TcpStream>, shared: Arc<Shared>) -> Self {
+        Self {
+            stream,
+            shared,
+            unsent: 0,
+        }
+    }
+
+    /// Waits until this response may be sent; returns false if it must be discarded. A rejection is
+    /// discarded while a response is due, since that one then ends the connection.
+    fn poll_may_send(&self, cx: &Context<'_>, response: &[u8]) -> Poll<bool> {
+        if response.starts_with(EMPTY_RESPONSE_PREFIX)
+            || response.starts_with(EMPTY_HTTP10_RESPONSE_PREFIX)
+        {
+            Poll::Ready(false)
+        } else if response.starts_with(INTERIM_PREFIX) {
+            self.shared.turns.poll_interim(cx)
+        } else if self.shared.unanswered.load(Ordering::Relaxed) > 0 {
+            Poll::Ready(false)
+        } else {
+            self.shared.turns.poll_rejection(cx)
+        }
+    }
 }
 
+/// Prefix of interim responses.
+const INTERIM_PREFIX: &[u8] = b"HTTP/1.1 100 ";
 /// Prefix of the empty responses to HTTP/1.1 requests.
 const EMPTY_RESPONSE_PREFIX: &[u8] = b"HTTP/1.1 200 ";
 /// Prefix of the empty responses to HTTP/1.0 requests.
@@ -42,19 +72,23 @@
 }
 
 impl Write for ReadSide {
+    /// Sends or discards the first response in `bytes`, all of which have no body.
     fn poll_write(
-        self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let is_empty_response = bytes.starts_with(EMPTY_RESPONSE_PREFIX)
-            || bytes.starts_with(EMPTY_HTTP10_RESPONSE_PREFIX);
-        let is_all_answered = self.shared.unanswered.load(Ordering::Relaxed) == 0;
-        let is_continue = bytes.starts_with(b"HTTP/1.1 100 ");
-        if is_continue || (!is_empty_response && is_all_answered) {
-            self.stream.try_write(bytes)?;
+        if self.unsent == 0 {
+            let length = first_response(bytes).len();
+            if !ready!(self.poll_may_send(cx, &bytes[..length])) {
+                return Poll::Ready(Ok(length));
+            }
+            self.unsent = length;
         }
-        Poll::Ready(Ok(bytes.len()))
+        let next = &bytes[..self.unsent.min(bytes.len())];
+        let sent = ready!(socket::poll_write(&self.stream, cx, next))?;
+        self.unsent -= sent;
+        Poll::Ready(Ok(sent))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -66,6 +100,12 @@
     }
 }
 
+/// Returns the first of several responses without a body.
+fn first_response(bytes: &[u8]) -> &[u8] {
+    let end = bytes.windows(4).position(|end| end == b"\r\n\r\n");
+    end.map_or(bytes, |end| &bytes[..end + 4])
+}
+
 /// The socket of the writing side, which reads stubs in place of the actual requests.
 pub(super) struct WriteSide {
     pub(super) stream: Arc<TcpStream>,
@@ -83,6 +123,7 @@
         // Hyper reads the next stub once the previous response is written.
         self.shared.set_idle(polled.is_pending());
         if let Some(pending) = ready!(polled) {
+            self.shared.turns.record_begun();
             buffer.put_slice(pending.stub);
             self.shared.awaiting_response.lock().push_back(pending);
         }
@@ -96,6 +137,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.shared.turns.set_has_unwritten(true);
         socket::poll_write(&self.stream, cx, bytes)
     }
 
@@ -104,6 +146,7 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.shared.turns.set_has_unwritten(true);
         socket::poll_write_vectored(&self.stream, cx, buffers)
     }
 
@@ -111,7 +154,9 @@
         true
     }
 
+    /// Hyper flushes once it has written all that it has.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.shared.turns.set_has_unwritten(false);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use futures_util::{StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use mintridge_http::handler::{Function, ResponseFuture};
 use mintridge_http::server::{Limits, Phase, Protocol, serve};
@@ -23,6 +24,10 @@
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Path whose requests are refused before any of the body is read.
 pub const REFUSED: &str = "refused";
+/// Path whose response body pauses for [`PAUSE`] after its first half.
+pub const PAUSED: &str = "paused";
+/// Pause within the response to [`PAUSED`].
+pub const PAUSE: Duration = Duration::from_millis(400);
 /// Path whose response breaks off after its first bytes.
 pub const BROKEN: &str = "broken";
 /// Path prefix, followed by the number of milliseconds for which to block the server's only thread.
@@ -47,7 +52,7 @@
 }
 
 /// Sleeps for the number of milliseconds in the path, then responds with the path and the body.
-/// See [`REFUSED`], [`BROKEN`] and [`BUSY_PREFIX`] for other paths.
+/// See [`REFUSED`], [`BROKEN`], [`PAUSED`] and [`BUSY_PREFIX`] for other paths.
 async fn respond(counters: Arc<Counters>, request: Request<Body>) -> Response<Body> {
     let running = counters.running.fetch_add(1, Ordering::SeqCst) + 1;
     counters.max_running.fetch_max(running, Ordering::SeqCst);
@@ -59,12 +64,19 @@
     }
     if path == BROKEN {
         guard.1 = true;
-        let begun = stream::iter([Ok(Frame::data(Bytes::from("<begun")))]);
-        let broken = stream::once(async {
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            Err(io::Error::other("broken off"))
-        });
-        return Response::new(Body::new(StreamBody::new(begun.chain(broken))));
+        let broken = (
+            Duration::from_millis(50),
+            Err(io::Error::other("broken off")),
+        );
+        return in_parts(vec![(Duration::ZERO, Ok("<begun")), broken]);
+    }
+    if path == PAUSED {
+        guard.1 = true;
+        let parts = vec![(Duration::ZERO, Ok("<paused:")), (PAUSE, Ok("whole>"))];
+        let mut response = in_parts(parts);
+        let length = HeaderValue::from("<paused:whole>".len());
+        response.headers_mut().insert(CONTENT_LENGTH, length);
+        return response;
     }
     if let Some(millis) = path.strip_prefix(BUSY_PREFIX) {
         std::thread::sleep(Duration::from_millis(millis.parse().unwrap_or(0)));
@@ -77,6 +89,15 @@
     reply::text(StatusCode::OK, format!("<{path}:{body}>"))
 }
 
+/// Returns a response whose body arrives in parts, each after a pause.
+fn in_parts(parts: Vec<(Duration, io::Result<&'static str>)>) -> Response<Body> {
+    let parts = stream::iter(parts).then(async |(pause, part)| {
+        tokio::time::sleep(pause).await;
+        part.map(|part| Frame::data(Bytes::from(part)))
+    });
+    Response::new(Body::new(StreamBody::new(parts)))
+}
+
 pub struct Server {
     pub address: SocketAddr,
     pub counters: Arc<Counters>,
@@ -145,6 +166,18 @@
     text
 }
 
+/// Reads until this text has arrived, and the bytes that came with it.
+pub fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut bytes = [0; 1024];
+    while !text.contains(end) {
+        let read = stream.read(&mut bytes).expect("readable");
+        assert!(read > 0, "closed after {text}");
+        text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+    }
+    text
+}
+
 /// Reads until the server closes the connection, and checks that the connection isn't reset.
 pub fn read_to_close(stream: &mut TcpStream) -> String {
     let mut text = String::new();
--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::{
-    WAIT_TIMEOUT, bodies, connect, get, read_responses, read_to_close, start,
+    PAUSED, WAIT_TIMEOUT, bodies, connect, get, read_responses, read_to_close, read_until, start,
     start_with_header_timeout, wait_until,
 };
 use mintridge_http::server::Phase;
@@ -123,3 +123,50 @@
     let _ = stream.read_to_string(&mut text);
     assert!(text.starts_with("HTTP/1.1 400"), "{text}");
 }
+
+/// Sends bytes while the body of a response to an earlier request is still arriving. Returns what the
+/// caller received by `until`, which is part of it.
+fn send_within_a_response(bytes: &str, until: &str) -> String {
+    let server = start();
+    let mut stream = connect(&server);
+    stream.write_all(get(PAUSED).as_bytes()).expect("sent");
+    let mut text = read_until(&mut stream, "<paused:");
+    stream.write_all(bytes.as_bytes()).expect("sent");
+    text.push_str(&read_until(&mut stream, until));
+    text
+}
+
+/// Guards against an interim response or a rejection that is written into the body of the response
+/// before it, where it passes as a part of that body.
+#[rstest]
+#[case::interim(
+    "PUT /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\nexpect: 100-continue\r\n\r\n".to_owned(),
+    "HTTP/1.1 100"
+)]
+#[case::too_many_fields(
+    format!("GET /1 HTTP/1.1\r\nhost: a\r\n{}\r\n", "x-field: 1\r\n".repeat(110)),
+    "HTTP/1.1 431"
+)]
+#[case::garbage("no request at all\r\n\r\n".to_owned(), "HTTP/1.1 400")]
+fn serve_writes_nothing_into_a_response(#[case] bytes: String, #[case] follows: &str) {
+    let text = send_within_a_response(&bytes, follows);
+    assert_eq!(bodies(&text), ["paused:whole"], "{text}");
+    let response = text.find("whole>").expect("a whole response");
+    assert!(text.find(follows).is_some_and(|at| at > response), "{text}");
+}
+
+/// Guards against a connection that stalls once an interim response has waited for its turn.
+#[test]
+fn serve_reads_a_body_after_a_late_interim_response() {
+    let server = start();
+    let mut stream = connect(&server);
+    let head = "PUT /1 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\nexpect: 100-continue\r\n\r\n";
+    for _ in 0..3 {
+        stream.write_all(get(PAUSED).as_bytes()).expect("sent");
+        read_until(&mut stream, "<paused:");
+        stream.write_all(head.as_bytes()).expect("sent");
+        read_until(&mut stream, "HTTP/1.1 100 Continue\r\n\r\n");
+        stream.write_all(b"body").expect("sent");
+        assert_eq!(bodies(&read_responses(&mut stream, 1)), ["1:body"]);
+    }
+}
