fix(link): responses that nobody takes leave room for all others

Where eight callers read nothing of large responses, no other caller of that node got a response from that host.

Cause: all responses on a link share its window, 5 MB, and those that wait for their turn, or for their caller, are not taken from it; once they fill it, the one that they wait for no longer fits in. Ruled out: slots (the upstreams had answered) and responses that are not written in their turn (they had not arrived).

Change: only the window of each response is limited, 128 KiB. So that waiting responses don't fill the memory, a connection has at most 32 requests whose turn has not come, and 512 of all connections are handled ahead of their turn, the others in their turn. Why this is enough: no response can take another's room, and a request whose turn has come needs no permit.

--- a/crates/http/src/pipeline.rs
+++ b/crates/http/src/pipeline.rs
@@ -51,9 +51,30 @@
 /// connection.
 const BUFFER_BYTES: usize = 4096;
 
-/// A request that was read and awaits its response; responses keep the order of the requests.
+/// How many requests are handled concurrently.
+#[derive(Clone, Debug)]
+pub struct Concurrency {
+    /// Maximum number of requests of one connection whose turn has not come; further ones wait in the
+    /// socket.
+    pub per_connection: usize,
+    /// Permits for requests that are handled ahead of their turn, on all connections together.
+    ///
+    /// Failure: callers send many requests behind one that takes long. Symptom: the responses that wait
+    /// for their turn fill the memory. Without a permit a request is handled when its turn has come,
+    /// which needs no other request to proceed.
+    pub ahead: Arc<Semaphore>,
+}
+
+/// A request that was read; responses keep the order of the requests.
 struct Pending {
     stub: &'static [u8],
+    /// Notifies the request's task that its turn has come: all responses before its own are written.
+    turn: oneshot::Sender<()>,
+    awaited: Awaited,
+}
+
+/// A response that is due.
+struct Awaited {
     response: oneshot::Receiver<Response<Body>>,
     /// Set if the rest of the request body won't be read, so that no later request can be either.
     ends_connection: Arc<AtomicBool>,
@@ -73,7 +94,7 @@
     /// written.
     idle_since: Mutex<Option<Instant>>,
     /// Requests whose stub the writing side has read and whose response it does not await yet.
-    awaiting_response: Mutex<VecDeque<Pending>>,
+    awaiting_response: Mutex<VecDeque<Awaited>>,
     turns: Turns,
     phase: watch::Receiver<Phase>,
 }
@@ -110,13 +131,12 @@
 
 /// Serves one connection.
 ///
-/// Handles up to `max_in_progress` requests concurrently; further ones wait in the socket. When the
-/// caller disconnects, all its requests are dropped. In phase [`Phase::Leaving`] the connection
+/// When the caller disconnects, all its requests are dropped. In phase [`Phase::Leaving`] the connection
 /// closes after the last pending response; in [`Phase::Closing`] it also closes when idle.
 pub async fn serve<F, R>(
     stream: TcpStream,
     builder: &http1::Builder,
-    max_in_progress: usize,
+    concurrency: Concurrency,
     header_timeout: Duration,
     phase: watch::Receiver<Phase>,
     respond: F,
@@ -140,7 +160,7 @@
     let reading = read(
         &stream,
         builder,
-        max_in_progress,
+        concurrency,
         Arc::clone(&shared),
         sender,
         respond,
@@ -178,7 +198,7 @@
 async fn read<F, R>(
     stream: &Arc<TcpStream>,
     builder: &http1::Builder,
-    max_in_progress: usize,
+    concurrency: Concurrency,
     shared: Arc<Shared>,
     sender: mpsc::UnboundedSender<Pending>,
     respond: F,
@@ -188,30 +208,39 @@
 {
     let first_request_deadline = Instant::now() + FIRST_REQUEST_TIMEOUT;
     let mut phase = shared.phase.clone();
-    let permits = Arc::new(Semaphore::new(max_in_progress));
+    let permits = Arc::new(Semaphore::new(concurrency.per_connection));
     let tasks = Mutex::new(JoinSet::new());
     let service = service_fn(|request: Request<Incoming>| {
         let (request, remainder) = track(request);
         let stub = stub(&request);
         let (response_sender, response_receiver) = oneshot::channel();
+        let (turn_sender, turn) = oneshot::channel();
         shared.has_request.store(true, Ordering::Relaxed);
         let accepted = !shared.stopped.load(Ordering::Relaxed);
         if accepted {
             shared.unanswered.fetch_add(1, Ordering::Relaxed);
-            shared.turns.record_read();
+            let is_next = shared.turns.record_read();
             let pending = Pending {
                 stub,
-                response: response_receiver,
-                ends_connection: remainder.ends_connection(),
+                turn: turn_sender,
+                awaited: Awaited {
+                    response: response_receiver,
+                    ends_connection: remainder.ends_connection(),
+                },
             };
             let _ = sender.send(pending);
             let permits = Arc::clone(&permits);
+            let ahead = Arc::clone(&concurrency.ahead);
             let response_future = respond(request);
             let mut tasks = tasks.lock();
             while tasks.try_join_next().is_some() {}
             tasks.spawn(async move {
                 let _permit = permits.acquire_owned().await;
-                let _ = response_sender.send(response_future.await);
+                if is_next {
+                    let _ = response_sender.send(response_future.await);
+                } else {
+                    handle_in_turn(response_future, turn, ahead, response_sender).await;
+                }
             });
         }
         let permits = Arc::clone(&permits);
@@ -256,6 +285,33 @@
     discard_until_closed(stream, &mut 0).await;
 }
 
+/// Handles a request ahead of its turn if there is a permit for that, or else when its turn has come.
+/// Returns once it has both a response and its turn.
+async fn handle_in_turn(
+    response_future: impl Future<Output = Response<Body>>,
+    mut turn: oneshot::Receiver<()>,
+    ahead: Arc<Semaphore>,
+    response_sender: oneshot::Sender<Response<Body>>,
+) {
+    let mut permit = tokio::select! {
+        biased;
+        _ = &mut turn => None,
+        permit = ahead.acquire_owned() => permit.ok(),
+    };
+    let mut response_future = pin!(response_future);
+    let response = loop {
+        tokio::select! {
+            biased;
+            response = &mut response_future => break response,
+            _ = &mut turn, if permit.is_some() => permit = None,
+        }
+    };
+    let _ = response_sender.send(response);
+    if permit.is_some() {
+        let _ = turn.await;
+    }
+}
+
 /// Writes responses in order. Returns whether all of them are complete.
 async fn write(
     stream: &Arc<TcpStream>,
@@ -272,11 +328,11 @@
         let shared = Arc::clone(&shared);
         let next = shared.awaiting_response.lock().pop_front();
         async move {
-            let pending = next.ok_or(Dropped)?;
-            let mut response = pending.response.await.map_err(|_| Dropped)?;
+            let awaited = next.ok_or(Dropped)?;
+            let mut response = awaited.response.await.map_err(|_| Dropped)?;
             shared.turns.record_response();
             let is_last = shared.unanswered.fetch_sub(1, Ordering::Relaxed) == 1;
-            let ends_connection = pending.ends_connection.load(Ordering::Acquire);
+            let ends_connection = awaited.ends_connection.load(Ordering::Acquire);
             response.headers_mut().remove(CONNECTION);
             let stopped = shared.stopped.load(Ordering::Relaxed);
             if is_last && (ends_connection || stopped || *shared.phase.borrow() != Phase::Open) {
--- a/crates/http/src/pipeline/side.rs
+++ b/crates/http/src/pipeline/side.rs
@@ -125,7 +125,10 @@
         if let Some(pending) = ready!(polled) {
             self.shared.turns.record_begun();
             buffer.put_slice(pending.stub);
-            self.shared.awaiting_response.lock().push_back(pending);
+            let mut awaiting_response = self.shared.awaiting_response.lock();
+            awaiting_response.push_back(pending.awaited);
+            // The task has ended if its permits covered all that it needed.
+            let _ = pending.turn.send(());
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/http/src/pipeline/turn.rs
+++ b/crates/http/src/pipeline/turn.rs
@@ -39,9 +39,13 @@
 }
 
 impl Turns {
-    /// Records that a request was read.
-    pub(super) fn record_read(&self) {
-        self.0.lock().read += 1;
+    /// Records that a request was read. Returns whether its turn has come: no response is due before
+    /// its own.
+    pub(super) fn record_read(&self) -> bool {
+        let mut progress = self.0.lock();
+        let is_next = progress.begun == progress.read && progress.activity == Activity::Idle;
+        progress.read += 1;
+        is_next
     }
 
     /// Records that the writing side turns to the next request.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use crate::counted::{CountGuard, CountedBody};
 use crate::{Body, pipeline};
@@ -49,6 +49,9 @@
     pub window: u32,
     /// Maximum number of concurrent requests of a connection (HTTP/2 only).
     pub streams: u32,
+    /// Maximum number of pipelined requests of all connections that are handled before the responses
+    /// ahead of theirs are written. Their responses wait in memory.
+    pub ahead: usize,
 }
 
 /// Flow-control window of a stream: the bytes of a request body that may be in flight before the
@@ -57,6 +60,11 @@
 /// When a request is refused before its handler reads the body, up to this many bytes were sent
 /// although they are discarded. A body larger than the window needs one round trip per window.
 const WINDOW_BYTES: u32 = 16 * 1024;
+/// HTTP/2 flow-control window of a connection, the largest that the protocol has.
+///
+/// Failure: all streams share the window of their connection, and bodies that nobody reads fill it.
+/// Symptom: no other body arrives. Only the window of each stream is therefore limited.
+pub const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 
 impl Default for Limits {
     fn default() -> Self {
@@ -67,6 +75,7 @@
             header_timeout: Duration::from_secs(5),
             window: WINDOW_BYTES,
             streams: 1024,
+            ahead: 512,
         }
     }
 }
@@ -115,11 +124,12 @@
     let acceptor = Acceptor {
         handler: Arc::new(handler),
         protocol,
-        limits,
         phase: phase.clone(),
         graceful: GracefulShutdown::new(),
         open: Arc::default(),
         in_progress: Arc::default(),
+        ahead: Arc::new(Semaphore::new(limits.ahead)),
+        limits,
         connection_guard,
     };
     let give_up_at = loop {
@@ -192,6 +202,8 @@
     open: Arc<AtomicUsize>,
     /// Number of requests whose responses have not been passed on, but for pipelined connections.
     in_progress: Arc<AtomicUsize>,
+    /// Permits of pipelined requests that are handled ahead of their turn.
+    ahead: Arc<Semaphore>,
     /// Cloned by each pipelined connection and dropped when it has ended, so that the receiver
     /// closes after the last one.
     connection_guard: mpsc::Sender<Infallible>,
@@ -215,9 +227,13 @@
         };
         let connection_guard = self.connection_guard.clone();
         let limits = self.limits.clone();
+        let concurrency = pipeline::Concurrency {
+            per_connection: max_in_progress,
+            ahead: Arc::clone(&self.ahead),
+        };
         let phase = self.phase.clone();
         tokio::spawn(async move {
-            serve_pipelined(connection, handler, &limits, max_in_progress, phase).await;
+            serve_pipelined(connection, handler, &limits, concurrency, phase).await;
             drop(connection_guard);
         });
     }
@@ -314,7 +330,7 @@
     connection: Connection,
     handler: Arc<H>,
     limits: &Limits,
-    max_in_progress: usize,
+    concurrency: pipeline::Concurrency,
     phase: watch::Receiver<Phase>,
 ) where
     H: NewHandler + 'static,
@@ -329,7 +345,7 @@
     pipeline::serve(
         connection.stream,
         &builder,
-        max_in_progress,
+        concurrency,
         header_timeout,
         phase,
         respond,
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -35,6 +35,7 @@
 
 #[derive(Default)]
 pub struct Counters {
+    pub started: AtomicUsize,
     pub running: AtomicUsize,
     pub max_running: AtomicUsize,
     pub dropped: AtomicUsize,
@@ -54,6 +55,7 @@
 /// Sleeps for the number of milliseconds in the path, then responds with the path and the body.
 /// See [`REFUSED`], [`BROKEN`], [`PAUSED`] and [`BUSY_PREFIX`] for other paths.
 async fn respond(counters: Arc<Counters>, request: Request<Body>) -> Response<Body> {
+    counters.started.fetch_add(1, Ordering::SeqCst);
     let running = counters.running.fetch_add(1, Ordering::SeqCst) + 1;
     counters.max_running.fetch_max(running, Ordering::SeqCst);
     let mut guard = RunningGuard(counters, false);
--- a/crates/http/tests/pipeline.rs
+++ b/crates/http/tests/pipeline.rs
@@ -8,9 +8,9 @@
 
 use common::{
     PAUSED, WAIT_TIMEOUT, bodies, connect, get, read_responses, read_to_close, read_until, start,
-    start_with_header_timeout, wait_until,
+    start_with, start_with_header_timeout, wait_until,
 };
-use mintridge_http::server::Phase;
+use mintridge_http::server::{Limits, Phase};
 use rstest::rstest;
 
 /// Guards against a dropped response when a request takes longer than the header timeout and its
@@ -170,3 +170,27 @@
         assert_eq!(bodies(&read_responses(&mut stream, 1)), ["1:body"]);
     }
 }
+
+/// Two callers send many requests behind one that takes long. Guards against responses that pile up in
+/// memory until it is their turn.
+#[test]
+fn serve_handles_only_so_many_requests_ahead_of_their_turn() {
+    const AHEAD: usize = 3;
+    let server = start_with(Limits {
+        ahead: AHEAD,
+        ..Limits::default()
+    });
+    let mut streams = [connect(&server), connect(&server)];
+    for stream in &mut streams {
+        let requests = [get("1000"), get("1").repeat(20)].concat();
+        stream.write_all(requests.as_bytes()).expect("sent");
+    }
+    std::thread::sleep(Duration::from_millis(500));
+    let started = server.counters.started.load(Ordering::SeqCst);
+    assert_eq!(started, streams.len() + AHEAD);
+    for stream in &mut streams {
+        let text = read_responses(stream, 21);
+        let expected = [vec!["1000:"], vec!["1:"; 20]].concat();
+        assert_eq!(bodies(&text), expected);
+    }
+}
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use mintridge_http::counted::CountGuard;
 use mintridge_http::quiet_timer::Timer;
+use mintridge_http::server::CONNECTION_WINDOW_BYTES;
 use mintridge_http::socket::SharedStream;
 use mintridge_http::{Body, reply};
 use parking_lot::Mutex;
@@ -28,6 +29,8 @@
 /// slot or has been refused.
 pub const SLOT_PATH: &str = "/mintridge/slot";
 
+/// HTTP/2 receive window of a response in bytes: what arrives before the caller takes it.
+const RESPONSE_WINDOW_BYTES: u32 = 128 * 1024;
 /// Failure of a request on a link, by how far the request got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -286,6 +289,8 @@
             .keep_alive_interval(self.settings.ping_every)
             .keep_alive_timeout(self.settings.ping_within)
             .keep_alive_while_idle(false)
+            .initial_stream_window_size(RESPONSE_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .handshake(TokioIo::new(SharedStream(stream)))
             .await
             .map_err(|_| Error::NeverSent)?;
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{get, hosts, post, post_without_key, start_processes};
+use common::{
+    Plan, add_entry, get, hosts, post, post_without_key, start_processes,
+    start_processes_with_entry,
+};
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_standin::cost;
-use mintridge_standin::scene::Scene;
-use mintridge_standin::upstream::Echo;
+use mintridge_standin::scene::{Scene, wait_for};
+use mintridge_standin::upstream::{Behaviour, Echo};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -90,6 +93,100 @@
     assert!(grown < MAX_GROWTH_BYTES, "grown by {grown} bytes");
 }
 
+/// Index of an entry without an upstream of the service, behind the only host that has one.
+const SEPARATE_ENTRY: usize = 1;
+
+/// Sends a request to the separate entry without reading its response.
+async fn send_unread(scene: &Scene, path: &str) -> TcpStream {
+    let entry = scene.addresses(SEPARATE_ENTRY).callers;
+    let mut stream = TcpStream::connect(entry).await.expect("connects");
+    stream.write_all(raw(path).as_bytes()).await.expect("sent");
+    stream
+}
+
+fn raw(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: service\r\nmintridge-timeout-ms: 60000\r\n\r\n")
+}
+
+/// Several callers request large bodies and read nothing of them. Guards against other callers that
+/// wait for room on the link between the nodes, which the unread bodies have filled.
+#[tokio::test]
+async fn stalled_readers_delay_no_other_caller() {
+    let scene = start_processes_with_entry(1).await;
+    let mut stalled = Vec::new();
+    for _ in 0..8 {
+        stalled.push(send_unread(&scene, "/bytes/40000000").await);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for n in 0..20 {
+        let call = get(&format!("quick-{n}"));
+        let reply = scene.call(SEPARATE_ENTRY, &call).await;
+        assert!(reply.is_success(), "{n}: {reply:?}");
+    }
+}
+
+/// Reads responses until this many have arrived whole; returns their number.
+async fn count_responses(mut stream: TcpStream, body_bytes: usize, count: usize) -> usize {
+    let mut received = String::new();
+    let mut bytes = vec![0; 64 * 1024];
+    let arrived = |received: &str| received.matches('x').count() / body_bytes;
+    while arrived(&received) < count {
+        match stream.read(&mut bytes).await {
+            Ok(read) if read > 0 => received.push_str(&String::from_utf8_lossy(&bytes[..read])),
+            _ => break,
+        }
+    }
+    arrived(&received)
+}
+
+/// Callers send requests behind one that takes long, each on a connection of its own. Guards against
+/// responses that wait for their turn and fill the link between the nodes, so that the one that they
+/// wait for does not arrive either.
+#[tokio::test]
+async fn responses_behind_slow_ones_do_not_block_these() {
+    const CALLERS: usize = 40;
+    const BEHIND: usize = 24;
+    const BODY_BYTES: usize = 30_000;
+    let mut scene = start_processes(Plan {
+        behaviour: Behaviour {
+            service_micros: 3_000_000,
+            slots: 200,
+            ..Behaviour::default()
+        },
+        adjust: |settings| settings.admission.queue_per_slot = 20.0,
+        ..hosts(1)
+    })
+    .await;
+    add_entry(&mut scene).await;
+    scene.wait_until_joined().await;
+    let path = format!("/bytes/{BODY_BYTES}");
+    let mut streams = Vec::new();
+    for _ in 0..CALLERS {
+        streams.push(send_unread(&scene, &path).await);
+    }
+    wait_for("the slow requests run", || {
+        scene.hosts[0].upstream.counts().open == CALLERS as u64
+    })
+    .await;
+    scene.update_behaviour(0, |behaviour| behaviour.service_micros = 5_000);
+    let readers: Vec<_> = streams
+        .into_iter()
+        .map(|mut stream| {
+            let behind = raw(&path).repeat(BEHIND);
+            tokio::spawn(async move {
+                stream.write_all(behind.as_bytes()).await.expect("sent");
+                count_responses(stream, BODY_BYTES, BEHIND + 1).await
+            })
+        })
+        .collect();
+    let reading = futures_util::future::join_all(readers);
+    let counts = tokio::time::timeout(Duration::from_secs(20), reading).await;
+    let counts = counts.expect("all are answered");
+    for count in counts {
+        assert_eq!(count.expect("it reads"), BEHIND + 1);
+    }
+}
+
 /// Guards against a refusal that is lost because the connection is closed while the caller still
 /// sends: the node refuses the request before it has read any of its large body.
 #[tokio::test]
