fix(http): uploads that nobody reads leave room for all others

What callers saw: an upstream read nothing of thirty large uploads. Other uploads to it from the same node, for which it had free slots, got 504 at their deadline.

Change: the window of the link is the largest that the protocol has; that of each body stays. Why this is enough: no body can take another's room, and the rest of a body is sent only once its request has a slot, of which an upstream has few.

Evidence: node/streams unread_uploads_delay_no_other_upload, 504 Deadline before.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -377,7 +377,7 @@
         .timer(TokioTimer::new())
         .max_header_list_size(header_bytes)
         .initial_stream_window_size(limits.window)
-        .initial_connection_window_size(limits.window.saturating_mul(16))
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .max_concurrent_streams(limits.streams)
         .max_pending_accept_reset_streams(resets);
     builder
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -13,9 +13,10 @@
 use mintridge_bench::caller::{Call, Reply};
 use mintridge_standin::cost;
 use mintridge_standin::scene::{Scene, wait_for};
-use mintridge_standin::upstream::{Behaviour, Echo};
+use mintridge_standin::upstream::{Behaviour, Echo, UNREAD};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 const LARGE_BODY_BYTES: usize = 100_000_000;
 /// Far below the size of the body, far above what flow control windows and allocators need.
@@ -187,6 +188,50 @@
     }
 }
 
+/// An upstream reads nothing of several large uploads. Guards against other uploads to it that wait for
+/// room on the link between the nodes, which the unread ones have filled.
+#[tokio::test]
+async fn unread_uploads_delay_no_other_upload() {
+    const UNREAD_UPLOADS: usize = 30;
+    let mut scene = start_processes(Plan {
+        behaviour: Behaviour {
+            slots: 100,
+            ..Behaviour::default()
+        },
+        ..hosts(1)
+    })
+    .await;
+    add_entry(&mut scene).await;
+    scene.wait_until_joined().await;
+    let entry = scene.addresses(SEPARATE_ENTRY).callers;
+    let uploads: Vec<_> = (0..UNREAD_UPLOADS)
+        .map(|n| {
+            let call = Call {
+                path: UNREAD.to_owned(),
+                body: Bytes::from(vec![7; 20_000_000]),
+                timeout: Duration::from_mins(1),
+                ..post_without_key(&format!("unread-{n}"))
+            };
+            let caller = scene.caller.clone();
+            tokio::spawn(async move { caller.call(entry, &call).await })
+        })
+        .collect();
+    wait_for("the uploads run", || {
+        scene.hosts[0].upstream.counts().open == UNREAD_UPLOADS as u64
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for n in 0..10 {
+        let call = Call {
+            body: Bytes::from(vec![7; 200_000]),
+            ..post_without_key(&format!("read-{n}"))
+        };
+        let reply = scene.call(SEPARATE_ENTRY, &call).await;
+        assert!(reply.is_success(), "{n}: {reply:?}");
+    }
+    uploads.iter().for_each(JoinHandle::abort);
+}
+
 /// Guards against a refusal that is lost because the connection is closed while the caller still
 /// sends: the node refuses the request before it has read any of its large body.
 #[tokio::test]
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -54,6 +54,8 @@
 /// Prefix of paths whose response body has the given number of bytes and no length, as in
 /// `/chunks/1000`.
 pub const CHUNKS: &str = "/chunks/";
+/// Path whose requests get no response and have their bodies left unread.
+pub const UNREAD: &str = "/unread";
 /// Path whose response body has no length and no end, as fast as the caller takes it.
 pub const ENDLESS: &str = "/endless";
 /// Path whose response body has no length and no end, a few bytes at a time.
@@ -481,7 +483,7 @@
         return crash(upstream, service_time, request).await;
     }
     tokio::time::sleep(service_time).await;
-    if behaviour.manner == Mode::Silent {
+    if behaviour.manner == Mode::Silent || request.uri().path() == UNREAD {
         std::future::pending::<()>().await;
     }
     let traceparent = request.headers().get(TRACEPARENT).cloned();
