fix(body): a wait that a pause of the process prolongs does not count

What callers would see: a node is paused while it passes on the rest of a response after the deadline. When it resumes, the rest has arrived, and the response was broken off all the same, because the pause counted as waiting for the upstream.

Cause: a part that is there was judged by how long ago the wait for it began. Ruled out: nothing; found by reading.

Change: a part that is there is passed on, and a wait is counted only up to when it would have ended the body. Why this is enough: an upstream that keeps its caller waiting is found by the timer, with nothing there.

Evidence: core/late_body record_passes_what_arrived_during_a_pause, Err(Wait) before.

--- a/crates/core/src/late_body.rs
+++ b/crates/core/src/late_body.rs
@@ -63,7 +63,9 @@
         since.max(self.deadline) + self.allowed_wait().saturating_sub(self.waited)
     }
 
-    /// Records a part that arrived at `now`, after a wait since `since` if it was waited for.
+    /// Records a part that is there at `now`, after a wait since `since` if it was waited for. A part
+    /// that is found only after [`Self::wait_until`] was there before this process looked, as after a
+    /// pause, so its wait does not count.
     ///
     /// # Errors
     /// If the part must not be passed on.
@@ -76,15 +78,13 @@
         if now <= self.deadline {
             return Ok(());
         }
-        let begun = since.map(|since| since.max(self.deadline));
-        self.waited += begun.map_or(Duration::ZERO, |begun| now.saturating_duration_since(begun));
+        if let Some(since) = since.filter(|since| now <= self.wait_until(*since)) {
+            self.waited += now.saturating_duration_since(since.max(self.deadline));
+        }
         self.bytes += u64::try_from(bytes).unwrap_or(u64::MAX);
         if !self.has_length && self.bytes > self.limits.bytes {
             return Err(Excess::Size);
         }
-        if self.waited > self.allowed_wait() {
-            return Err(Excess::Wait);
-        }
         Ok(())
     }
 
--- a/crates/core/tests/late_body.rs
+++ b/crates/core/tests/late_body.rs
@@ -72,3 +72,15 @@
     assert!(late <= MILLI * 500, "{late:?}");
     assert!(passed <= 64 * MIB, "{passed} bytes");
 }
+
+/// The process is paused while it waits, and then finds that the rest of the body has arrived. Guards
+/// against breaking off a response that is ready.
+#[test]
+fn record_passes_what_arrived_during_a_pause() {
+    let deadline = Instant::now();
+    let mut allowance = Allowance::new(deadline, false, LIMITS);
+    let resumed_at = deadline + MILLI * 5_000;
+    assert!(allowance.wait_until(deadline) < resumed_at);
+    assert_eq!(allowance.record(resumed_at, Some(deadline), MIB), Ok(()));
+    assert!(allowance.wait_until(resumed_at) > resumed_at + LIMITS.wait);
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -62,7 +62,7 @@
 const WINDOW_BYTES: u32 = 16 * 1024;
 /// HTTP/2 flow-control window of a connection, the largest that the protocol has.
 ///
-/// Failure: all streams share the window of their connection, and bodies that nobody reads fill it.
+/// Failure: all streams share the window of their connection, and unread bodies fill it.
 /// Symptom: no other body arrives. Only the window of each stream is therefore limited.
 pub const CONNECTION_WINDOW_BYTES: u32 = (1 << 31) - 1;
 
--- a/crates/node/src/upstream.rs
+++ b/crates/node/src/upstream.rs
@@ -5,14 +5,14 @@
 
 mod encoding;
 mod head_limit;
+mod response_body;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use bytes::Bytes;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -27,6 +27,7 @@
 
 use self::encoding::Accepted;
 use self::head_limit::HeadLimit;
+use self::response_body::{ResponseBody, discard};
 use crate::adapter::Adapter;
 use crate::configs;
 
@@ -34,12 +35,6 @@
 /// header, because a request that is sent while the upstream closes the connection is lost.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
 
-/// Longest body that is read only to use its connection again. A new connection costs less than a
-/// longer one.
-const MAX_DISCARDED_BYTES: usize = 64 * 1024;
-/// Time for reading such a body, which a sound upstream sends together with the head.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// Reason for which no response was received.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -450,102 +445,14 @@
         if parts.status.is_success() && !signed || !expected.allows_encoding(&parts.headers) {
             return Err(Error::Foreign);
         }
-        let body = self.buffer(body, checkout).await?;
+        let max_buffered = self.settings.answer_held_most;
+        let body = ResponseBody::read(body, checkout, max_buffered).await?;
         if body.is_complete {
             parts.headers.remove(TRANSFER_ENCODING);
             parts.headers.remove(CONTENT_LENGTH);
         }
         Ok(Received::Answer(parts, body.body))
     }
-
-    /// Waits for the complete body if it is at most `answer_held_most` bytes long; streams a longer
-    /// one.
-    async fn buffer(&self, mut body: Incoming, checkout: Checkout) -> Result<ResponseBody, Error> {
-        let mut buffered = BytesMut::new();
-        while let Some(frame) = self.next_frame(&mut body, buffered.len()).await {
-            match frame {
-                Next::Frame(frame) => {
-                    if let Ok(data) = frame?.into_data() {
-                        buffered.extend_from_slice(&data);
-                    }
-                }
-                Next::TooLong => {
-                    return Ok(ResponseBody::stream(buffered.freeze(), body, checkout));
-                }
-            }
-        }
-        checkout.check_in();
-        Ok(ResponseBody {
-            body: reply::full(buffered.freeze()),
-            is_complete: true,
-        })
-    }
-
-    async fn next_frame(&self, body: &mut Incoming, buffered: usize) -> Option<Next> {
-        let announced = hyper::body::Body::size_hint(body).lower();
-        let remaining = usize::try_from(announced).unwrap_or(usize::MAX);
-        if buffered.saturating_add(remaining) > self.settings.answer_held_most {
-            return Some(Next::TooLong);
-        }
-        body.frame().await.map(Next::Frame)
-    }
-}
-
-/// Reads the rest of a response whose body is not needed, so that its connection can be used again.
-///
-/// Failure: an upstream sends a body without end. Symptom: the node reads it until the deadline, and
-/// its memory grows until it is killed.
-async fn discard(mut body: Incoming) -> Result<(), Error> {
-    let reading = async {
-        let mut bytes = 0;
-        while let Some(frame) = body.frame().await {
-            bytes += frame?.data_ref().map_or(0, Bytes::len);
-            if bytes > MAX_DISCARDED_BYTES {
-                return Err(Error::Endless);
-            }
-        }
-        Ok(())
-    };
-    let read = tokio::time::timeout(DISCARD_TIMEOUT, reading).await;
-    read.unwrap_or(Err(Error::Endless))
-}
-
-enum Next {
-    Frame(Result<Frame<Bytes>, hyper::Error>),
-    TooLong,
-}
-
-struct ResponseBody {
-    body: Body,
-    is_complete: bool,
-}
-
-impl ResponseBody {
-    /// Streams a long body, starting with the part already read. Its connection returns to the pool
-    /// when the body ends without an error.
-    fn stream(buffered: Bytes, body: Incoming, checkout: Checkout) -> Self {
-        let first = (!buffered.is_empty()).then_some(buffered);
-        let state = (first, body, Some(checkout));
-        let frames = futures_util::stream::unfold(state, |(first, mut body, mut checkout)| async {
-            if let Some(buffered) = first {
-                return Some((Ok(Frame::data(buffered)), (None, body, checkout)));
-            }
-            let Some(frame) = body.frame().await else {
-                if let Some(checkout) = checkout.take() {
-                    checkout.check_in();
-                }
-                return None;
-            };
-            if frame.is_err() {
-                checkout = None;
-            }
-            Some((frame.map_err(std::io::Error::other), (None, body, checkout)))
-        });
-        Self {
-            body: Body::new(StreamBody::new(frames)),
-            is_complete: false,
-        }
-    }
 }
 
 /// What a response must match.
